--- /dev/null
+++ b/crates/admit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admission, queues and slots beside a target.
--- /dev/null
+++ b/crates/assign/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions on which target owns which slice.
--- /dev/null
+++ b/crates/core/src/ids.rs
@@ -0,0 +1,177 @@
+//! Names and numbers that identify nodes, services, tenants and requests.
+
+use crate::errors::{CoreError, Result};
+use serde::{Deserialize, Serialize};
+use std::{fmt, sync::Arc};
+
+/// The longest name in bytes; it fits the label limit of DNS.
+pub const MAX_NAME_BYTES: usize = 63;
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Makes the name from text.
+            ///
+            /// # Errors
+            ///
+            /// Returns [`CoreError::InvalidName`] when the text is empty, longer than
+            /// [`MAX_NAME_BYTES`] bytes, or holds anything but `a-z`, `0-9`, `-`, `_` and `.`.
+            pub fn new(text: impl AsRef<str>) -> Result<Self> {
+                check_name(text.as_ref())?;
+
+                Ok(Self(Arc::from(text.as_ref())))
+            }
+
+            /// Returns the text of the name.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = CoreError;
+
+            fn try_from(text: String) -> Result<Self> {
+                Self::new(text)
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> Self {
+                String::from(&*name.0)
+            }
+        }
+    };
+}
+
+name_type!(
+    /// `NodeName` is the name of a VM and of the daemon on it.
+    NodeName
+);
+name_type!(
+    /// `ZoneName` is the name of an availability zone.
+    ZoneName
+);
+name_type!(
+    /// `ServiceName` is the name of a declared service.
+    ServiceName
+);
+name_type!(
+    /// `TenantName` is the name of a customer that shares the services.
+    TenantName
+);
+name_type!(
+    /// `OperationName` is the name of a declared operation of a service.
+    OperationName
+);
+
+/// Checks that a text can be a name.
+fn check_name(text: &str) -> Result<()> {
+    let allowed =
+        |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || b"-_.".contains(&byte);
+
+    let reason = if text.is_empty() {
+        "it is empty"
+    } else if text.len() > MAX_NAME_BYTES {
+        "it is longer than 63 bytes"
+    } else if !text.bytes().all(allowed) {
+        "only a-z, 0-9, '-', '_' and '.' are allowed"
+    } else {
+        return Ok(());
+    };
+
+    Err(CoreError::InvalidName {
+        name: Arc::from(text),
+        reason,
+    })
+}
+
+/// `NodeIncarnation` numbers the starts of the daemon on one VM; a later start has a higher
+/// number.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct NodeIncarnation(pub u64);
+
+/// `NodeIdentity` is one start of the daemon on one VM.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeIdentity {
+    /// The name of the VM.
+    pub name: NodeName,
+    /// The start of the daemon.
+    pub incarnation: NodeIncarnation,
+}
+
+impl NodeIdentity {
+    /// Makes the identity of one start of a node.
+    pub fn new(name: NodeName, incarnation: NodeIncarnation) -> Self {
+        Self { name, incarnation }
+    }
+}
+
+impl fmt::Display for NodeIdentity {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}#{}", self.name, self.incarnation.0)
+    }
+}
+
+/// `LeaseEpoch` numbers the successive owners of a slice. It is the fencing token of the owner.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct LeaseEpoch(pub u64);
+
+/// `RequestId` identifies a request from the caller to the target and in every log line.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct RequestId(Arc<str>);
+
+impl RequestId {
+    /// The longest identifier in bytes.
+    pub const MAX_BYTES: usize = 128;
+
+    /// Makes the identifier from the caller's text.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CoreError::InvalidRequest`] when the text is empty, longer than
+    /// [`Self::MAX_BYTES`] bytes, or holds anything but printable ASCII without spaces.
+    pub fn new(text: impl AsRef<str>) -> Result<Self> {
+        let text = text.as_ref();
+        let printable = text.bytes().all(|byte| byte.is_ascii_graphic());
+
+        if text.is_empty() || text.len() > Self::MAX_BYTES || !printable {
+            return Err(CoreError::invalid_request(
+                "the request identifier must be 1 to 128 printable ASCII characters",
+            ));
+        }
+
+        Ok(Self(Arc::from(text)))
+    }
+
+    /// Returns the text of the identifier.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
--- /dev/null
+++ b/crates/core/src/lease.rs
@@ -0,0 +1,30 @@
+//! The ownership record of a slice, as the platform stores it.
+
+use crate::{
+    ids::{LeaseEpoch, NodeIdentity, NodeName},
+    slice::SliceId,
+};
+use serde::{Deserialize, Serialize};
+
+/// `LeaseRecord` names the owner of a slice and the nodes that renew its lease.
+///
+/// It changes only by a conditional update in the platform, or by a takeover at a reserved
+/// epoch that is written back later.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LeaseRecord {
+    /// The owned slice.
+    pub slice: SliceId,
+    /// The epoch of the ownership; it only grows.
+    pub epoch: LeaseEpoch,
+    /// The owning start of a node.
+    pub owner: NodeIdentity,
+    /// The lease set: the owner and its witnesses. A majority of it must grant each renewal.
+    pub members: Vec<NodeName>,
+    /// The members that take over after a loss, in order of preference. The deputy at index
+    /// `i` bids for epochs congruent to `i + 1` modulo the count of deputies plus one.
+    pub deputies: Vec<NodeName>,
+    /// The unique identifier of the write, by which a writer knows its own record after a lost
+    /// answer.
+    pub write_id: u64,
+}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,4 @@
+//! The daemon of wagtailpulley.
+
+/// Runs the program.
+fn main() {}
--- /dev/null
+++ b/crates/intent/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions on intents, plans and confirmations.
--- /dev/null
+++ b/crates/lease/src/lib.rs
@@ -0,0 +1,1 @@
+//! Lease decisions of owners, witnesses and deputies.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! The HTTP client of the platform's object API.
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of the next hop, retries and their budgets.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! The checked settings of the daemon.
--- /dev/null
+++ b/crates/target/src/lib.rs
@@ -0,0 +1,1 @@
+//! The HTTP client of the target beside a daemon.
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Logs, metrics and latency histograms.
--- /dev/null
+++ b/crates/tool/src/main.rs
@@ -0,0 +1,4 @@
+//! The command-line tool of wagtailpulley.
+
+/// Runs the program.
+fn main() {}
