--- a/crates/core/src/ports.rs
+++ b/crates/core/src/ports.rs
@@ -87,6 +87,8 @@
     pub head: RequestHead,
     /// The whole body.
     pub body: Bytes,
+    /// The index of the key's slice, for a keyed service.
+    pub slice: Option<u32>,
     /// The fencing token, for a keyed service.
     pub epoch: Option<LeaseEpoch>,
     /// The time until the earlier of the deadline and the end of the lease.
@@ -112,6 +114,18 @@
     pub body: Box<dyn BodyStream>,
 }
 
+/// `TargetGrant` allows a target that checks fencing to run orders for a slice.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TargetGrant {
+    /// The index of the slice in the target's service.
+    pub slice: u32,
+    /// The fencing token.
+    pub epoch: LeaseEpoch,
+    /// The time in milliseconds for which orders may start; zero revokes.
+    pub valid_ms: u64,
+}
+
 /// `TargetPort` sends orders to the target beside the daemon.
 pub trait TargetPort: Debug {
     /// Sends one order and waits for the head of its answer. Dropping the future cancels it.
@@ -121,6 +135,13 @@
     /// Fails with a verdict that tells whether the order may have run.
     fn dispatch(&self, order: TargetOrder) -> LocalFuture<'_, Result<TargetAnswer>>;
 
+    /// Renews the grants of a target that checks fencing.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the target is out of reach or refuses a grant.
+    fn grant(&self, grants: Vec<TargetGrant>) -> LocalFuture<'_, Result<()>>;
+
     /// Returns the service that the target serves.
     fn service(&self) -> &ServiceName;
 }
--- /dev/null
+++ b/crates/peer/src/link.rs
@@ -0,0 +1,207 @@
+//! The client side of one peer.
+
+use crate::{PROTOCOL_VERSION, REQUEST_PATH, VERSION_HEADER, frame, stream::FrameReader};
+use bytes::Bytes;
+use compio::{net::TcpStream, time::timeout};
+use cyper_core::HyperStream;
+use h2::{
+    Reason,
+    client::{Builder, SendRequest},
+};
+use http::{Method, Request, StatusCode};
+use std::{cell::RefCell, net::SocketAddr, time::Duration};
+use tokio_util::compat::FuturesAsyncReadCompatExt;
+use wagtail_core::{
+    CoreError, Result,
+    ports::TargetAnswer,
+    request::{AnswerHead, RequestHead},
+    service::WorkClass,
+    verdict::RunVerdict,
+};
+
+/// The longest time to open a connection to a peer.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// The flow-control window of one stream in bytes.
+pub(crate) const STREAM_WINDOW_BYTES: u32 = 256 << 10;
+
+/// The flow-control window of a connection in bytes; it holds many streams whose readers are
+/// slow.
+pub(crate) const CONNECTION_WINDOW_BYTES: u32 = 16 << 20;
+
+/// `PeerLink` holds the connections to one peer: one for short work and one for long, so that a
+/// large answer never delays a short one.
+#[derive(Debug)]
+pub struct PeerLink {
+    address: SocketAddr,
+    short: RefCell<Option<SendRequest<Bytes>>>,
+    long: RefCell<Option<SendRequest<Bytes>>>,
+}
+
+impl PeerLink {
+    /// Makes a link that connects at the first request.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            short: RefCell::default(),
+            long: RefCell::default(),
+        }
+    }
+
+    /// Returns the address of the peer.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sends a request and waits for the head of its answer. Dropping the future resets the
+    /// stream, which cancels the request at the peer.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the verdict `NotRun` when the request did not leave this process or the peer
+    /// refused its stream, and `Unknown` otherwise.
+    pub async fn request(&self, head: &RequestHead, body: Bytes) -> Result<TargetAnswer> {
+        let frame = frame::encode(head)?;
+        let sender = self.connection(head.class).await?;
+        let request = stream_request(REQUEST_PATH)?;
+
+        let mut sender = sender.ready().await.map_err(|error| self.lost(&error))?;
+        let (response, mut stream) = sender
+            .send_request(request, false)
+            .map_err(|error| self.lost(&error))?;
+
+        let body_follows = !body.is_empty();
+        stream
+            .send_data(frame, !body_follows)
+            .map_err(|error| self.broken(&error))?;
+        if body_follows {
+            stream
+                .send_data(body, true)
+                .map_err(|error| self.broken(&error))?;
+        }
+
+        let response = response.await.map_err(|error| self.broken(&error))?;
+        self.answer(response).await
+    }
+
+    /// Reads the head of an answer.
+    async fn answer(&self, response: http::Response<h2::RecvStream>) -> Result<TargetAnswer> {
+        if response.status() != StatusCode::OK {
+            // The peer refuses a stream by its status before it reads the request.
+            return Err(CoreError::unavailable(
+                format!(
+                    "{}: the peer refused with status {}",
+                    self.address,
+                    response.status()
+                ),
+                RunVerdict::NotRun,
+            ));
+        }
+
+        let mut reader = FrameReader::new(response.into_body());
+        let head: AnswerHead = reader.message().await.map_err(|error| {
+            CoreError::unavailable(format!("{}: {error}", self.address), RunVerdict::Unknown)
+        })?;
+
+        Ok(TargetAnswer {
+            head,
+            body: Box::new(reader),
+        })
+    }
+
+    /// Returns the open connection for a class of work, or a new one.
+    async fn connection(&self, class: WorkClass) -> Result<SendRequest<Bytes>> {
+        let place = match class {
+            WorkClass::Short => &self.short,
+            WorkClass::Long => &self.long,
+        };
+
+        let open = place.borrow().clone();
+        if let Some(sender) = open {
+            return Ok(sender);
+        }
+
+        let sender = connect(self.address).await?;
+        *place.borrow_mut() = Some(sender.clone());
+
+        Ok(sender)
+    }
+
+    /// Forgets the connections after a failure and makes the error of a request that did not
+    /// leave this process.
+    fn lost(&self, error: &h2::Error) -> CoreError {
+        self.forget();
+
+        CoreError::unavailable(format!("{}: {error}", self.address), RunVerdict::NotRun)
+    }
+
+    /// Makes the error of a request that may have reached the peer.
+    fn broken(&self, error: &h2::Error) -> CoreError {
+        // The protocol promises that a refused stream was not processed.
+        let refused = error.reason() == Some(Reason::REFUSED_STREAM);
+        let verdict = if refused {
+            RunVerdict::NotRun
+        } else {
+            RunVerdict::Unknown
+        };
+
+        if error.is_io() || error.is_go_away() {
+            self.forget();
+        }
+
+        CoreError::unavailable(format!("{}: {error}", self.address), verdict)
+    }
+
+    /// Forgets the connections, so that the next request makes a new one.
+    pub fn forget(&self) {
+        self.short.take();
+        self.long.take();
+    }
+}
+
+/// Opens a connection to a peer and spawns the task that drives it.
+///
+/// # Errors
+///
+/// Fails with the verdict `NotRun`.
+pub(crate) async fn connect(address: SocketAddr) -> Result<SendRequest<Bytes>> {
+    let opening = timeout(CONNECT_TIMEOUT, open(address)).await;
+
+    opening
+        .unwrap_or_else(|_elapsed| Err("the connection timed out".to_owned()))
+        .map_err(|reason| {
+            CoreError::unavailable(format!("{address}: {reason}"), RunVerdict::NotRun)
+        })
+}
+
+/// Opens a connection to a peer without a time limit.
+async fn open(address: SocketAddr) -> std::result::Result<SendRequest<Bytes>, String> {
+    let stream = TcpStream::connect(address)
+        .await
+        .map_err(|error| error.to_string())?;
+    stream
+        .set_nodelay(true)
+        .map_err(|error| error.to_string())?;
+
+    let (sender, connection) = Builder::new()
+        .initial_window_size(STREAM_WINDOW_BYTES)
+        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+        .handshake(HyperStream::new_plain(stream).compat())
+        .await
+        .map_err(|error| error.to_string())?;
+
+    // The task ends with the connection; the streams learn of its errors.
+    compio::runtime::spawn(async move { drop(connection.await) }).detach();
+
+    Ok(sender)
+}
+
+/// Makes the request that opens a stream.
+pub(crate) fn stream_request(path: &str) -> Result<Request<()>> {
+    Request::builder()
+        .method(Method::POST)
+        .uri(format!("http://peer{path}"))
+        .header(VERSION_HEADER, PROTOCOL_VERSION)
+        .body(())
+        .map_err(|error| CoreError::invalid_request(error.to_string()))
+}
--- /dev/null
+++ b/crates/target/src/client.rs
@@ -0,0 +1,194 @@
+//! The client of the target over HTTP/1.1.
+
+use crate::headers;
+use bytes::Bytes;
+use compio::time::timeout;
+use http_body_util::Full;
+use hyper::{Method, Request, StatusCode, http::request::Builder, http::response::Parts};
+use serde::Serialize;
+use std::{net::SocketAddr, sync::Arc};
+use wagtail_core::{
+    CoreError, Result,
+    ids::{NodeName, ServiceName},
+    ports::{LocalFuture, TargetAnswer, TargetGrant, TargetOrder, TargetPort},
+    request::{AnswerHead, HeaderField},
+    verdict::RunVerdict,
+};
+use wagtail_net::client::{HttpPool, PooledAnswer};
+
+/// The largest answer in bytes to a renewal of grants.
+const MAX_GRANT_ANSWER_BYTES: usize = 64 << 10;
+
+/// The time in milliseconds after which a target that sheds is expected to accept again.
+const SHED_RETRY_MS: u64 = 100;
+
+/// `GrantBody` is the body of a renewal of grants.
+#[derive(Debug, Serialize)]
+struct GrantBody {
+    /// The renewed and revoked grants.
+    grants: Vec<TargetGrant>,
+}
+
+/// `HttpTarget` is the target beside the daemon.
+#[derive(Debug)]
+pub struct HttpTarget {
+    node: NodeName,
+    service: ServiceName,
+    pool: HttpPool,
+    host: Arc<str>,
+}
+
+impl HttpTarget {
+    /// Makes the client of a target that announced itself.
+    pub fn new(node: NodeName, service: ServiceName, address: SocketAddr) -> Self {
+        let host = Arc::from(address.to_string());
+
+        Self {
+            node,
+            service,
+            pool: HttpPool::new(address),
+            host,
+        }
+    }
+
+    /// Returns the address of the target.
+    pub fn address(&self) -> SocketAddr {
+        self.pool.address()
+    }
+
+    /// Makes the HTTP request of an order.
+    fn request(&self, order: &TargetOrder) -> Result<Request<Full<Bytes>>> {
+        let head = &order.head;
+        let mut builder = Request::builder()
+            .method(&*head.method)
+            .uri(&*head.path)
+            .header("host", &*self.host)
+            .header(headers::REQUEST_ID, head.id.as_str())
+            .header(headers::TENANT, head.tenant.as_str())
+            .header(headers::OPERATION, head.operation.as_str())
+            .header(
+                headers::TIME_LEFT,
+                u64::try_from(order.time_left.as_millis()).unwrap_or(0),
+            );
+
+        if let (Some(key), Some(epoch)) = (&head.key, order.epoch) {
+            builder = builder
+                .header(headers::KEY, &**key)
+                .header(headers::EPOCH, epoch.0);
+        }
+        if let Some(slice) = order.slice {
+            builder = builder.header(headers::SLICE, slice);
+        }
+
+        with_fields(builder, &head.headers)
+            .body(Full::new(order.body.clone()))
+            .map_err(|error| CoreError::invalid_request(error.to_string()))
+    }
+
+    /// Turns the HTTP answer into the typed one, or into the refusal that it stands for.
+    fn answer(&self, order: &TargetOrder, answer: PooledAnswer) -> Result<TargetAnswer> {
+        let parts = answer.parts();
+
+        if let Some(reason) = parts.headers.get(headers::REFUSED) {
+            return Err(refusal(reason.to_str().unwrap_or("")));
+        }
+
+        let head = AnswerHead {
+            id: order.head.id.clone(),
+            status: parts.status.as_u16(),
+            verdict: RunVerdict::Done,
+            node: self.node.clone(),
+            refusal: None,
+            owner: None,
+            epoch: order.epoch,
+            retry_after_ms: None,
+            headers: end_to_end_fields(parts),
+        };
+
+        Ok(TargetAnswer {
+            head,
+            body: Box::new(answer),
+        })
+    }
+}
+
+impl TargetPort for HttpTarget {
+    fn dispatch(&self, order: TargetOrder) -> LocalFuture<'_, Result<TargetAnswer>> {
+        Box::pin(async move {
+            let request = self.request(&order)?;
+
+            // Leaving the future at the timeout closes the connection, which cancels the order.
+            let answer = timeout(order.time_left, self.pool.send(request))
+                .await
+                .unwrap_or(Err(CoreError::DeadlineExceeded {
+                    verdict: RunVerdict::Unknown,
+                }))?;
+
+            self.answer(&order, answer)
+        })
+    }
+
+    fn grant(&self, grants: Vec<TargetGrant>) -> LocalFuture<'_, Result<()>> {
+        Box::pin(async move {
+            let body = serde_json::to_vec(&GrantBody { grants })
+                .map_err(|error| CoreError::malformed(error.to_string()))?;
+            let request = Request::builder()
+                .method(Method::POST)
+                .uri("/wagtail/grants")
+                .header("host", &*self.host)
+                .body(Full::new(Bytes::from(body)))
+                .map_err(|error| CoreError::invalid_request(error.to_string()))?;
+
+            let mut answer = self.pool.send(request).await?;
+            let status = answer.parts().status;
+            answer.read_body(MAX_GRANT_ANSWER_BYTES).await?;
+
+            if status == StatusCode::OK {
+                Ok(())
+            } else {
+                Err(CoreError::unavailable(
+                    format!("the target answered a grant with status {status}"),
+                    RunVerdict::NotRun,
+                ))
+            }
+        })
+    }
+
+    fn service(&self) -> &ServiceName {
+        &self.service
+    }
+}
+
+/// Returns the error that a target's refusal before the start stands for.
+fn refusal(reason: &str) -> CoreError {
+    match reason {
+        "shed" => CoreError::overloaded("the target sheds load", SHED_RETRY_MS),
+        "deadline" => CoreError::DeadlineExceeded {
+            verdict: RunVerdict::NotRun,
+        },
+        other => CoreError::unavailable(
+            format!("the target refused the order: {other}"),
+            RunVerdict::NotRun,
+        ),
+    }
+}
+
+/// Adds header fields to a request.
+fn with_fields(builder: Builder, fields: &[HeaderField]) -> Builder {
+    fields.iter().fold(builder, |builder, field| {
+        builder.header(&*field.name, field.value.as_ref())
+    })
+}
+
+/// Returns the header fields of an answer that travel from end to end.
+fn end_to_end_fields(parts: &Parts) -> Vec<HeaderField> {
+    parts
+        .headers
+        .iter()
+        .filter(|(name, _)| headers::is_end_to_end(name.as_str()))
+        .map(|(name, value)| HeaderField {
+            name: Arc::from(name.as_str()),
+            value: Bytes::copy_from_slice(value.as_bytes()),
+        })
+        .collect()
+}
