--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -1,7 +1,7 @@
 //! The ownership record of a slice, as the platform stores it.
 
 use crate::{
-    ids::{LeaseEpoch, NodeIdentity, NodeName},
+    ids::{LeaseEpoch, NodeIdentity, NodeIncarnation, NodeName},
     slice::SliceId,
 };
 use serde::{Deserialize, Serialize};
@@ -21,6 +21,17 @@
     pub owner: NodeIdentity,
     /// The lease set: the owner and its witnesses. A majority of it must grant each renewal.
     pub members: Vec<NodeName>,
+    /// The start of each member when it joined the set. A member at a later start has forgotten
+    /// its promises.
+    #[serde(default)]
+    pub member_starts: Vec<NodeIncarnation>,
+    /// The epoch of the conditional update that chose the set; a takeover keeps it.
+    #[serde(default)]
+    pub set_epoch: LeaseEpoch,
+    /// The set that this set replaces. A majority of it is needed too, until a holder has
+    /// once gained both.
+    #[serde(default)]
+    pub replaced: Option<ReplacedSet>,
     /// The members that take over after a loss, in order of preference. The deputy at index
     /// `i` bids for epochs congruent to `i + 1` modulo the count of deputies plus one.
     pub deputies: Vec<NodeName>,
@@ -28,3 +39,13 @@
     /// answer.
     pub write_id: u64,
 }
+
+/// `ReplacedSet` is the lease set before the last change of the set.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ReplacedSet {
+    /// The members.
+    pub members: Vec<NodeName>,
+    /// The start of each member when it joined the set.
+    pub member_starts: Vec<NodeIncarnation>,
+}
