--- /dev/null
+++ b/crates/admit/src/memory.rs
@@ -0,0 +1,430 @@
+//! The identifiers and answers of non-idempotent requests.
+
+use crate::{
+    messages::{AdmitRefusal, IdentifierAge, WorkArrival},
+    options::AdmitOptions,
+};
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    time::Duration,
+};
+use wagtail_core::{
+    ids::{OperationName, RequestId, TenantName},
+    units::LocalMoment,
+};
+
+/// `MemoryKey` identifies a request: two tenants may use the same identifier.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct MemoryKey {
+    /// The tenant of the caller.
+    pub tenant: TenantName,
+    /// The identifier of the request.
+    pub id: RequestId,
+}
+
+impl MemoryKey {
+    /// Makes the key of an arrival.
+    pub fn of(arrival: &WorkArrival) -> Self {
+        Self {
+            tenant: arrival.tenant.clone(),
+            id: arrival.id.clone(),
+        }
+    }
+}
+
+/// `MemoryState` is what became of a remembered request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum MemoryState {
+    /// It waits or runs as this ticket.
+    Unresolved(u64),
+    /// The daemon keeps its answer under this ticket.
+    Kept(u64),
+    /// It ran or may have run, and its answer is not here.
+    Spent,
+}
+
+/// `MemoryRecord` is one remembered request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct MemoryRecord {
+    /// The operation of the request.
+    operation: OperationName,
+    /// The slice of its key.
+    slice: Option<u32>,
+    /// What became of it.
+    state: MemoryState,
+    /// The moment at which it is forgotten, once resolved.
+    expires: LocalMoment,
+    /// The bytes of its kept answer.
+    bytes: u64,
+}
+
+/// `MemoryEntry` is one remembered request on its way to the next owner of a slice.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct MemoryEntry {
+    /// The identity of the request.
+    pub key: MemoryKey,
+    /// The operation of the request.
+    pub operation: OperationName,
+    /// The time for which it must still be remembered.
+    pub remaining: Duration,
+}
+
+/// `MemoryTransfer` is what the next owner of a slice learns of the requests before it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum MemoryTransfer {
+    /// All that the former owner remembered.
+    Whole(Vec<MemoryEntry>),
+    /// The former owner was lost with its memory.
+    Lost,
+}
+
+/// `MemoryVerdict` is what the memory says of an arrival.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum MemoryVerdict {
+    /// The identifier was not used before.
+    Fresh,
+    /// The same request waits or runs as this ticket.
+    Follow(u64),
+    /// The answer is kept under this ticket.
+    Replay(u64),
+    /// The request may not run.
+    Refuse(AdmitRefusal),
+}
+
+/// `RequestMemory` remembers the identifiers of non-idempotent requests, so that none runs
+/// twice. It never drops an identifier before its time: when it is full, new work is refused.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct RequestMemory {
+    /// The remembered requests.
+    records: BTreeMap<MemoryKey, MemoryRecord>,
+    /// The resolved requests by the moment at which they are forgotten.
+    expiries: BTreeSet<(LocalMoment, MemoryKey)>,
+    /// The requests with a kept answer, oldest first.
+    kept: VecDeque<MemoryKey>,
+    /// The bytes of the kept answers.
+    kept_bytes: u64,
+    /// The slices that were taken over without memory, with the moment of the take-over.
+    floors: BTreeMap<u32, LocalMoment>,
+    /// The time for which a resolved request is remembered.
+    time: Duration,
+    /// The most requests.
+    max_entries: usize,
+    /// The most bytes of kept answers.
+    max_bytes: u64,
+    /// The largest difference of clocks.
+    skew: Duration,
+    /// Whether identifiers of unknown age pass after a take-over without memory.
+    accept_unknown_age: bool,
+}
+
+impl RequestMemory {
+    /// Makes an empty memory.
+    pub fn new(options: &AdmitOptions) -> Self {
+        Self {
+            records: BTreeMap::new(),
+            expiries: BTreeSet::new(),
+            kept: VecDeque::new(),
+            kept_bytes: 0,
+            floors: BTreeMap::new(),
+            time: options.memory_time,
+            max_entries: options.memory_entries,
+            max_bytes: options.memory_bytes,
+            skew: options.clock_skew,
+            accept_unknown_age: options.accept_unknown_age,
+        }
+    }
+
+    /// Returns the count of remembered requests.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Returns whether nothing is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Returns the bytes of the kept answers.
+    pub fn kept_bytes(&self) -> u64 {
+        self.kept_bytes
+    }
+
+    /// Judges an arrival of a non-idempotent operation.
+    pub(crate) fn check(&self, now: LocalMoment, arrival: &WorkArrival) -> MemoryVerdict {
+        if let Some(record) = self.records.get(&MemoryKey::of(arrival)) {
+            return record.check(arrival);
+        }
+
+        if let Some(refusal) = self.check_age(now, arrival) {
+            return MemoryVerdict::Refuse(refusal);
+        }
+
+        if self.records.len() >= self.max_entries {
+            return MemoryVerdict::Refuse(AdmitRefusal::MemoryFull);
+        }
+
+        MemoryVerdict::Fresh
+    }
+
+    /// Remembers an admitted arrival as unresolved.
+    pub(crate) fn insert(&mut self, arrival: &WorkArrival) {
+        let record = MemoryRecord {
+            operation: arrival.operation.clone(),
+            slice: arrival.slice,
+            state: MemoryState::Unresolved(arrival.ticket),
+            expires: LocalMoment::ZERO,
+            bytes: 0,
+        };
+
+        self.records.insert(MemoryKey::of(arrival), record);
+    }
+
+    /// Forgets a request that certainly did not run.
+    pub(crate) fn release(&mut self, arrival: &WorkArrival) {
+        let key = MemoryKey::of(arrival);
+        let own = self
+            .records
+            .get(&key)
+            .is_some_and(|record| record.state == MemoryState::Unresolved(arrival.ticket));
+
+        if own {
+            self.records.remove(&key);
+        }
+    }
+
+    /// Resolves a request whose answer is lost or that may have run.
+    pub(crate) fn resolve_spent(&mut self, now: LocalMoment, arrival: &WorkArrival) {
+        self.resolve(now, arrival, MemoryState::Spent, 0);
+    }
+
+    /// Resolves a request whose answer the daemon has, and returns whether to keep the answer
+    /// and the tickets whose answers are to be dropped for it.
+    pub(crate) fn resolve_answered(
+        &mut self,
+        now: LocalMoment,
+        arrival: &WorkArrival,
+        bytes: u64,
+    ) -> KeptAnswers {
+        let keep = bytes <= self.max_bytes / 8;
+
+        if !keep {
+            self.resolve_spent(now, arrival);
+
+            return KeptAnswers::default();
+        }
+
+        self.resolve(now, arrival, MemoryState::Kept(arrival.ticket), bytes);
+        self.kept.push_back(MemoryKey::of(arrival));
+        self.kept_bytes += bytes;
+
+        KeptAnswers {
+            keep,
+            dropped: self.drop_oldest(),
+        }
+    }
+
+    /// Forgets the requests whose time is over and returns the tickets of their kept answers.
+    pub(crate) fn expire(&mut self, now: LocalMoment) -> Vec<u64> {
+        let mut dropped = Vec::new();
+
+        while let Some((expires, _)) = self.expiries.first()
+            && *expires <= now
+        {
+            let Some((_, key)) = self.expiries.pop_first() else {
+                break;
+            };
+
+            if let Some(record) = self.records.remove(&key) {
+                dropped.extend(self.uncount_kept(&key, &record));
+            }
+        }
+
+        dropped
+    }
+
+    /// Returns what the next owner of a slice must know. What is unresolved counts as run.
+    pub fn export(&self, now: LocalMoment, slice: u32) -> Vec<MemoryEntry> {
+        let of_slice = self
+            .records
+            .iter()
+            .filter(|(_, record)| record.slice == Some(slice));
+
+        of_slice
+            .map(|(key, record)| MemoryEntry {
+                key: key.clone(),
+                operation: record.operation.clone(),
+                remaining: record.remaining(now, self.time),
+            })
+            .collect()
+    }
+
+    /// Takes in what the former owner of a slice remembered.
+    pub fn import(&mut self, now: LocalMoment, slice: u32, transfer: MemoryTransfer) {
+        let entries = match transfer {
+            MemoryTransfer::Whole(entries) => entries,
+            MemoryTransfer::Lost => {
+                self.floors.insert(slice, now);
+
+                return;
+            }
+        };
+
+        for entry in entries {
+            self.import_entry(now, slice, entry);
+        }
+    }
+
+    /// Takes in one entry, unless the request is known here already.
+    fn import_entry(&mut self, now: LocalMoment, slice: u32, entry: MemoryEntry) {
+        if self.records.contains_key(&entry.key) {
+            return;
+        }
+
+        let expires = now + entry.remaining;
+        let record = MemoryRecord {
+            operation: entry.operation,
+            slice: Some(slice),
+            state: MemoryState::Spent,
+            expires,
+            bytes: 0,
+        };
+
+        self.expiries.insert((expires, entry.key.clone()));
+        self.records.insert(entry.key, record);
+    }
+
+    /// Refuses an identifier that may be one whose record was forgotten or lost.
+    fn check_age(&self, now: LocalMoment, arrival: &WorkArrival) -> Option<AdmitRefusal> {
+        let floor = arrival
+            .slice
+            .and_then(|slice| self.floors.get(&slice))
+            .filter(|floor| now.since(**floor) < self.time);
+
+        let too_old = match arrival.age {
+            IdentifierAge::Made => false,
+            IdentifierAge::Issued(issued) => {
+                let forgotten = now.since(issued) + self.skew >= self.time;
+                let lost = floor.is_some_and(|floor| issued <= *floor + self.skew);
+
+                forgotten || lost
+            }
+            IdentifierAge::Unknown => floor.is_some() && !self.accept_unknown_age,
+        };
+
+        too_old.then_some(AdmitRefusal::IdentifierTooOld)
+    }
+
+    /// Sets the state of a request and the moment at which it is forgotten.
+    fn resolve(&mut self, now: LocalMoment, arrival: &WorkArrival, state: MemoryState, bytes: u64) {
+        let key = MemoryKey::of(arrival);
+        let expires = now + self.time;
+        let Some(record) = self.records.get_mut(&key) else {
+            return;
+        };
+
+        record.state = state;
+        record.bytes = bytes;
+        self.expiries.remove(&(record.expires, key.clone()));
+        record.expires = expires;
+        self.expiries.insert((expires, key));
+    }
+
+    /// Drops the oldest kept answers until the rest fits; their identifiers stay.
+    fn drop_oldest(&mut self) -> Vec<u64> {
+        let mut dropped = Vec::new();
+
+        while self.kept_bytes > self.max_bytes {
+            let Some(key) = self.kept.pop_front() else {
+                break;
+            };
+            let Some(record) = self.records.get_mut(&key) else {
+                continue;
+            };
+
+            if let MemoryState::Kept(ticket) = record.state {
+                self.kept_bytes -= record.bytes;
+                record.state = MemoryState::Spent;
+                dropped.push(ticket);
+            }
+        }
+
+        dropped
+    }
+
+    /// Counts out the kept answer of a removed record and returns its ticket.
+    fn uncount_kept(&mut self, key: &MemoryKey, record: &MemoryRecord) -> Option<u64> {
+        let MemoryState::Kept(ticket) = record.state else {
+            return None;
+        };
+
+        self.kept_bytes -= record.bytes;
+
+        // Answers are kept and expire in the same order, so this is the first or near it.
+        if let Some(index) = self.kept.iter().position(|kept| kept == key) {
+            self.kept.remove(index);
+        }
+
+        Some(ticket)
+    }
+}
+
+/// `KeptAnswers` says which answers the daemon keeps after one more was resolved.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub(crate) struct KeptAnswers {
+    /// Whether the new answer is kept.
+    pub(crate) keep: bool,
+    /// The tickets whose answers are dropped.
+    pub(crate) dropped: Vec<u64>,
+}
+
+impl MemoryRecord {
+    /// Judges a repeat of this request.
+    fn check(&self, arrival: &WorkArrival) -> MemoryVerdict {
+        if self.operation != arrival.operation || self.slice != arrival.slice {
+            return MemoryVerdict::Refuse(AdmitRefusal::IdentifierReused);
+        }
+
+        match self.state {
+            MemoryState::Unresolved(ticket) => MemoryVerdict::Follow(ticket),
+            MemoryState::Kept(ticket) => MemoryVerdict::Replay(ticket),
+            MemoryState::Spent => MemoryVerdict::Refuse(AdmitRefusal::Duplicate),
+        }
+    }
+
+    /// Returns the time for which this request must still be remembered.
+    fn remaining(&self, now: LocalMoment, time: Duration) -> Duration {
+        match self.state {
+            MemoryState::Unresolved(_) => time,
+            MemoryState::Kept(_) | MemoryState::Spent => self.expires.since(now),
+        }
+    }
+}
+
+/// Returns the time of issue in milliseconds of the Unix epoch that a UUID of version 7
+/// carries.
+pub fn issued_unix_ms(id: &RequestId) -> Option<u64> {
+    let text = id.as_str();
+    let hyphens = [8, 13, 18, 23];
+    let shaped = text.len() == 36
+        && text.bytes().enumerate().all(|(index, byte)| {
+            if hyphens.contains(&index) {
+                byte == b'-'
+            } else {
+                byte.is_ascii_hexdigit()
+            }
+        });
+
+    if !shaped || text.as_bytes()[14] != b'7' {
+        return None;
+    }
+
+    let high = u64::from_str_radix(&text[..8], 16).ok()?;
+    let low = u64::from_str_radix(&text[9..13], 16).ok()?;
+
+    Some((high << 16) | low)
+}
