--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,1 +1,19 @@
-//! Choice of the next hop, retries and their budgets.
+//! Choice of the next hop, retries and their budgets, at the node that a caller reached.
+//!
+//! - [`choice`]: the choice of a target for services without keys.
+//! - [`standing`]: what one ingress knows of one target.
+//! - [`retry`]: whether a failed attempt may be repeated.
+//! - [`budget`]: the retries that a service and tenant may still cause.
+//! - [`table`]: the owners of the slices of keyed services.
+
+pub mod budget;
+pub mod choice;
+pub mod retry;
+pub mod standing;
+pub mod table;
+
+pub use budget::{BudgetOptions, RetryBudget};
+pub use choice::{ChoiceAction, ChoiceEvent, ChoiceMachine, ChoiceOptions};
+pub use retry::{RetryDecision, RetryPolicy, RetryQuestion, RetryRefusal};
+pub use standing::{AttemptResult, LoadHint};
+pub use table::{RouteHint, RouteTable};
