Plans, confirmations and placement: first version behind the API

The intent crate checks a document whole, plans it against the configuration in force, confirms the plan by a conditional write and keeps the configuration at a node. The configuration notes VMs that are gone and the plans behind its latest versions, so that a repeated confirmation is recognised after later ones.

--- a/crates/core/src/service.rs
+++ b/crates/core/src/service.rs
@@ -1,6 +1,6 @@
 //! The declared services, operations and tenants.
 
-use crate::ids::{OperationName, ServiceName, TenantName};
+use crate::ids::{NodeIdentity, NodeName, OperationName, ServiceName, TenantName};
 use serde::{Deserialize, Serialize};
 
 /// `WorkClass` tells work that holds a slot briefly from work that holds it many times longer.
@@ -89,6 +89,16 @@
     }
 }
 
+/// `PlanStamp` names the plan that made a version of the configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlanStamp {
+    /// The version.
+    pub version: u64,
+    /// The identifier of the plan.
+    pub plan: String,
+}
+
 /// `ConfigDocument` is the whole configuration in force, at one version.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -102,7 +112,14 @@
     pub services: Vec<ServiceSpec>,
     /// The VMs that are to receive no new work.
     #[serde(default)]
-    pub draining: Vec<crate::ids::NodeName>,
+    pub draining: Vec<NodeName>,
+    /// The starts of VMs that the operator declared lost for good; earlier starts are included.
+    #[serde(default)]
+    pub gone: Vec<NodeIdentity>,
+    /// The plans behind the latest versions, oldest first, by which a repeated confirmation is
+    /// recognised.
+    #[serde(default)]
+    pub recent: Vec<PlanStamp>,
 }
 
 impl ConfigDocument {
@@ -110,6 +127,18 @@
     pub fn service(&self, name: &ServiceName) -> Option<&ServiceSpec> {
         self.services.iter().find(|service| &service.name == name)
     }
+
+    /// Returns whether a start of a VM was declared lost for good.
+    pub fn is_gone(&self, identity: &NodeIdentity) -> bool {
+        self.gone
+            .iter()
+            .any(|gone| gone.name == identity.name && identity.incarnation <= gone.incarnation)
+    }
+
+    /// Returns whether a start of a VM may receive new work.
+    pub fn takes_work(&self, identity: &NodeIdentity) -> bool {
+        !self.draining.contains(&identity.name) && !self.is_gone(identity)
+    }
 }
 
 /// Returns the count of hash slices of a service that declares none.
--- /dev/null
+++ b/crates/intent/src/forecast.rs
@@ -0,0 +1,86 @@
+//! The expected moves of a change of the configuration.
+
+use crate::{
+    plan::{SliceMove, UnavailableEstimate},
+    view::{FleetView, SliceView},
+};
+use std::collections::BTreeMap;
+use wagtail_assign::placement::{PlacementTarget, place_slice};
+use wagtail_core::{
+    ids::{NodeName, ServiceName},
+    service::ConfigDocument,
+};
+
+/// The expected time in milliseconds that a key is unavailable while its slice is handed over.
+const HANDOVER_MS: u64 = 200;
+
+/// Lists the slices that leave VMs which start to drain, are gone, or lose their service.
+///
+/// The owners choose by the load at the time, so the destination is a forecast.
+pub fn forecast_moves(
+    before: &ConfigDocument,
+    after: &ConfigDocument,
+    view: &FleetView,
+) -> Vec<SliceMove> {
+    let mut groups: BTreeMap<(ServiceName, NodeName, Option<NodeName>), Vec<u32>> = BTreeMap::new();
+
+    for slice in &view.slices {
+        let removed = after.service(&slice.slice.service).is_none();
+
+        if !removed && !starts_to_leave(slice, before, after) {
+            continue;
+        }
+
+        let service = slice.slice.service.clone();
+        let to = if removed {
+            None
+        } else {
+            place_slice(&slice.slice, &candidates(&service, after, view))
+        };
+        groups
+            .entry((service, slice.owner.name.clone(), to))
+            .or_default()
+            .push(slice.slice.index);
+    }
+
+    let moves = groups.into_iter().map(|((service, from, to), mut slices)| {
+        slices.sort_unstable();
+
+        SliceMove {
+            service,
+            from,
+            to,
+            slices,
+        }
+    });
+
+    moves.collect()
+}
+
+/// Returns how long the moving keys are expected to be unavailable.
+pub fn estimate_unavailable(moves: &[SliceMove]) -> UnavailableEstimate {
+    let slices = moves.iter().map(|group| group.slices.len() as u64).sum();
+
+    UnavailableEstimate {
+        key_ms: if slices == 0 { 0 } else { HANDOVER_MS },
+        slices,
+    }
+}
+
+/// Returns whether the owner of a slice starts to leave by the change.
+fn starts_to_leave(slice: &SliceView, before: &ConfigDocument, after: &ConfigDocument) -> bool {
+    before.takes_work(&slice.owner) && !after.takes_work(&slice.owner)
+}
+
+/// Returns the targets that may own a slice of a service under a configuration.
+fn candidates(
+    service: &ServiceName,
+    document: &ConfigDocument,
+    view: &FleetView,
+) -> Vec<PlacementTarget> {
+    view.targets(service)
+        .filter(|node| node.reachable && !node.leaving)
+        .filter(|node| document.takes_work(&node.identity))
+        .map(|node| PlacementTarget::new(node.identity.name.clone(), 1))
+        .collect()
+}
--- a/crates/intent/src/lib.rs
+++ b/crates/intent/src/lib.rs
@@ -1,1 +1,45 @@
-//! Decisions on intents, plans and confirmations.
+//! Decisions on intents, plans and confirmations, without input or output.
+//!
+//! An operator states an [`IntentDocument`]. [`make_plan`] turns it into a [`PlanDocument`] that
+//! lists every change, and nothing is in force until the plan is confirmed against the version
+//! that it was made for. [`IntentMachine`] drives both against the platform, [`ConfigKeeper`]
+//! takes accepted configurations up in the order of their versions.
+//!
+//! - [`document`]: what an operator writes.
+//! - [`check`]: the whole check of an intent, with a path for each fault.
+//! - [`change`]: the differences between two configurations.
+//! - [`plan`]: the plan for an intent.
+//! - [`promise`]: the refusal of changes that would break a promise.
+//! - [`view`]: the nodes and slice owners that a plan is made for.
+//! - [`machine`]: the state machine of plans and confirmations.
+//! - [`keeper`]: the configuration that a node has in force.
+//! - [`reports`]: the answers of the administration API.
+//! - [`errors`]: why an intent or a confirmation fails.
+
+pub mod change;
+pub mod check;
+pub mod document;
+pub mod errors;
+pub mod keeper;
+pub mod machine;
+pub mod plan;
+pub mod promise;
+pub mod reports;
+pub mod view;
+
+mod collector;
+mod confirm;
+mod forecast;
+
+pub use change::{PlannedChange, RequestChange, RequestTraits, diff_documents, diff_requests};
+pub use check::parse_intent;
+pub use document::IntentDocument;
+pub use errors::{ConfirmConflict, DocumentFault, IntentError, IntentRefusal, Result};
+pub use keeper::{ConfigKeeper, KeeperAction, KeeperEvent, KeeperOptions};
+pub use machine::{
+    CallId, ConfigOutcome, IntentAction, IntentEvent, IntentMachine, IntentOptions, IntentReply,
+    PlanOutcome, WriteOutcome,
+};
+pub use plan::{PlanDocument, SliceMove, UnavailableEstimate, make_plan};
+pub use promise::check_promises;
+pub use view::{FleetView, NodeView, SliceView};
--- /dev/null
+++ b/crates/intent/src/promise.rs
@@ -0,0 +1,308 @@
+//! The refusal of changes that would break a promise.
+
+use crate::{
+    change::RequestChange,
+    document::IntentDocument,
+    errors::IntentRefusal,
+    view::{FleetView, NodeView},
+};
+use wagtail_core::{
+    ids::ServiceName,
+    service::{ConfigDocument, ServiceSpec},
+};
+
+/// The fewest nodes that spread a lease over five members.
+const FULL_SET: usize = 5;
+/// The largest configuration in bytes; the platform holds values of a megabyte, and a plan holds
+/// two configurations.
+const MAX_DOCUMENT_BYTES: usize = 400_000;
+
+/// Lists what an intent names that does not exist.
+pub fn check_intent(
+    intent: &IntentDocument,
+    base: &ConfigDocument,
+    view: &FleetView,
+) -> Vec<IntentRefusal> {
+    let mut refusals = Vec::new();
+
+    for service in &intent.remove_services {
+        if base.service(service).is_none() {
+            refusals.push(refusal(
+                "unknown-service",
+                service.as_str(),
+                "no service of this name is declared",
+                "list the services with `wagtail services`",
+            ));
+        }
+    }
+
+    for node in intent.drain.iter().chain(&intent.gone) {
+        if view.latest_identity(node).is_none() {
+            refusals.push(refusal(
+                "unknown-node",
+                node.as_str(),
+                "no VM of this name has announced itself or owns a key",
+                "check the name",
+            ));
+        }
+    }
+
+    for node in &intent.undrain {
+        if !base.draining.contains(node) {
+            refusals.push(refusal(
+                "not-draining",
+                node.as_str(),
+                "the VM is not being drained",
+                "leave it out of undrain",
+            ));
+        }
+    }
+
+    refusals
+}
+
+/// Lists every promise that a change of the configuration would break in the known fleet.
+pub fn check_promises(
+    before: &ConfigDocument,
+    after: &ConfigDocument,
+    view: &FleetView,
+) -> Vec<IntentRefusal> {
+    let mut refusals = Vec::new();
+
+    for old in &before.services {
+        match after.service(&old.name) {
+            Some(new) => check_division(old, new, view, &mut refusals),
+            None => check_removal(old, after, view, &mut refusals),
+        }
+    }
+
+    for service in &after.services {
+        check_last_target(service, before, after, view, &mut refusals);
+        check_fencing(service, view, &mut refusals);
+    }
+
+    check_gone(before, after, view, &mut refusals);
+    check_size(after, &mut refusals);
+
+    refusals
+}
+
+/// Refuses another division into slices while slices have owners.
+fn check_division(
+    old: &ServiceSpec,
+    new: &ServiceSpec,
+    view: &FleetView,
+    refusals: &mut Vec<IntentRefusal>,
+) {
+    let changed = old.keyed != new.keyed || (old.keyed && old.slices != new.slices);
+    let owned = view.slices_of(&old.name).count();
+
+    if changed && owned > 0 {
+        refusals.push(refusal(
+            "division-in-use",
+            old.name.as_str(),
+            format!(
+                "{owned} slices have owners; another value of keyed or slices would give keys a \
+                 second owner"
+            ),
+            "declare a service of another name and move its callers, or drain and remove this one \
+             first",
+        ));
+    }
+}
+
+/// Refuses the removal of a service that still serves.
+fn check_removal(
+    old: &ServiceSpec,
+    after: &ConfigDocument,
+    view: &FleetView,
+    refusals: &mut Vec<IntentRefusal>,
+) {
+    let serving = serving_nodes(&old.name, after, view);
+
+    if serving.is_empty() {
+        return;
+    }
+
+    let nodes = join_names(&serving);
+    let owned = view.slices_of(&old.name).count();
+    refusals.push(refusal(
+        "service-in-use",
+        old.name.as_str(),
+        format!("it still serves on {nodes} and owns {owned} slices, so requests would be cut off"),
+        format!("name {nodes} in drain of the same intent"),
+    ));
+}
+
+/// Refuses a drain that leaves a keyed service without a target.
+fn check_last_target(
+    service: &ServiceSpec,
+    before: &ConfigDocument,
+    after: &ConfigDocument,
+    view: &FleetView,
+    refusals: &mut Vec<IntentRefusal>,
+) {
+    let before_any = !serving_nodes(&service.name, before, view).is_empty();
+    let after_any = !serving_nodes(&service.name, after, view).is_empty();
+
+    if service.keyed && before_any && !after_any {
+        refusals.push(refusal(
+            "last-target",
+            service.name.as_str(),
+            "no target would be left to own its keys",
+            "start another target first, or remove the service in the same intent",
+        ));
+    }
+}
+
+/// Refuses to rely on fencing that a target does not offer.
+fn check_fencing(service: &ServiceSpec, view: &FleetView, refusals: &mut Vec<IntentRefusal>) {
+    let unfenced: Vec<&NodeView> = view
+        .targets(&service.name)
+        .filter(|node| service.keyed && service.fenced && !node.fenced)
+        .collect();
+
+    if !unfenced.is_empty() {
+        refusals.push(refusal(
+            "not-fenced",
+            service.name.as_str(),
+            format!(
+                "the targets on {} do not check fencing tokens, so a successor must wait for their \
+                 daemon",
+                join_names(&unfenced)
+            ),
+            "declare fenced: false",
+        ));
+    }
+}
+
+/// Refuses to declare a VM gone that still answers.
+fn check_gone(
+    before: &ConfigDocument,
+    after: &ConfigDocument,
+    view: &FleetView,
+    refusals: &mut Vec<IntentRefusal>,
+) {
+    for identity in &after.gone {
+        let known = before.gone.contains(identity);
+        let alive = view.node(&identity.name).is_some_and(|node| {
+            node.reachable && node.identity.incarnation <= identity.incarnation
+        });
+
+        if !known && alive {
+            refusals.push(refusal(
+                "node-alive",
+                identity.name.as_str(),
+                "the VM still answers, so its keys could get a second owner",
+                "drain it instead",
+            ));
+        }
+    }
+}
+
+/// Refuses a configuration that the platform could not hold.
+fn check_size(after: &ConfigDocument, refusals: &mut Vec<IntentRefusal>) {
+    let size = serde_json::to_string(after).map_or(0, |text| text.len());
+
+    if size > MAX_DOCUMENT_BYTES {
+        refusals.push(refusal(
+            "too-large",
+            "configuration",
+            format!("it has {size} bytes, more than {MAX_DOCUMENT_BYTES}"),
+            "remove services or operations that are not used",
+        ));
+    }
+}
+
+/// Lists what an operator should weigh before confirming a permitted change.
+pub fn list_warnings(
+    before: &ConfigDocument,
+    after: &ConfigDocument,
+    view: &FleetView,
+    requests: &[RequestChange],
+) -> Vec<String> {
+    let mut warnings: Vec<String> = requests.iter().filter_map(warn_request).collect();
+
+    for service in &after.services {
+        let before_any = !serving_nodes(&service.name, before, view).is_empty();
+        let after_any = !serving_nodes(&service.name, after, view).is_empty();
+
+        if before_any && !after_any {
+            warnings.push(format!("{}: no target is left", service.name));
+        }
+    }
+
+    for identity in after.gone.iter().filter(|gone| !before.gone.contains(gone)) {
+        warnings.push(format!(
+            "{identity} is taken for dead on your word: if it still runs, its keys get a second \
+             owner"
+        ));
+    }
+
+    let shrinks =
+        after.draining.len() + after.gone.len() > before.draining.len() + before.gone.len();
+    let left = view
+        .nodes
+        .iter()
+        .filter(|node| node.reachable && after.takes_work(&node.identity))
+        .count();
+    if shrinks && left < FULL_SET {
+        warnings.push(format!(
+            "{left} VMs are left; with fewer than {FULL_SET} a lease tolerates the loss of fewer VMs"
+        ));
+    }
+
+    warnings
+}
+
+/// Returns the warning for a change of how requests are treated.
+fn warn_request(change: &RequestChange) -> Option<String> {
+    let subject = format!("{} {} {}", change.service, change.method, change.path);
+
+    if change.makes_idempotent() {
+        return Some(format!(
+            "{subject}: becomes idempotent, so it may run more than once after an unknown outcome"
+        ));
+    }
+
+    change
+        .after
+        .is_none()
+        .then(|| format!("{subject}: callers will be refused, no operation matches"))
+}
+
+/// Returns the nodes whose targets take work for a service under a configuration.
+fn serving_nodes<'a>(
+    service: &'a ServiceName,
+    document: &ConfigDocument,
+    view: &'a FleetView,
+) -> Vec<&'a NodeView> {
+    view.targets(service)
+        .filter(|node| node.reachable && !node.leaving && document.takes_work(&node.identity))
+        .collect()
+}
+
+/// Lists the names of nodes in one text.
+fn join_names(nodes: &[&NodeView]) -> String {
+    let names: Vec<&str> = nodes
+        .iter()
+        .map(|node| node.identity.name.as_str())
+        .collect();
+
+    names.join(", ")
+}
+
+/// Makes a refusal.
+fn refusal(
+    code: &str,
+    subject: &str,
+    reason: impl Into<String>,
+    what_to_do: impl Into<String>,
+) -> IntentRefusal {
+    IntentRefusal {
+        code: code.to_owned(),
+        subject: subject.to_owned(),
+        reason: reason.into(),
+        what_to_do: what_to_do.into(),
+    }
+}
