--- a/crates/intent/src/confirm.rs
+++ b/crates/intent/src/confirm.rs
@@ -3,9 +3,10 @@
 use crate::{
     change::diff_documents,
     errors::{ConfirmConflict, IntentError},
-    machine::{CallStep, IntentReply, StepResult, WriteOutcome},
+    events::{IntentReply, WriteOutcome},
     plan::PlanDocument,
     promise::check_promises,
+    steps::{CallStep, StepResult},
     view::FleetView,
 };
 use serde::{Deserialize, Serialize};
--- a/crates/intent/src/lib.rs
+++ b/crates/intent/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`plan`]: the plan for an intent.
 //! - [`promise`]: the refusal of changes that would break a promise.
 //! - [`view`]: the nodes and slice owners that a plan is made for.
+//! - [`events`]: what reaches that machine and what it asks for.
 //! - [`machine`]: the state machine of plans and confirmations.
 //! - [`keeper`]: the configuration that a node has in force.
 //! - [`reports`]: the answers of the administration API.
@@ -20,6 +21,7 @@
 pub mod check;
 pub mod document;
 pub mod errors;
+pub mod events;
 pub mod keeper;
 pub mod machine;
 pub mod plan;
@@ -30,16 +32,17 @@
 mod collector;
 mod confirm;
 mod forecast;
+mod steps;
 
 pub use change::{PlannedChange, RequestChange, RequestTraits, diff_documents, diff_requests};
 pub use check::parse_intent;
 pub use document::IntentDocument;
 pub use errors::{ConfirmConflict, DocumentFault, IntentError, IntentRefusal, Result};
-pub use keeper::{ConfigKeeper, KeeperAction, KeeperEvent, KeeperOptions};
-pub use machine::{
-    CallId, ConfigOutcome, IntentAction, IntentEvent, IntentMachine, IntentOptions, IntentReply,
-    PlanOutcome, WriteOutcome,
+pub use events::{
+    CallId, ConfigOutcome, IntentAction, IntentEvent, IntentReply, PlanOutcome, WriteOutcome,
 };
+pub use keeper::{ConfigKeeper, KeeperAction, KeeperEvent, KeeperOptions};
+pub use machine::{IntentMachine, IntentOptions};
 pub use plan::{PlanDocument, SliceMove, UnavailableEstimate, make_plan};
 pub use promise::check_promises;
 pub use view::{FleetView, NodeView, SliceView};
