--- a/crates/admit/src/messages.rs
+++ b/crates/admit/src/messages.rs
@@ -117,7 +117,18 @@
 }
 
 /// `AdmitRefusal` is the reason of a refusal.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
+)]
 #[serde(rename_all = "kebab-case")]
 pub enum AdmitRefusal {
     /// The queue holds as much as can be answered in time.
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -25,6 +25,8 @@
 pub struct RequestHead {
     /// The identifier, the caller's or one made at the ingress.
     pub id: RequestId,
+    /// Whether the ingress made the identifier, so that no earlier request carries it.
+    pub id_made: bool,
     /// The addressed service.
     pub service: ServiceName,
     /// The key, present exactly when the service is keyed.
--- a/crates/core/src/service.rs
+++ b/crates/core/src/service.rs
@@ -5,7 +5,17 @@
 
 /// `WorkClass` tells work that holds a slot briefly from work that holds it many times longer.
 #[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Default,
+    Serialize,
+    Deserialize
 )]
 #[serde(rename_all = "kebab-case")]
 pub enum WorkClass {
--- /dev/null
+++ b/crates/daemon/src/agent/answer.rs
@@ -0,0 +1,179 @@
+//! The answers that the agent task gives itself.
+
+use bytes::Bytes;
+use std::{sync::Arc, time::Duration};
+use wagtail_admit::AdmitRefusal;
+use wagtail_core::{
+    CoreError,
+    ids::{NodeName, RequestId},
+    ports::TargetAnswer,
+    request::{AnswerHead, HeaderField},
+    verdict::RunVerdict,
+};
+use wagtail_peer::stream::WholeBody;
+
+/// The status of a refusal that certainly did not run.
+const STATUS_NOT_RUN: u16 = 503;
+
+/// The status of a tenant's refusal for its own load.
+const STATUS_TENANT: u16 = 429;
+
+/// The status of a request that may have run.
+const STATUS_UNKNOWN: u16 = 504;
+
+/// The status of an identifier that was used before.
+const STATUS_DUPLICATE: u16 = 409;
+
+/// The status of a malformed request.
+const STATUS_INVALID: u16 = 400;
+
+/// The time after which a repeat of a refused request is expected to succeed when nothing tells
+/// a better one.
+const DEFAULT_RETRY: Duration = Duration::from_millis(500);
+
+/// `RefusalAnswer` is all that a refusal says.
+#[derive(Debug, Clone)]
+pub struct RefusalAnswer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The stable code.
+    pub code: Arc<str>,
+    /// The reason, in words for the caller.
+    pub message: Arc<str>,
+    /// Whether the request may have run.
+    pub verdict: RunVerdict,
+    /// The owner that the refusing node knows of.
+    pub owner: Option<NodeName>,
+    /// The time after which a repeat is expected to succeed.
+    pub retry_after: Option<Duration>,
+}
+
+impl RefusalAnswer {
+    /// Sets the HTTP status.
+    #[must_use]
+    pub fn with_status(self, status: u16) -> Self {
+        Self { status, ..self }
+    }
+
+    /// Makes the answer with its JSON body.
+    pub fn into_answer(self, id: &RequestId, node: &NodeName) -> TargetAnswer {
+        let body = serde_json::json!({
+            "code": self.code,
+            "message": self.message,
+            "verdict": self.verdict,
+            "request_id": id.as_str(),
+        });
+        let content_type = HeaderField {
+            name: Arc::from("content-type"),
+            value: Bytes::from_static(b"application/json"),
+        };
+        let retry_after = self
+            .retry_after
+            .map(|span| u64::try_from(span.as_millis()).unwrap_or(0));
+
+        let head = AnswerHead {
+            id: id.clone(),
+            status: self.status,
+            verdict: self.verdict,
+            node: node.clone(),
+            refusal: Some(self.code),
+            owner: self.owner,
+            epoch: None,
+            retry_after_ms: retry_after,
+            headers: vec![content_type],
+        };
+
+        TargetAnswer {
+            head,
+            body: Box::new(WholeBody::new(Bytes::from(body.to_string()))),
+        }
+    }
+}
+
+/// Makes the answer for a refusal of the admission.
+pub fn refusal_answer(
+    refusal: AdmitRefusal,
+    verdict: RunVerdict,
+    retry_after: Duration,
+    owner: Option<NodeName>,
+) -> RefusalAnswer {
+    let status = match (refusal, verdict) {
+        (_, RunVerdict::Unknown) => STATUS_UNKNOWN,
+        (AdmitRefusal::TenantOverShare, _) => STATUS_TENANT,
+        (AdmitRefusal::Duplicate | AdmitRefusal::IdentifierReused, _) => STATUS_DUPLICATE,
+        _ => STATUS_NOT_RUN,
+    };
+    let repeatable = status != STATUS_DUPLICATE;
+
+    RefusalAnswer {
+        status,
+        code: Arc::from(refusal.as_str()),
+        message: Arc::from(refusal_message(refusal)),
+        verdict,
+        owner,
+        retry_after: repeatable.then_some(retry_after),
+    }
+}
+
+/// Makes the answer of a daemon whose agent task has ended.
+pub fn unavailable_answer(id: &RequestId, node: &NodeName) -> TargetAnswer {
+    let refusal = RefusalAnswer {
+        status: STATUS_UNKNOWN,
+        code: Arc::from("unavailable"),
+        message: Arc::from("the daemon ended before the request was answered"),
+        verdict: RunVerdict::Unknown,
+        owner: None,
+        retry_after: None,
+    };
+
+    refusal.into_answer(id, node)
+}
+
+/// Returns the words for a refusal.
+fn refusal_message(refusal: AdmitRefusal) -> &'static str {
+    match refusal {
+        AdmitRefusal::QueueFull => "the queue of the target is full",
+        AdmitRefusal::TenantOverShare => "the tenant uses more than its share",
+        AdmitRefusal::DeadlinePassed => "the deadline cannot be met",
+        AdmitRefusal::Duplicate => "the identifier was used before and its answer is not at hand",
+        AdmitRefusal::IdentifierReused => "the identifier was used before for another request",
+        AdmitRefusal::IdentifierTooOld => "the identifier is older than what is remembered",
+        AdmitRefusal::MemoryFull => "no further non-idempotent request can be remembered now",
+        AdmitRefusal::Stopping => "the server is leaving",
+        AdmitRefusal::NotOwner => "this node does not own the key",
+        AdmitRefusal::TargetStalled => "the target does not answer",
+        AdmitRefusal::TargetShed => "the target sheds load",
+        AdmitRefusal::TargetDraining => "the target is leaving",
+        AdmitRefusal::TargetFailed => "the target gave no whole answer",
+    }
+}
+
+impl From<&CoreError> for RefusalAnswer {
+    fn from(error: &CoreError) -> Self {
+        let verdict = error.verdict();
+        let status = match (error, verdict) {
+            (_, RunVerdict::Unknown) => STATUS_UNKNOWN,
+            (CoreError::InvalidRequest { .. } | CoreError::InvalidName { .. }, _) => STATUS_INVALID,
+            _ => STATUS_NOT_RUN,
+        };
+        let retry_after = match error {
+            CoreError::Overloaded { retry_after_ms, .. } => {
+                Some(Duration::from_millis(*retry_after_ms))
+            }
+            _ => (status == STATUS_NOT_RUN).then_some(DEFAULT_RETRY),
+        };
+        let owner = match error {
+            CoreError::NotOwner { owner, .. } => owner.clone(),
+            _ => None,
+        };
+
+        Self {
+            status,
+            code: Arc::from(error.code()),
+            message: Arc::from(error.to_string()),
+            verdict,
+            owner,
+            retry_after,
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control.rs
@@ -0,0 +1,106 @@
+//! The control messages between the daemons.
+
+use crate::{fleet::FleetCell, ownership::MemoryNotice};
+use serde::{Deserialize, Serialize};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, btree_map::Entry},
+    net::SocketAddr,
+};
+use tracing::warn;
+use wagtail_core::ids::{NodeIdentity, NodeName};
+use wagtail_lease::LeaseMessage;
+use wagtail_peer::{control::ControlSender, frame};
+
+/// `ControlBody` is what one daemon says to another.
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+pub enum ControlBody {
+    /// A message between the lease machines.
+    Lease(LeaseMessage),
+    /// What the former owner of a slice remembers of its requests.
+    Memory(MemoryNotice),
+}
+
+/// `ControlMessage` is a control message with its sender.
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+pub struct ControlMessage {
+    /// The start of the sending daemon.
+    pub from: NodeIdentity,
+    /// What it says.
+    pub body: ControlBody,
+}
+
+/// `PeerChannel` is the control connection to one peer.
+#[derive(Debug)]
+struct PeerChannel {
+    address: SocketAddr,
+    sender: ControlSender,
+}
+
+/// `ControlOutbox` sends control messages to the peers.
+#[derive(Debug)]
+pub struct ControlOutbox {
+    identity: NodeIdentity,
+    fleet: FleetCell,
+    channels: RefCell<BTreeMap<NodeName, PeerChannel>>,
+}
+
+impl ControlOutbox {
+    /// Makes an outbox without connections.
+    pub fn new(identity: NodeIdentity, fleet: FleetCell) -> Self {
+        Self {
+            identity,
+            fleet,
+            channels: RefCell::default(),
+        }
+    }
+
+    /// Sends a message; an unreachable peer loses it, and its sender repeats it.
+    pub fn send(&self, to: &NodeName, body: ControlBody) {
+        let Some(address) = self.fleet.load().nodes.get(to).map(|entry| entry.peers) else {
+            return;
+        };
+        let message = ControlMessage {
+            from: self.identity.clone(),
+            body,
+        };
+
+        match frame::encode(&message) {
+            Ok(frame) => {
+                self.with_channel(to, address, |channel| {
+                    channel.sender.send(frame);
+                });
+            }
+            Err(error) => warn!(event = "control-unsendable", to = %to, %error),
+        }
+    }
+
+    /// Uses the connection to a peer, a new one when the peer has moved.
+    fn with_channel(
+        &self,
+        to: &NodeName,
+        address: SocketAddr,
+        send: impl FnOnce(&mut PeerChannel),
+    ) {
+        let open = || PeerChannel {
+            address,
+            sender: ControlSender::new(address),
+        };
+        let mut channels = self.channels.borrow_mut();
+
+        let channel = match channels.entry(to.clone()) {
+            Entry::Vacant(vacant) => vacant.insert(open()),
+            Entry::Occupied(occupied) => {
+                let channel = occupied.into_mut();
+                if channel.address != address {
+                    *channel = open();
+                }
+                channel
+            }
+        };
+
+        send(channel);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/directory.rs
@@ -0,0 +1,271 @@
+//! The task that keeps the fleet's state in step with the platform.
+
+use crate::{
+    fleet::{CONFIG_KEY, FLEET_PREFIX, FleetCell, FleetState, NODES_PREFIX, NodeEntry},
+    ownership::{OwnershipCommand, OwnershipHandle},
+};
+use compio::time::sleep;
+use futures_channel::mpsc::{self, UnboundedReceiver, UnboundedSender};
+use futures_util::{
+    StreamExt,
+    future::{Either, select},
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::{collections::BTreeMap, pin::pin, rc::Rc, sync::Arc, time::Duration};
+use tracing::{error, info, warn};
+use wagtail_core::{
+    CoreError, Result,
+    ids::NodeName,
+    ports::{PlatformStore, StoredValue, WatchBatch},
+};
+
+/// The longest time that one watch waits; a watch counts as one call.
+const WATCH_WAIT: Duration = Duration::from_secs(25);
+
+/// The shortest pause after a failed call.
+const MIN_PAUSE: Duration = Duration::from_millis(100);
+
+/// The longest pause after failed calls; it keeps the platform's return within the time in
+/// which a configuration must be in force.
+const MAX_PAUSE: Duration = Duration::from_secs(4);
+
+/// The largest spread of the calls that one change wakes, so that a fleet does not call at once.
+const WAKE_SPREAD_MS: u64 = 400;
+
+/// `DirectoryOptions` are the collaborators of the directory task.
+#[derive(Debug)]
+pub struct DirectoryOptions {
+    /// The platform.
+    pub store: Rc<dyn PlatformStore>,
+    /// The shared state.
+    pub fleet: FleetCell,
+    /// The ownership task, which is told of the members.
+    pub ownership: OwnershipHandle,
+    /// The seed of the jitter.
+    pub seed: u64,
+}
+
+/// `DirectoryHandle` asks the directory task to publish this node's entry.
+#[derive(Debug, Clone)]
+pub struct DirectoryHandle(UnboundedSender<NodeEntry>);
+
+impl DirectoryHandle {
+    /// Publishes this node's entry, now and again after each failure.
+    pub fn publish(&self, entry: NodeEntry) {
+        // Only a daemon that ends has no directory task.
+        drop(self.0.unbounded_send(entry));
+    }
+}
+
+/// `DirectoryTask` owns the watch on the platform and the entry of this node.
+#[derive(Debug)]
+struct DirectoryTask {
+    options: DirectoryOptions,
+    entries: UnboundedReceiver<NodeEntry>,
+    wanted: Option<NodeEntry>,
+    versions: BTreeMap<Arc<str>, u64>,
+    revision: u64,
+    random: ChaCha8Rng,
+    pause: Duration,
+}
+
+/// Spawns the directory task.
+pub fn spawn(options: DirectoryOptions) -> DirectoryHandle {
+    let (sender, entries) = mpsc::unbounded();
+    let random = ChaCha8Rng::seed_from_u64(options.seed);
+    let task = DirectoryTask {
+        options,
+        entries,
+        wanted: None,
+        versions: BTreeMap::new(),
+        revision: 0,
+        random,
+        pause: MIN_PAUSE,
+    };
+
+    compio::runtime::spawn(task.run()).detach();
+
+    DirectoryHandle(sender)
+}
+
+impl DirectoryTask {
+    /// Reads the fleet once, then follows its changes for as long as the daemon runs.
+    async fn run(mut self) {
+        while let Err(error) = self.read_all().await {
+            self.back_off("list", &error).await;
+        }
+
+        loop {
+            if let Err(error) = self.write_entry().await {
+                self.back_off("publish", &error).await;
+                continue;
+            }
+
+            match self.follow().await {
+                Ok(()) => self.pause = MIN_PAUSE,
+                Err(error) => self.back_off("watch", &error).await,
+            }
+        }
+    }
+
+    /// Reads the whole fleet.
+    async fn read_all(&mut self) -> Result<()> {
+        let batch = self.options.store.list(FLEET_PREFIX).await?;
+
+        self.apply(batch);
+
+        Ok(())
+    }
+
+    /// Waits for changes, or for a new entry of this node.
+    async fn follow(&mut self) -> Result<()> {
+        let store = Rc::clone(&self.options.store);
+        let batch = {
+            let watch = store.watch(FLEET_PREFIX, self.revision, WATCH_WAIT);
+            let entry = pin!(self.entries.next());
+
+            match select(entry, watch).await {
+                Either::Left((entry, _)) => {
+                    self.wanted = entry.or(self.wanted.take());
+                    return Ok(());
+                }
+                Either::Right((batch, _)) => batch?,
+            }
+        };
+
+        let changed = !batch.changed.is_empty();
+        self.apply(batch);
+
+        // Every watcher is woken by the same change; the next watches are spread out.
+        if changed {
+            let spread = self.random.random_range(0..WAKE_SPREAD_MS);
+            sleep(Duration::from_millis(spread)).await;
+        }
+
+        Ok(())
+    }
+
+    /// Writes the wanted entry when the platform holds another one.
+    async fn write_entry(&mut self) -> Result<()> {
+        let Some(entry) = self.wanted.clone() else {
+            return Ok(());
+        };
+        let name = entry.identity.name.clone();
+
+        let known = self.options.fleet.load().nodes.get(&name).cloned();
+        if known.as_ref() == Some(&entry) {
+            return Ok(());
+        }
+
+        if known.is_some_and(|known| known.identity.incarnation > entry.identity.incarnation) {
+            error!(event = "name-taken", node = %name, advice = "end this daemon; a later start holds its name");
+            self.wanted = None;
+            return Ok(());
+        }
+
+        let key = format!("{NODES_PREFIX}{name}");
+        let value = serde_json::to_string(&entry)
+            .map_err(|error| CoreError::malformed(error.to_string()))?;
+        let expected = self.versions.get(key.as_str()).copied().unwrap_or(0);
+
+        match self.options.store.update(&key, &value, expected).await {
+            Ok(version) => {
+                info!(event = "node-published", node = %name, version);
+                let stored = StoredValue {
+                    key: Arc::from(key),
+                    version,
+                    value: Arc::from(value),
+                };
+                self.apply(WatchBatch {
+                    revision: self.revision,
+                    changed: vec![stored],
+                });
+
+                Ok(())
+            }
+            Err(CoreError::VersionConflict { .. }) => self.read_all().await,
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Takes changes over into the shared state.
+    fn apply(&mut self, batch: WatchBatch) {
+        self.revision = self.revision.max(batch.revision);
+
+        if batch.changed.is_empty() {
+            return;
+        }
+
+        let mut state = FleetState::clone(&self.options.fleet.load());
+        for stored in &batch.changed {
+            self.apply_value(&mut state, stored);
+        }
+
+        self.options.fleet.store(state);
+        self.options.ownership.tell(OwnershipCommand::FleetChanged);
+    }
+
+    /// Takes one change over, unless a newer one is known.
+    fn apply_value(&mut self, state: &mut FleetState, stored: &StoredValue) {
+        let known = self.versions.get(&stored.key).copied().unwrap_or(0);
+        if stored.version <= known {
+            return;
+        }
+        self.versions
+            .insert(Arc::clone(&stored.key), stored.version);
+
+        if &*stored.key == CONFIG_KEY {
+            apply_config(state, &stored.value);
+        } else if let Some(name) = stored.key.strip_prefix(NODES_PREFIX) {
+            apply_node(state, name, &stored.value);
+        }
+    }
+
+    /// Waits after a failed call, longer after each one in a row.
+    async fn back_off(&mut self, call: &str, error: &CoreError) {
+        warn!(event = "platform-failed", call, %error, pause_ms = self.pause.as_millis());
+
+        let jitter = self.random.random_range(0.5..1.5);
+        sleep(self.pause.mul_f64(jitter)).await;
+        self.pause = (self.pause * 2).min(MAX_PAUSE);
+    }
+}
+
+/// Takes a configuration over when it is newer than the one in force.
+fn apply_config(state: &mut FleetState, value: &str) {
+    match serde_json::from_str::<wagtail_core::service::ConfigDocument>(value) {
+        Ok(config) if config.version > state.config.version => {
+            info!(event = "config-in-force", version = config.version, plan = %config.plan);
+            state.config = config;
+        }
+        Ok(config) => {
+            warn!(
+                event = "config-ignored",
+                version = config.version,
+                known = state.config.version
+            );
+        }
+        Err(error) => warn!(event = "config-unreadable", %error),
+    }
+}
+
+/// Takes the entry of a node over; an empty value removes it.
+fn apply_node(state: &mut FleetState, name: &str, value: &str) {
+    let Ok(name) = NodeName::new(name) else {
+        return;
+    };
+
+    if value.is_empty() {
+        state.nodes.remove(&name);
+        return;
+    }
+
+    match serde_json::from_str::<NodeEntry>(value) {
+        Ok(entry) if entry.identity.name == name => {
+            state.nodes.insert(name, entry);
+        }
+        Ok(_) => warn!(event = "node-unreadable", node = %name, error = "the entry names another"),
+        Err(error) => warn!(event = "node-unreadable", node = %name, %error),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/fleet.rs
@@ -0,0 +1,81 @@
+//! The fleet as this daemon knows it.
+
+use serde::{Deserialize, Serialize};
+use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc};
+use wagtail_core::{
+    ids::{NodeIdentity, NodeName, ServiceName, ZoneName},
+    service::ConfigDocument,
+};
+
+/// The prefix of all that every daemon watches.
+pub const FLEET_PREFIX: &str = "fleet/";
+
+/// The key of the configuration in force.
+pub const CONFIG_KEY: &str = "fleet/config";
+
+/// The prefix of the entries of the nodes.
+pub const NODES_PREFIX: &str = "fleet/nodes/";
+
+/// The prefix of the plans. It lies outside [`FLEET_PREFIX`], as no daemon watches plans.
+pub const PLANS_PREFIX: &str = "plans/";
+
+/// The prefix of the lease records.
+pub const LEASE_PREFIX: &str = "lease/";
+
+/// `NodeEntry` is what a daemon tells the others of itself through the platform.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeEntry {
+    /// The present start of the daemon.
+    pub identity: NodeIdentity,
+    /// The availability zone.
+    pub zone: ZoneName,
+    /// The address for the other daemons.
+    pub peers: SocketAddr,
+    /// The service of the target beside the daemon; absent until one has announced itself.
+    pub service: Option<ServiceName>,
+    /// Whether the target refuses orders with an outdated fencing token.
+    pub fenced: bool,
+    /// Whether the node is leaving and is to receive no new work.
+    pub leaving: bool,
+}
+
+/// `FleetState` is the configuration in force and the known nodes.
+#[derive(Debug, Clone, Default)]
+pub struct FleetState {
+    /// The configuration in force.
+    pub config: ConfigDocument,
+    /// The known nodes.
+    pub nodes: BTreeMap<NodeName, NodeEntry>,
+}
+
+impl FleetState {
+    /// Returns whether a node is to receive no new work.
+    pub fn is_leaving(&self, entry: &NodeEntry) -> bool {
+        entry.leaving || self.config.draining.contains(&entry.identity.name)
+    }
+
+    /// Returns the nodes whose targets serve a service, in the order of their names.
+    pub fn targets<'a>(&'a self, service: &'a ServiceName) -> impl Iterator<Item = &'a NodeEntry> {
+        self.nodes
+            .values()
+            .filter(move |entry| entry.service.as_ref() == Some(service))
+    }
+}
+
+/// `FleetCell` holds the newest state. The directory task replaces it; all others read it.
+#[derive(Debug, Clone, Default)]
+pub struct FleetCell(Rc<RefCell<Rc<FleetState>>>);
+
+impl FleetCell {
+    /// Returns the newest state.
+    pub fn load(&self) -> Rc<FleetState> {
+        Rc::clone(&self.0.borrow())
+    }
+
+    /// Replaces the state.
+    pub fn store(&self, state: FleetState) {
+        *self.0.borrow_mut() = Rc::new(state);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/inbound.rs
@@ -0,0 +1,65 @@
+//! The requests and control messages of the other daemons.
+
+use crate::{
+    agent::AgentHandle,
+    control::{ControlBody, ControlMessage},
+    ownership::{OwnershipCommand, OwnershipHandle},
+};
+use bytes::Bytes;
+use std::time::Duration;
+use tracing::debug;
+use wagtail_core::{
+    ports::{LocalFuture, TargetAnswer},
+    request::RequestHead,
+};
+use wagtail_net::clock;
+use wagtail_peer::server::PeerHandler;
+
+/// `InboundHandler` passes what the peers send to the tasks that own it.
+#[derive(Debug)]
+pub struct InboundHandler {
+    agent: AgentHandle,
+    ownership: OwnershipHandle,
+    max_body_bytes: usize,
+}
+
+impl InboundHandler {
+    /// Makes the handler.
+    pub fn new(agent: AgentHandle, ownership: OwnershipHandle, max_body_bytes: usize) -> Self {
+        Self {
+            agent,
+            ownership,
+            max_body_bytes,
+        }
+    }
+}
+
+impl PeerHandler for InboundHandler {
+    type Message = ControlMessage;
+
+    fn request(&self, head: RequestHead, body: Bytes) -> LocalFuture<'_, TargetAnswer> {
+        debug!(
+            event = "request-received", request_id = %head.id, service = %head.service,
+            attempt = head.attempt
+        );
+        let deadline = clock::now() + Duration::from_millis(head.time_left_ms);
+
+        Box::pin(self.agent.submit(head, body, deadline))
+    }
+
+    fn control(&self, message: ControlMessage) {
+        match message.body {
+            ControlBody::Lease(body) => {
+                self.ownership.tell(OwnershipCommand::Received {
+                    from: message.from,
+                    message: body,
+                });
+            }
+            ControlBody::Memory(notice) => self.ownership.tell(OwnershipCommand::Memory(notice)),
+        }
+    }
+
+    fn max_body_bytes(&self) -> usize {
+        self.max_body_bytes
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/local.rs
@@ -0,0 +1,128 @@
+//! The HTTP server for the target beside the daemon.
+
+use crate::{
+    agent::{AgentCommand, AgentHandle, command::TargetNotice},
+    directory::DirectoryHandle,
+    fleet::NodeEntry,
+};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use serde::Deserialize;
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+};
+use wagtail_core::{ids::ServiceName, ports::LocalFuture};
+use wagtail_net::server::{HttpHandler, ServerBody, whole_body};
+
+/// The largest announcement in bytes.
+const MAX_ANNOUNCEMENT_BYTES: usize = 16 << 10;
+
+/// `AnnounceBody` is what a target says of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Deserialize)]
+struct AnnounceBody {
+    /// The served service.
+    service: ServiceName,
+    /// The address of the target.
+    address: SocketAddr,
+    /// The requests that the target runs at a time.
+    slots: u32,
+    /// Whether the target refuses orders with an outdated fencing token.
+    #[serde(default)]
+    fenced: bool,
+    /// Whether the target wants to leave.
+    #[serde(default)]
+    draining: bool,
+    /// The start of the target in milliseconds of its own clock.
+    #[serde(default)]
+    started_ms: u64,
+}
+
+/// `LocalHandler` takes the announcements of the target.
+#[derive(Debug)]
+pub struct LocalHandler {
+    agent: AgentHandle,
+    directory: DirectoryHandle,
+    entry: RefCell<NodeEntry>,
+    leaving: Cell<bool>,
+}
+
+impl LocalHandler {
+    /// Makes the handler of a node whose entry has no target yet.
+    pub fn new(agent: AgentHandle, directory: DirectoryHandle, entry: NodeEntry) -> Self {
+        Self {
+            agent,
+            directory,
+            entry: RefCell::new(entry),
+            leaving: Cell::new(false),
+        }
+    }
+
+    /// Announces that the node itself leaves.
+    pub fn leave(&self) {
+        self.leaving.set(true);
+        self.entry.borrow_mut().leaving = true;
+        self.directory.publish(self.entry.borrow().clone());
+    }
+
+    /// Takes one announcement in.
+    async fn answer(&self, request: Request<Incoming>) -> Response<ServerBody> {
+        if request.method() != Method::POST || request.uri().path() != "/v1/announce" {
+            return respond(StatusCode::NOT_FOUND, "the call is POST /v1/announce");
+        }
+
+        let body = Limited::new(request.into_body(), MAX_ANNOUNCEMENT_BYTES)
+            .collect()
+            .await;
+        let body = match body {
+            Ok(body) => body.to_bytes(),
+            Err(error) => return respond(StatusCode::BAD_REQUEST, error.to_string()),
+        };
+
+        match serde_json::from_slice::<AnnounceBody>(&body) {
+            Ok(announcement) => {
+                self.take(announcement);
+                respond(StatusCode::OK, "accepted")
+            }
+            Err(error) => respond(StatusCode::BAD_REQUEST, error.to_string()),
+        }
+    }
+
+    /// Tells the agent task and the fleet of an announcement.
+    fn take(&self, announcement: AnnounceBody) {
+        let mut entry = self.entry.borrow().clone();
+        entry.service = Some(announcement.service.clone());
+        entry.fenced = announcement.fenced;
+        entry.leaving = announcement.draining || self.leaving.get();
+
+        if entry != *self.entry.borrow() {
+            *self.entry.borrow_mut() = entry.clone();
+            self.directory.publish(entry);
+        }
+
+        self.agent.tell(AgentCommand::Announced(TargetNotice {
+            service: announcement.service,
+            address: announcement.address,
+            slots: announcement.slots,
+            fenced: announcement.fenced,
+            draining: announcement.draining,
+            started_ms: announcement.started_ms,
+        }));
+    }
+}
+
+impl HttpHandler for LocalHandler {
+    fn handle(&self, request: Request<Incoming>) -> LocalFuture<'_, Response<ServerBody>> {
+        Box::pin(self.answer(request))
+    }
+}
+
+/// Makes an answer with a text.
+fn respond(status: StatusCode, text: impl Into<Bytes>) -> Response<ServerBody> {
+    let mut response = Response::new(whole_body(text));
+    *response.status_mut() = status;
+
+    response
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,4 +1,94 @@
-//! The daemon of wagtailpulley.
+//! The program `wagtaild`.
 
-/// Runs the program.
-fn main() {}
+use clap::{Arg, ArgAction, Command, crate_version, value_parser};
+use std::{fs, path::PathBuf, process::ExitCode};
+use tracing_subscriber::{EnvFilter, layer::SubscriberExt, util::SubscriberInitExt};
+use wagtail_daemon::run::run;
+use wagtail_settings::DaemonSettings;
+
+/// The exit code when requests were cut off or an address is not available.
+const EXIT_FAILED: u8 = 1;
+
+/// The exit code of invalid settings.
+const EXIT_SETTINGS: u8 = 2;
+
+/// Runs the daemon.
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    let path = matches
+        .get_one::<PathBuf>("config")
+        .cloned()
+        .unwrap_or_default();
+
+    let settings = match read_settings(&path) {
+        Ok(settings) => settings,
+        Err(message) => {
+            eprintln!("{}: {message}", path.display());
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if matches.get_flag("check") {
+        println!("{}: the settings are valid", path.display());
+        return ExitCode::SUCCESS;
+    }
+
+    init_logs(&settings.log);
+    run_daemon(settings)
+}
+
+/// Describes the command line.
+fn command() -> Command {
+    Command::new("wagtaild")
+        .version(crate_version!())
+        .about("Routes requests to the servers that own their keys")
+        .arg(
+            Arg::new("config")
+                .long("config")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("The settings in YAML"),
+        )
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .action(ArgAction::SetTrue)
+                .help("Check the settings and end; exit code 2 when they have faults"),
+        )
+}
+
+/// Reads and checks the settings.
+fn read_settings(path: &PathBuf) -> Result<DaemonSettings, String> {
+    let text = fs::read_to_string(path).map_err(|error| error.to_string())?;
+
+    DaemonSettings::from_yaml(&text).map_err(|error| error.to_string())
+}
+
+/// Writes events to the standard error as lines of key=value pairs.
+fn init_logs(filter: &str) {
+    let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new("info"));
+
+    tracing_subscriber::registry()
+        .with(filter)
+        .with(tracing_logfmt::layer())
+        .init();
+}
+
+/// Runs the daemon to its end.
+fn run_daemon(settings: DaemonSettings) -> ExitCode {
+    let runtime = match compio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("the runtime cannot start: {error}");
+            return ExitCode::from(EXIT_FAILED);
+        }
+    };
+
+    match runtime.block_on(run(settings)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/run.rs
@@ -0,0 +1,351 @@
+//! Starting, stopping and the order of both.
+
+use crate::{
+    agent::{self, AgentCommand, AgentHandle, AgentOptions},
+    control::ControlOutbox,
+    directory::{self, DirectoryOptions},
+    fleet::{FleetCell, NodeEntry},
+    forward::{ForwardOptions, RequestForwarder},
+    inbound::InboundHandler,
+    ingress::{IngressHandler, IngressOptions},
+    latency::LatencyHandle,
+    local::LocalHandler,
+    ownership::{self, OwnershipOptions, OwnershipView},
+};
+use compio::{
+    net::TcpListener,
+    runtime::JoinHandle,
+    time::{sleep, timeout},
+};
+use futures_util::{
+    FutureExt,
+    future::{Either, select},
+};
+use std::{
+    io,
+    net::SocketAddr,
+    pin::pin,
+    rc::Rc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+use thiserror::Error;
+use tracing::{info, warn};
+use wagtail_core::{
+    ids::{NodeIdentity, NodeIncarnation},
+    ports::PlatformStore,
+};
+use wagtail_lease::{LeaseMachine, LeaseOptions};
+use wagtail_net::{
+    server::{self, HttpHandler},
+    stop::StopSignal,
+};
+use wagtail_platform::HttpStore;
+use wagtail_settings::DaemonSettings;
+
+/// The largest head of an announcement in bytes.
+const LOCAL_HEADER_BYTES: usize = 16 << 10;
+
+/// The time between two looks at the slices that are still to move at a shutdown.
+const LEAVE_POLL: Duration = Duration::from_millis(50);
+
+/// `Result` is the result of running a daemon.
+pub type Result<T, E = RunError> = std::result::Result<T, E>;
+
+/// `RunError` is why a daemon could not run.
+#[derive(Debug, Error)]
+pub enum RunError {
+    /// An address is not available.
+    #[error("listen.{field}: cannot listen on {address}: {source}")]
+    Listen {
+        /// The field of the settings.
+        field: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// The system's error.
+        source: io::Error,
+    },
+    /// A second signal came before the shutdown was complete.
+    #[error("stopped by a second signal with {in_flight} requests in flight")]
+    Interrupted {
+        /// The requests that were cut off.
+        in_flight: usize,
+    },
+    /// Requests were still in flight at the end of the drain time.
+    #[error("{in_flight} requests were still in flight after {drain_ms} ms")]
+    DrainTimeout {
+        /// The requests that were cut off.
+        in_flight: usize,
+        /// The drain time in milliseconds.
+        drain_ms: u64,
+    },
+}
+
+/// `DaemonParts` are the running parts that the shutdown needs.
+#[derive(Debug)]
+struct DaemonParts {
+    agent: AgentHandle,
+    agent_done: StopSignal,
+    view: OwnershipView,
+    local: Rc<LocalHandler>,
+    ingress: Rc<IngressHandler>,
+    callers_stop: StopSignal,
+    callers: JoinHandle<()>,
+    peers_stop: StopSignal,
+    peers: JoinHandle<()>,
+}
+
+/// Runs a daemon until it is told to stop, and then until its requests are answered.
+///
+/// # Errors
+///
+/// Fails when an address is not available, or when requests were cut off at the end.
+pub async fn run(settings: DaemonSettings) -> Result<()> {
+    let drain = Duration::from_millis(settings.shutdown.drain_ms);
+    let parts = start(&settings).await?;
+    info!(event = "daemon-started", node = %settings.node, zone = %settings.zone);
+
+    wait_for_signal().await;
+    info!(
+        event = "shutdown-started",
+        in_flight = parts.ingress.in_flight()
+    );
+
+    let ingress = Rc::clone(&parts.ingress);
+    let in_flight = || ingress.in_flight();
+    let leaving = pin!(timeout(drain, leave(parts)));
+    let interrupted = pin!(wait_for_signal());
+
+    match select(leaving, interrupted).await {
+        Either::Left((Ok(()), _)) => {
+            info!(event = "shutdown-complete");
+            Ok(())
+        }
+        Either::Left((Err(_elapsed), _)) => Err(RunError::DrainTimeout {
+            in_flight: in_flight(),
+            drain_ms: settings.shutdown.drain_ms,
+        }),
+        Either::Right(_) => {
+            warn!(event = "shutdown-interrupted", in_flight = in_flight());
+            Err(RunError::Interrupted {
+                in_flight: in_flight(),
+            })
+        }
+    }
+}
+
+/// Starts every part of the daemon.
+async fn start(settings: &DaemonSettings) -> Result<DaemonParts> {
+    let listeners = DaemonListeners::bind(settings).await?;
+    let identity = NodeIdentity::new(settings.node.clone(), start_number());
+    let seed = identity.incarnation.0;
+
+    let store: Rc<dyn PlatformStore> = Rc::new(HttpStore::new(settings.platform));
+    let fleet = FleetCell::default();
+    let machine = LeaseMachine::new(
+        identity.clone(),
+        settings.zone.clone(),
+        lease_options(settings),
+        seed,
+    );
+    let view = OwnershipView::new(machine);
+    let outbox = Rc::new(ControlOutbox::new(identity.clone(), fleet.clone()));
+
+    // The handles come first, as the tasks tell each other.
+    let (agent_handle, agent_commands) = agent::task::channel(settings.node.clone());
+    let (ownership_handle, ownership_commands) = ownership::channel();
+    let agent_done = StopSignal::new();
+
+    agent::spawn(
+        agent_handle.clone(),
+        agent_commands,
+        AgentOptions {
+            node: settings.node.clone(),
+            fleet: fleet.clone(),
+            leases: Rc::new(view.clone()),
+            ownership: ownership_handle.clone(),
+            latency: LatencyHandle,
+            done: agent_done.clone(),
+            seed,
+        },
+    );
+    ownership::spawn(
+        ownership_handle.clone(),
+        ownership_commands,
+        OwnershipOptions {
+            identity: identity.clone(),
+            store: Rc::clone(&store),
+            fleet: fleet.clone(),
+            view: view.clone(),
+            agent: agent_handle.clone(),
+            outbox,
+        },
+    );
+    let directory = directory::spawn(DirectoryOptions {
+        store,
+        fleet: fleet.clone(),
+        ownership: ownership_handle.clone(),
+        seed,
+    });
+
+    let entry = NodeEntry {
+        identity,
+        zone: settings.zone.clone(),
+        peers: settings.listen.peers,
+        service: None,
+        fenced: false,
+        leaving: false,
+    };
+    directory.publish(entry.clone());
+    let local = Rc::new(LocalHandler::new(agent_handle.clone(), directory, entry));
+
+    let callers_stop = StopSignal::new();
+    let peers_stop = StopSignal::new();
+    let forwarder = Rc::new(RequestForwarder::new(ForwardOptions {
+        node: settings.node.clone(),
+        fleet: fleet.clone(),
+        view: view.clone(),
+        agent: agent_handle.clone(),
+        seed,
+    }));
+    let ingress = Rc::new(IngressHandler::new(IngressOptions {
+        node: settings.node.clone(),
+        fleet,
+        forwarder,
+        max_body_bytes: to_usize(settings.limits.max_body_bytes),
+        max_requests: to_usize(settings.limits.max_requests),
+        stop: callers_stop.clone(),
+    }));
+    let inbound = Rc::new(InboundHandler::new(
+        agent_handle.clone(),
+        ownership_handle,
+        to_usize(settings.limits.max_body_bytes),
+    ));
+
+    let header_bytes = to_usize(settings.limits.max_header_bytes);
+    let callers = serve_http(
+        listeners.callers,
+        ingress.clone(),
+        header_bytes,
+        &callers_stop,
+    );
+    serve_http(
+        listeners.local,
+        local.clone(),
+        LOCAL_HEADER_BYTES,
+        &peers_stop,
+    )
+    .detach();
+    let peers = compio::runtime::spawn(wagtail_peer::server::serve(
+        listeners.peers,
+        inbound,
+        peers_stop.clone(),
+    ));
+
+    Ok(DaemonParts {
+        agent: agent_handle,
+        agent_done,
+        view,
+        local,
+        ingress,
+        callers_stop,
+        callers,
+        peers_stop,
+        peers,
+    })
+}
+
+/// Leaves in order: no new work, slices handed over, queues emptied, callers answered, peers
+/// answered.
+async fn leave(parts: DaemonParts) {
+    parts.local.leave();
+    while !parts.view.summary().serving.is_empty() {
+        sleep(LEAVE_POLL).await;
+    }
+
+    parts.agent.tell(AgentCommand::Stop);
+    parts.agent_done.wait().await;
+
+    parts.callers_stop.give();
+    // A server that panicked has nothing left in flight.
+    drop(parts.callers.await);
+
+    parts.peers_stop.give();
+    drop(parts.peers.await);
+}
+
+/// `DaemonListeners` are the sockets that the daemon listens on.
+#[derive(Debug)]
+struct DaemonListeners {
+    callers: TcpListener,
+    peers: TcpListener,
+    local: TcpListener,
+}
+
+impl DaemonListeners {
+    /// Binds every address before any part starts.
+    async fn bind(settings: &DaemonSettings) -> Result<Self> {
+        Ok(Self {
+            callers: bind("callers", settings.listen.callers).await?,
+            peers: bind("peers", settings.listen.peers).await?,
+            local: bind("local", settings.listen.local).await?,
+        })
+    }
+}
+
+/// Binds one address.
+async fn bind(field: &'static str, address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| RunError::Listen {
+            field,
+            address,
+            source,
+        })
+}
+
+/// Spawns an HTTP server.
+fn serve_http(
+    listener: TcpListener,
+    handler: Rc<dyn HttpHandler>,
+    header_bytes: usize,
+    stop: &StopSignal,
+) -> JoinHandle<()> {
+    compio::runtime::spawn(server::serve(listener, handler, header_bytes, stop.clone()))
+}
+
+/// Waits for SIGTERM or an interrupt from the terminal.
+async fn wait_for_signal() {
+    let terminate = pin!(compio::signal::unix::signal(SIGTERM).fuse());
+    let interrupt = pin!(compio::signal::ctrl_c().fuse());
+
+    // A signal that cannot be waited for leaves the other one.
+    drop(select(terminate, interrupt).await);
+}
+
+/// The number of the signal that asks a process to end.
+const SIGTERM: i32 = 15;
+
+/// Returns a number that grows with each start of a daemon on a VM.
+fn start_number() -> NodeIncarnation {
+    let unix = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+
+    NodeIncarnation(u64::try_from(unix.as_millis()).unwrap_or(0))
+}
+
+/// Returns the options of the lease machine.
+fn lease_options(settings: &DaemonSettings) -> LeaseOptions {
+    LeaseOptions {
+        term: Duration::from_millis(settings.lease.term_ms),
+        renew_interval: Duration::from_millis(settings.lease.renew_ms),
+        suspicion: Duration::from_millis(settings.lease.suspicion_ms),
+        deputy_step: Duration::from_millis(settings.lease.stagger_ms),
+        ..LeaseOptions::default()
+    }
+}
+
+/// Converts a checked size, which fits on every supported machine.
+fn to_usize(size: u64) -> usize {
+    usize::try_from(size).unwrap_or(usize::MAX)
+}
--- /dev/null
+++ b/crates/daemon/src/timer.rs
@@ -0,0 +1,48 @@
+//! Waiting for the next message or for a due time.
+
+use compio::time::sleep;
+use futures_channel::mpsc::UnboundedReceiver;
+use futures_util::{
+    StreamExt,
+    future::{Either, select},
+};
+use std::pin::pin;
+use wagtail_core::units::LocalMoment;
+use wagtail_net::clock;
+
+/// `Waited` is what a wait ended with.
+#[derive(Debug)]
+pub enum Waited<T> {
+    /// A message came.
+    Item(T),
+    /// The time is due.
+    Due,
+    /// All senders are gone.
+    Closed,
+}
+
+/// Waits for the next message, but no longer than until `due`.
+pub async fn next_until<T>(
+    messages: &mut UnboundedReceiver<T>,
+    due: Option<LocalMoment>,
+) -> Waited<T> {
+    // A waiting message goes first, so that a busy task sets no timer for each message.
+    if let Ok(message) = messages.try_recv() {
+        return Waited::Item(message);
+    }
+
+    let Some(due) = due else {
+        return messages.next().await.map_or(Waited::Closed, Waited::Item);
+    };
+
+    let wait = due.since(clock::now());
+    if wait.is_zero() {
+        return Waited::Due;
+    }
+
+    match select(messages.next(), pin!(sleep(wait))).await {
+        Either::Left((Some(message), _)) => Waited::Item(message),
+        Either::Left((None, _)) => Waited::Closed,
+        Either::Right(_) => Waited::Due,
+    }
+}
--- a/crates/intent/src/events.rs
+++ b/crates/intent/src/events.rs
@@ -5,7 +5,18 @@
 use wagtail_core::{service::ConfigDocument, units::LocalMoment};
 
 /// `CallId` identifies one call of an operator at one daemon.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
+)]
 #[serde(transparent)]
 pub struct CallId(pub u64);
 
--- a/crates/target/src/headers.rs
+++ b/crates/target/src/headers.rs
@@ -24,6 +24,18 @@
 /// The reason of a refusal before the start of an order.
 pub const REFUSED: &str = "wagtail-refused";
 
+/// Whether the request may have run, in an answer to a caller.
+pub const VERDICT: &str = "wagtail-verdict";
+
+/// The daemon that gave an answer to a caller.
+pub const NODE: &str = "wagtail-node";
+
+/// The stable code of a refusal, in an answer to a caller.
+pub const REFUSAL: &str = "wagtail-refusal";
+
+/// The time in milliseconds after which a repeat is expected to succeed.
+pub const RETRY_AFTER_MS: &str = "wagtail-retry-after-ms";
+
 /// The header fields that concern one connection only, or that the system sets itself.
 const HOP_BY_HOP: [&str; 11] = [
     "connection",
