--- /dev/null
+++ b/standins/net/src/client.rs
@@ -0,0 +1,91 @@
+//! An HTTP/1.1 connection of a client.
+
+use crate::errors::{NetError, Result};
+use bytes::Bytes;
+use compio::net::TcpStream;
+use cyper_core::HyperStream;
+use http::{HeaderMap, Request, StatusCode, header::HOST, header::HeaderValue};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{self, SendRequest};
+use std::{net::SocketAddr, time::Duration};
+
+/// `WholeAnswer` is an answer whose body arrived whole.
+#[derive(Debug, Clone)]
+pub struct WholeAnswer {
+    /// The status.
+    pub status: StatusCode,
+    /// The header fields.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// `ClientConnection` is a kept connection to one server.
+#[derive(Debug)]
+pub struct ClientConnection {
+    /// The address of the server.
+    address: SocketAddr,
+    /// The sending half of the connection.
+    sender: SendRequest<Full<Bytes>>,
+}
+
+impl ClientConnection {
+    /// Connects to a server.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the server does not accept the connection within `wait`.
+    pub async fn connect(address: SocketAddr, wait: Duration) -> Result<Self> {
+        let stream = compio::time::timeout(wait, TcpStream::connect(address))
+            .await
+            .map_err(|_elapsed| NetError::Timeout)??;
+        stream.set_nodelay(true)?;
+
+        let (sender, connection) = http1::handshake(HyperStream::new_plain(stream)).await?;
+        compio::runtime::spawn(async move {
+            // The sender learns of a broken connection by its next request.
+            let _ended = connection.await;
+        })
+        .detach();
+
+        Ok(Self { address, sender })
+    }
+
+    /// Returns whether the connection takes another request.
+    pub fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+
+    /// Sends a request and waits for the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection breaks or when `wait` passes first.
+    pub async fn send(
+        &mut self,
+        mut request: Request<Full<Bytes>>,
+        wait: Duration,
+    ) -> Result<WholeAnswer> {
+        let host = HeaderValue::try_from(self.address.to_string()).map_err(http::Error::from)?;
+        request.headers_mut().insert(HOST, host);
+
+        compio::time::timeout(wait, self.exchange(request))
+            .await
+            .map_err(|_elapsed| NetError::Timeout)?
+    }
+
+    /// Sends a request and collects the answer.
+    async fn exchange(&mut self, request: Request<Full<Bytes>>) -> Result<WholeAnswer> {
+        self.sender.ready().await?;
+
+        let response = self.sender.send_request(request).await?;
+        let (head, body) = response.into_parts();
+        let body = body.collect().await?.to_bytes();
+
+        Ok(WholeAnswer {
+            status: head.status,
+            headers: head.headers,
+            body,
+        })
+    }
+}
--- /dev/null
+++ b/standins/net/src/errors.rs
@@ -0,0 +1,46 @@
+//! What ends a connection.
+
+use std::{io, sync::Arc};
+use thiserror::Error;
+
+/// `Result` is the result of an operation on a connection.
+pub type Result<T, E = NetError> = std::result::Result<T, E>;
+
+/// `NetError` is why an exchange ended without an answer.
+#[derive(Debug, Error)]
+#[non_exhaustive]
+pub enum NetError {
+    /// The socket failed.
+    #[error("socket: {0}")]
+    Socket(#[from] io::Error),
+    /// The HTTP exchange failed.
+    #[error("http: {0}")]
+    Http(#[from] hyper::Error),
+    /// A request or an answer could not be built.
+    #[error("message: {0}")]
+    Message(#[from] http::Error),
+    /// The exchange took longer than allowed.
+    #[error("timeout")]
+    Timeout,
+    /// A fault that was switched on closed the connection.
+    #[error("closed on purpose: {fault}")]
+    Injected {
+        /// The name of the fault.
+        fault: &'static str,
+    },
+    /// The content could not be read.
+    #[error("malformed: {reason}")]
+    Malformed {
+        /// What is wrong.
+        reason: Arc<str>,
+    },
+}
+
+impl NetError {
+    /// Makes the error for unreadable content.
+    pub fn malformed(reason: impl Into<Arc<str>>) -> Self {
+        Self::Malformed {
+            reason: reason.into(),
+        }
+    }
+}
--- /dev/null
+++ b/standins/platform/src/faults.rs
@@ -0,0 +1,69 @@
+//! The faults that a control call switches.
+
+use serde::{Deserialize, Serialize};
+
+/// The writes a second that are allowed until a control call says otherwise.
+const WRITES_PER_SECOND: u64 = 500;
+
+/// The reads a second that are allowed until a control call says otherwise.
+const READS_PER_SECOND: u64 = 2_000;
+
+/// `PlatformFaults` is the faults in force.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct PlatformFaults {
+    /// Whether each call is refused with status 503.
+    pub outage: bool,
+    /// The time in milliseconds by which each call is delayed before its effect.
+    pub latency_ms: u64,
+    /// The share of calls whose connection closes after the effect.
+    pub lose_answers: f64,
+    /// The share of calls whose connection closes before the effect.
+    pub drop_calls: f64,
+    /// The writes that are allowed in a second.
+    pub writes_per_second: u64,
+    /// The reads that are allowed in a second.
+    pub reads_per_second: u64,
+}
+
+impl Default for PlatformFaults {
+    fn default() -> Self {
+        Self {
+            outage: false,
+            latency_ms: 0,
+            lose_answers: 0.0,
+            drop_calls: 0.0,
+            writes_per_second: WRITES_PER_SECOND,
+            reads_per_second: READS_PER_SECOND,
+        }
+    }
+}
+
+impl PlatformFaults {
+    /// Takes over the fields that a change names.
+    pub fn apply(&mut self, change: &PlatformFaultChange) {
+        self.outage = change.outage.unwrap_or(self.outage);
+        self.latency_ms = change.latency_ms.unwrap_or(self.latency_ms);
+        self.lose_answers = change.lose_answers.unwrap_or(self.lose_answers);
+        self.drop_calls = change.drop_calls.unwrap_or(self.drop_calls);
+        self.writes_per_second = change.writes_per_second.unwrap_or(self.writes_per_second);
+        self.reads_per_second = change.reads_per_second.unwrap_or(self.reads_per_second);
+    }
+}
+
+/// `PlatformFaultChange` names the faults to change; the others stay.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct PlatformFaultChange {
+    /// Whether each call is refused with status 503.
+    pub outage: Option<bool>,
+    /// The time in milliseconds by which each call is delayed.
+    pub latency_ms: Option<u64>,
+    /// The share of calls whose connection closes after the effect.
+    pub lose_answers: Option<f64>,
+    /// The share of calls whose connection closes before the effect.
+    pub drop_calls: Option<f64>,
+    /// The writes that are allowed in a second.
+    pub writes_per_second: Option<u64>,
+    /// The reads that are allowed in a second.
+    pub reads_per_second: Option<u64>,
+}
--- a/standins/platform/src/main.rs
+++ b/standins/platform/src/main.rs
@@ -1,4 +1,47 @@
-//! A stand-in for the object API of the platform, with faults on demand.
+//! The program of the platform stand-in.
 
-/// Runs the stand-in.
-fn main() {}
+use clap::{Arg, Command, value_parser};
+use compio::net::TcpListener;
+use platform_standin::api::PlatformApi;
+use standin_net::{Result, server::serve};
+use std::{net::SocketAddr, rc::Rc};
+
+/// The seed of the faults when the command line names none.
+const DEFAULT_SEED: &str = "1";
+
+/// Describes the command line.
+fn command() -> Command {
+    Command::new("platform-standin")
+        .about("Stands in for the platform's object API, with faults on demand")
+        .arg(
+            Arg::new("listen")
+                .long("listen")
+                .value_name("ADDRESS")
+                .required(true)
+                .value_parser(value_parser!(SocketAddr))
+                .help("The address to listen on"),
+        )
+        .arg(
+            Arg::new("seed")
+                .long("seed")
+                .value_name("NUMBER")
+                .default_value(DEFAULT_SEED)
+                .value_parser(value_parser!(u64))
+                .help("The seed of the faults that strike by chance"),
+        )
+}
+
+/// Runs the stand-in until a signal ends the process.
+#[compio::main]
+async fn main() -> Result<()> {
+    let matches = command().get_matches();
+    let address = *matches
+        .get_one::<SocketAddr>("listen")
+        .expect("clap requires the argument");
+    let seed = *matches.get_one::<u64>("seed").expect("it has a default");
+
+    let listener = TcpListener::bind(address).await?;
+    println!("platform-standin: listening on {}", listener.local_addr()?);
+
+    serve(listener, Rc::new(PlatformApi::new(seed))).await
+}
--- /dev/null
+++ b/standins/platform/src/stats.rs
@@ -0,0 +1,54 @@
+//! The counts of calls by kind.
+
+use serde::{Deserialize, Serialize};
+
+/// `CallKind` is the kind of a call. A waiting watch is one call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallKind {
+    /// A read of one value.
+    Get,
+    /// A read of the values under a prefix.
+    List,
+    /// A conditional update.
+    Update,
+    /// A wait for changes.
+    Watch,
+}
+
+/// `CallStats` counts the calls since the start, the refused ones among them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CallStats {
+    /// The reads of one value.
+    pub gets: u64,
+    /// The reads of a prefix.
+    pub lists: u64,
+    /// The conditional updates.
+    pub updates: u64,
+    /// The waits for changes.
+    pub watches: u64,
+    /// The updates that met another version.
+    pub conflicts: u64,
+    /// The calls over the rate.
+    pub refused_rate: u64,
+    /// The calls during an outage.
+    pub refused_outage: u64,
+    /// The calls whose connection closed before the effect.
+    pub dropped_calls: u64,
+    /// The calls whose connection closed after the effect.
+    pub lost_answers: u64,
+}
+
+impl CallStats {
+    /// Counts a call.
+    pub fn count(&mut self, kind: CallKind) {
+        let field = match kind {
+            CallKind::Get => &mut self.gets,
+            CallKind::List => &mut self.lists,
+            CallKind::Update => &mut self.updates,
+            CallKind::Watch => &mut self.watches,
+        };
+
+        *field += 1;
+    }
+}
