--- a/standins/net/src/server.rs
+++ b/standins/net/src/server.rs
@@ -1,11 +1,15 @@
 //! The HTTP/1.1 server.
 
-use crate::{errors::Result, reply::AnswerResponse};
+use crate::{
+    errors::{NetError, Result},
+    repeat::{RepeatAnswer, RepeatStream},
+    reply::AnswerResponse,
+};
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::HyperStream;
 use http::Request;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use std::{fmt::Debug, rc::Rc};
+use std::{cell::Cell, fmt::Debug, rc::Rc};
 use wagtail_core::ports::LocalFuture;
 
 /// `RequestHandler` answers the requests of a stand-in. An error closes the connection
@@ -39,10 +43,22 @@
 /// Serves one connection until its end.
 async fn serve_connection<H: RequestHandler>(stream: TcpStream, handler: Rc<H>) -> Result<()> {
     stream.set_nodelay(true)?;
-    let service = service_fn(move |request| Rc::clone(&handler).handle(request));
+    let armed = Rc::new(Cell::new(false));
+    let stream = RepeatStream::new(HyperStream::new_plain(stream), Rc::clone(&armed));
+
+    let service = service_fn(move |request| {
+        let answer = Rc::clone(&handler).handle(request);
+        let armed = Rc::clone(&armed);
+
+        async move {
+            let answer = answer.await?;
+            armed.set(answer.extensions().get::<RepeatAnswer>().is_some());
+            Ok::<_, NetError>(answer)
+        }
+    });
 
     http1::Builder::new()
-        .serve_connection(HyperStream::new_plain(stream), service)
+        .serve_connection(stream, service)
         .await?;
 
     Ok(())
--- /dev/null
+++ b/standins/target/src/grants.rs
@@ -0,0 +1,101 @@
+//! The fenced grants.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// `GrantBatch` is the content of a renewal by the daemon.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GrantBatch {
+    /// The grants.
+    pub grants: Vec<SliceGrant>,
+    /// The sender's `CLOCK_BOOTTIME` in microseconds; a grant that waited in a socket is shorter
+    /// by its age.
+    #[serde(default)]
+    pub sent_us: Option<u64>,
+}
+
+/// `SliceGrant` allows orders for one slice for a time.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SliceGrant {
+    /// The index of the slice.
+    pub slice: u32,
+    /// The epoch of the ownership.
+    pub epoch: u64,
+    /// The length of the grant in milliseconds; zero revokes it.
+    pub valid_ms: u64,
+}
+
+/// `GrantReport` is the answer to a renewal.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GrantReport {
+    /// The grants that were refused, with the highest epoch seen for their slice.
+    pub refused: Vec<RefusedGrant>,
+}
+
+/// `RefusedGrant` is a grant below the highest epoch seen.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RefusedGrant {
+    /// The index of the slice.
+    pub slice: u32,
+    /// The highest epoch seen for the slice.
+    pub epoch: u64,
+}
+
+/// `HeldGrant` is the newest grant of a slice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct HeldGrant {
+    /// The epoch, which only grows.
+    epoch: u64,
+    /// The end of the grant in microseconds.
+    until_us: u64,
+}
+
+/// `GrantTable` holds the newest grant of each slice.
+#[derive(Debug, Clone, Default)]
+pub struct GrantTable {
+    /// The grants by the index of their slice.
+    held: BTreeMap<u32, HeldGrant>,
+}
+
+impl GrantTable {
+    /// Makes a table without grants.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes over the grants of a renewal that arrived at a moment in microseconds.
+    pub fn renew(&mut self, batch: &GrantBatch, now_us: u64) -> GrantReport {
+        let start_us = batch.sent_us.map_or(now_us, |sent_us| sent_us.min(now_us));
+        let mut report = GrantReport::default();
+
+        for grant in &batch.grants {
+            let highest = self.held.get(&grant.slice).map_or(0, |held| held.epoch);
+            if grant.epoch < highest {
+                report.refused.push(RefusedGrant {
+                    slice: grant.slice,
+                    epoch: highest,
+                });
+                continue;
+            }
+
+            let held = HeldGrant {
+                epoch: grant.epoch,
+                until_us: start_us.saturating_add(grant.valid_ms.saturating_mul(1_000)),
+            };
+            self.held.insert(grant.slice, held);
+        }
+
+        report
+    }
+
+    /// Returns whether a grant allows an order for a slice and epoch at a moment.
+    pub fn allows(&self, slice: u32, epoch: u64, now_us: u64) -> bool {
+        self.held
+            .get(&slice)
+            .is_some_and(|held| held.epoch == epoch && now_us < held.until_us)
+    }
+}
--- /dev/null
+++ b/standins/target/src/slots.rs
@@ -0,0 +1,106 @@
+//! The slots and the queue before them.
+
+use futures_channel::oneshot;
+use std::{cell::RefCell, collections::VecDeque, rc::Rc};
+
+/// `SlotPool` counts the free slots and holds the orders that wait for one.
+#[derive(Debug)]
+pub struct SlotPool {
+    /// The state that the guards share.
+    state: RefCell<SlotState>,
+    /// The orders that may wait.
+    queue: usize,
+}
+
+/// `SlotState` is the changing part of a pool.
+#[derive(Debug)]
+struct SlotState {
+    /// The free slots.
+    free: u32,
+    /// The orders that wait, in order of arrival.
+    waiting: VecDeque<oneshot::Sender<SlotGuard>>,
+}
+
+/// `SlotClaim` is the answer to an order that asks for a slot.
+#[derive(Debug)]
+pub enum SlotClaim {
+    /// A slot is free.
+    Taken(SlotGuard),
+    /// The order waits for its turn.
+    Queued(oneshot::Receiver<SlotGuard>),
+    /// The queue is full.
+    Full,
+}
+
+impl SlotPool {
+    /// Makes a pool of free slots with a bounded queue.
+    pub fn new(slots: u32, queue: usize) -> Rc<Self> {
+        Rc::new(Self {
+            state: RefCell::new(SlotState {
+                free: slots,
+                waiting: VecDeque::new(),
+            }),
+            queue,
+        })
+    }
+
+    /// Claims a slot or a place in the queue.
+    pub fn claim(self: &Rc<Self>) -> SlotClaim {
+        let mut state = self.state.borrow_mut();
+
+        if state.free > 0 {
+            state.free -= 1;
+            return SlotClaim::Taken(SlotGuard::new(self));
+        }
+
+        state.waiting.retain(|sender| !sender.is_canceled());
+        if state.waiting.len() >= self.queue {
+            return SlotClaim::Full;
+        }
+
+        let (sender, receiver) = oneshot::channel();
+        state.waiting.push_back(sender);
+
+        SlotClaim::Queued(receiver)
+    }
+
+    /// Gives a slot to the next order that still waits, or frees it.
+    fn release(self: &Rc<Self>) {
+        loop {
+            let next = self.state.borrow_mut().waiting.pop_front();
+            let Some(sender) = next else {
+                self.state.borrow_mut().free += 1;
+                return;
+            };
+
+            match sender.send(SlotGuard::new(self)) {
+                Ok(()) => return,
+                Err(mut guard) => guard.pool = None,
+            }
+        }
+    }
+}
+
+/// `SlotGuard` holds a slot until it is dropped.
+#[derive(Debug)]
+pub struct SlotGuard {
+    /// The pool that the slot returns to; absent when the guard holds no slot.
+    pool: Option<Rc<SlotPool>>,
+}
+
+impl SlotGuard {
+    /// Makes the guard of a slot that was taken.
+    fn new(pool: &Rc<SlotPool>) -> Self {
+        Self {
+            pool: Some(Rc::clone(pool)),
+        }
+    }
+}
+
+impl Drop for SlotGuard {
+    fn drop(&mut self) {
+        if let Some(pool) = self.pool.take() {
+            pool.release();
+        }
+    }
+}
