--- a/crates/daemon/src/ownership.rs
+++ b/crates/daemon/src/ownership.rs
@@ -447,7 +447,7 @@
         let node = self.options.identity.name.clone();
         let Some(service) = fleet
             .nodes
-            .get(node)
+            .get(&node)
             .and_then(|entry| entry.service.clone())
         else {
             return;
