Lease machine: witnesses, holders, takeover, sets, records

Safety rests on one rule: a witness never has grants to two holders outstanding. A takeover is a request at a later epoch, which ends the renewals of the earlier one at each witness that takes it; it is granted when the earlier grants have lapsed. Sets change through the platform and count alone only after a holder has gained majorities of the old and the new set at once.

--- a/crates/lease/src/action.rs
+++ b/crates/lease/src/action.rs
@@ -23,6 +23,8 @@
     ReadRecord {
         /// The slice of the record.
         slice: SliceId,
+        /// The identifier of the request.
+        read_id: u64,
     },
     /// Write a record if its version is as expected, and answer with `WriteFinished`.
     WriteRecord {
--- a/crates/lease/src/event.rs
+++ b/crates/lease/src/event.rs
@@ -65,10 +65,14 @@
         /// The message.
         message: LeaseMessage,
     },
-    /// A record was read, on request or from a list at the start.
+    /// Records were listed, at the start of the daemon or by a watch.
+    RecordsListed(Vec<VersionedRecord>),
+    /// A requested read ended.
     RecordRead {
         /// The slice of the record.
         slice: SliceId,
+        /// The identifier of the request, so that a late answer is not taken for a fresh one.
+        read_id: u64,
         /// The record, or nothing when it is absent.
         stored: Option<VersionedRecord>,
     },
@@ -76,6 +80,8 @@
     ReadFailed {
         /// The slice of the record.
         slice: SliceId,
+        /// The identifier of the request.
+        read_id: u64,
     },
     /// A requested write ended.
     WriteFinished {
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -12,16 +12,31 @@
 //! - [`event`]: what the machine is told.
 //! - [`action`]: what the machine asks for.
 //! - [`message`]: what the machines of two nodes say to each other.
+//! - [`serve`]: what the daemon asks before it dispatches, routes or reports.
 //! - [`machine`]: the state machine of one node.
 
 pub mod action;
 pub mod event;
+mod holder;
 pub mod machine;
+mod members;
 pub mod message;
 pub mod options;
+mod pairs;
+mod planning;
+mod platform;
+mod quorum;
+mod recording;
+mod renewing;
+pub mod serve;
+mod serving;
+mod takeover;
+mod witness;
+mod witnesses;
 
 pub use action::{LeaseAction, LeaseProblem};
 pub use event::{LeaseEvent, MemberInfo, VersionedRecord, WriteOutcome};
-pub use machine::{LeaseMachine, LeaseSummary, OwnerHint, ServeGrant};
+pub use machine::LeaseMachine;
 pub use message::LeaseMessage;
 pub use options::{LeaseOptions, OptionsError};
+pub use serve::{LeaseSummary, OwnerHint, ServeGrant};
--- a/crates/lease/src/machine.rs
+++ b/crates/lease/src/machine.rs
@@ -1,68 +1,106 @@
 //! The state machine of one node.
 
-use crate::{action::LeaseAction, event::LeaseEvent, options::LeaseOptions};
-use serde::{Deserialize, Serialize};
+use crate::{
+    action::{LeaseAction, LeaseProblem},
+    event::{LeaseEvent, MemberInfo},
+    holder::{HolderPhase, LeaseHolder},
+    members::MemberTable,
+    message::LeaseMessage,
+    options::LeaseOptions,
+    pairs::WitnessPair,
+    platform::PlatformPace,
+    serve::{LeaseSummary, OwnerHint, ServeGrant},
+    takeover::{HandOverTry, TakeoverBallot},
+    witnesses::WitnessTable,
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    mem,
+};
 use wagtail_core::{
-    ids::{LeaseEpoch, NodeIdentity, ZoneName},
+    ids::{NodeIdentity, NodeName, ServiceName, ZoneName},
+    lease::LeaseRecord,
     slice::SliceId,
     units::LocalMoment,
 };
 
-/// `ServeGrant` allows a dispatch.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct ServeGrant {
-    /// The fencing token.
-    pub epoch: LeaseEpoch,
-    /// The end of the lease: no work may run past it.
-    pub until: LocalMoment,
-}
-
-/// `OwnerHint` is the newest owner that a node knows of.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct OwnerHint {
-    /// The owner.
-    pub owner: NodeIdentity,
-    /// Its epoch.
-    pub epoch: LeaseEpoch,
-}
-
-/// `LeaseSummary` is what the status page shows of the leases.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct LeaseSummary {
-    /// The slices that this node serves.
-    pub serving: Vec<SliceId>,
-    /// The slices that this node tries to gain.
-    pub gaining: usize,
-    /// The slices whose work is to end before a hand-over.
-    pub draining: usize,
-    /// The slices that this node witnesses.
-    pub witnessed: usize,
-    /// The slices for which this node has not yet recalled its promises.
-    pub recovering: usize,
-    /// The records that wait to be written.
-    pub unwritten: usize,
-}
-
 /// `LeaseMachine` decides for one node which slices it owns, grants and takes over.
 #[derive(Debug)]
 pub struct LeaseMachine {
     /// This start of this node.
-    identity: NodeIdentity,
+    pub(crate) identity: NodeIdentity,
     /// The zone of this node.
-    zone: ZoneName,
+    pub(crate) zone: ZoneName,
     /// The times and rates.
-    options: LeaseOptions,
+    pub(crate) options: LeaseOptions,
+    /// The source of identifiers and jitter.
+    rng: ChaCha8Rng,
+    /// Whether an event has arrived yet.
+    is_started: bool,
+    /// Whether a later start of this node is known.
+    is_outdated: bool,
+    /// The nodes of the fleet.
+    pub(crate) members: MemberTable,
+    /// The VMs that are gone for good, until all that they granted has lapsed.
+    pub(crate) going: BTreeMap<NodeName, LocalMoment>,
+    /// Whether the targets of a service check fencing tokens.
+    fencing: BTreeMap<ServiceName, bool>,
+    /// The set that this node's slices share.
+    pub(crate) set: Vec<NodeIdentity>,
+    /// When the sets are looked at next.
+    pub(crate) plan_at: LocalMoment,
+    /// The slices that this node holds or tries to gain.
+    pub(crate) holders: BTreeMap<SliceId, LeaseHolder>,
+    /// The renewals by witness.
+    pub(crate) pairs: BTreeMap<NodeName, WitnessPair>,
+    /// Whether the lists of the renewals may have changed.
+    pub(crate) is_relisted: bool,
+    /// The slices that this node witnesses.
+    pub(crate) witnesses: WitnessTable,
+    /// The calls of witnesses to take slices over.
+    pub(crate) ballots: BTreeMap<SliceId, TakeoverBallot>,
+    /// The hand-overs that the new owner may not know of.
+    pub(crate) hand_overs: BTreeMap<SliceId, HandOverTry>,
+    /// The lost slices that this node is to replace by the operator's word.
+    pub(crate) rescues: BTreeSet<SliceId>,
+    /// The calls of the platform.
+    pub(crate) platform: PlatformPace,
+    /// The newest known record of each slice.
+    pub(crate) known: BTreeMap<SliceId, LeaseRecord>,
+    /// The actions of the event at hand.
+    actions: Vec<LeaseAction>,
+    /// When the next tick is due.
+    wake_at: LocalMoment,
 }
 
 impl LeaseMachine {
-    /// Makes the machine of a node that has just started.
-    pub fn new(identity: NodeIdentity, zone: ZoneName, options: LeaseOptions, _seed: u64) -> Self {
+    /// Makes the machine of a node that has just started. Two starts of one node must differ in
+    /// their incarnation.
+    pub fn new(identity: NodeIdentity, zone: ZoneName, options: LeaseOptions, seed: u64) -> Self {
         Self {
             identity,
             zone,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            is_started: false,
+            is_outdated: false,
+            members: MemberTable::default(),
+            going: BTreeMap::new(),
+            fencing: BTreeMap::new(),
+            set: Vec::new(),
+            plan_at: LocalMoment::ZERO,
+            holders: BTreeMap::new(),
+            pairs: BTreeMap::new(),
+            is_relisted: false,
+            witnesses: WitnessTable::new(LocalMoment::ZERO, &options),
+            ballots: BTreeMap::new(),
+            hand_overs: BTreeMap::new(),
+            rescues: BTreeSet::new(),
+            platform: PlatformPace::default(),
+            known: BTreeMap::new(),
+            actions: Vec::new(),
+            wake_at: LocalMoment::ZERO,
             options,
         }
     }
@@ -78,27 +116,280 @@
     }
 
     /// Takes an event in and returns what is to be done, in order.
-    pub fn handle(&mut self, _now: LocalMoment, _event: LeaseEvent) -> Vec<LeaseAction> {
-        Vec::new()
+    pub fn handle(&mut self, now: LocalMoment, event: LeaseEvent) -> Vec<LeaseAction> {
+        if !self.is_started {
+            self.is_started = true;
+            self.witnesses = WitnessTable::new(now, &self.options);
+        }
+
+        if !self.is_outdated {
+            self.apply(now, event);
+            self.advance(now);
+            self.send_renewals(now);
+        }
+
+        self.wake_at = self.find_wakeup(now);
+
+        mem::take(&mut self.actions)
     }
 
     /// Returns the right to dispatch work of a slice now. It is asked again before each dispatch.
-    pub fn may_serve(&self, _now: LocalMoment, _slice: &SliceId) -> Option<ServeGrant> {
-        None
+    pub fn may_serve(&self, now: LocalMoment, slice: &SliceId) -> Option<ServeGrant> {
+        let holder = self.holders.get(slice)?;
+
+        if matches!(holder.phase, HolderPhase::Draining { .. }) {
+            return None;
+        }
+
+        holder.serving.filter(|grant| now < grant.until)
     }
 
     /// Returns the newest owner that this node knows of.
-    pub fn owner_hint(&self, _slice: &SliceId) -> Option<OwnerHint> {
-        None
+    pub fn owner_hint(&self, slice: &SliceId) -> Option<OwnerHint> {
+        let record = self.known.get(slice)?;
+
+        Some(OwnerHint {
+            owner: record.owner.clone(),
+            epoch: record.epoch,
+        })
     }
 
     /// Returns when the next [`LeaseEvent::Tick`] is due.
     pub fn next_wakeup(&self) -> LocalMoment {
-        LocalMoment::ZERO + self.options.renew_interval
+        self.wake_at
     }
 
     /// Returns what the status page shows.
     pub fn summary(&self) -> LeaseSummary {
-        LeaseSummary::default()
+        let serving = self
+            .holders
+            .iter()
+            .filter(|(_, holder)| holder.serving.is_some())
+            .map(|(slice, _)| slice.clone())
+            .collect();
+
+        LeaseSummary {
+            serving,
+            gaining: self.count_holders(|holder| holder.serving.is_none()),
+            draining: self
+                .count_holders(|holder| matches!(holder.phase, HolderPhase::Draining { .. })),
+            witnessed: self.witnesses.slices.len(),
+            recovering: self.witnesses.recalling(),
+            unwritten: self.count_holders(|holder| holder.gained && holder.is_unwritten()),
+        }
+    }
+
+    /// Counts the holders for whom `counts` holds.
+    pub(crate) fn count_holders(&self, counts: impl Fn(&LeaseHolder) -> bool) -> usize {
+        self.holders
+            .values()
+            .filter(|holder| counts(holder))
+            .count()
+    }
+
+    /// Adds an action.
+    pub(crate) fn act(&mut self, action: LeaseAction) {
+        self.actions.push(action);
+    }
+
+    /// Adds a message to another node.
+    pub(crate) fn send(&mut self, to: NodeName, message: LeaseMessage) {
+        self.act(LeaseAction::Send { to, message });
+    }
+
+    /// Adds a report.
+    pub(crate) fn report(&mut self, slice: Option<&SliceId>, problem: LeaseProblem) {
+        self.act(LeaseAction::Report {
+            slice: slice.cloned(),
+            problem,
+        });
+    }
+
+    /// Returns a new identifier of a write or read.
+    pub(crate) fn new_id(&mut self) -> u64 {
+        self.rng.random_range(1..=u64::MAX)
+    }
+
+    /// Returns a random factor around one.
+    pub(crate) fn jitter(&mut self) -> f64 {
+        self.rng.random_range(0.5..1.5)
+    }
+
+    /// Returns a random part of the whole.
+    pub(crate) fn random_part(&mut self) -> f64 {
+        self.rng.random_range(0.0..1.0)
+    }
+
+    /// Returns whether the targets of a slice check fencing tokens.
+    pub(crate) fn is_fenced(&self, slice: &SliceId) -> bool {
+        self.fencing.get(&slice.service).copied().unwrap_or(false)
+    }
+
+    /// Returns whether this node can own a slice.
+    pub(crate) fn can_own(&self, slice: &SliceId) -> bool {
+        self.members.can_own(&self.identity.name, slice)
+    }
+
+    /// Takes up a record that is held or stored, for routing.
+    pub(crate) fn learn(&mut self, record: &LeaseRecord) {
+        let known = self.known.get(&record.slice);
+        let is_newer = known.is_none_or(|known| known.epoch < record.epoch);
+
+        if is_newer {
+            self.known.insert(record.slice.clone(), record.clone());
+            self.act(LeaseAction::Learned {
+                record: record.clone(),
+            });
+        }
+    }
+
+    /// Takes in an event.
+    fn apply(&mut self, now: LocalMoment, event: LeaseEvent) {
+        match event {
+            LeaseEvent::Tick => {}
+            LeaseEvent::Received { from, message } => self.receive(now, &from, message),
+            LeaseEvent::RecordsListed(listed) => self.records_listed(now, &listed),
+            LeaseEvent::RecordRead {
+                read_id, stored, ..
+            } => self.record_read(now, read_id, stored),
+            LeaseEvent::ReadFailed { read_id, .. } => self.read_failed(now, read_id),
+            LeaseEvent::WriteFinished { write_id, outcome } => {
+                self.write_finished(now, write_id, outcome);
+            }
+            LeaseEvent::MembersChanged(members) => self.members_changed(now, members),
+            LeaseEvent::ServiceFencing { service, fenced } => {
+                self.fencing.insert(service, fenced);
+            }
+            LeaseEvent::Claim { slice } => self.claim(now, slice),
+            LeaseEvent::Move { slice, to } => self.start_move(&slice, to),
+            LeaseEvent::Drained { slice, epoch } => self.drained(now, &slice, epoch),
+            LeaseEvent::NodeGone { name } => {
+                self.going.entry(name).or_insert(now);
+            }
+        }
+    }
+
+    /// Takes in a message of another node.
+    fn receive(&mut self, now: LocalMoment, from: &NodeIdentity, message: LeaseMessage) {
+        if from.name == self.identity.name {
+            self.observe_own(from);
+            return;
+        }
+
+        self.witnesses.observe_start(now, from);
+
+        match message {
+            LeaseMessage::Renew { .. } => {
+                let answer =
+                    self.witnesses
+                        .renew(now, &self.identity, from, message, &self.options);
+
+                if let Some(answer) = answer {
+                    self.send(from.name.clone(), answer);
+                }
+            }
+            LeaseMessage::Renewed {
+                sequence,
+                refusals,
+                changes,
+            } => self.renewed(now, &from.name, sequence, &refusals, &changes),
+            LeaseMessage::BundleMissing { sequence } => {
+                if let Some(pair) = self.pairs.get_mut(&from.name) {
+                    pair.bundle_missing(now, sequence);
+                }
+            }
+            LeaseMessage::Release {
+                sequence,
+                slice,
+                epoch,
+            } => self.witnesses.release(now, from, sequence, &slice, epoch),
+            LeaseMessage::HandOver { record, drained } => self.handed_over(now, record, drained),
+            LeaseMessage::Suspect { entries } => self.suspected(now, &from.name, entries),
+            LeaseMessage::Recall { records } => {
+                let answer = self.witnesses.answer_recall(&self.identity, &records);
+                self.send(from.name.clone(), answer);
+            }
+            LeaseMessage::Recalled { memories } => {
+                self.witnesses
+                    .recalled(now, &self.identity, &from.name, memories);
+            }
+        }
+    }
+
+    /// Does what time makes due.
+    fn advance(&mut self, now: LocalMoment) {
+        self.advance_gone(now);
+        self.advance_holders(now);
+        self.call_candidates(now);
+        self.repeat_hand_overs(now);
+        self.ask_members(now);
+        self.plan_sets(now);
+        self.call_platform(now);
+    }
+
+    /// Takes up the membership.
+    fn members_changed(&mut self, now: LocalMoment, members: Vec<MemberInfo>) {
+        for member in &members {
+            if member.identity.name == self.identity.name {
+                self.observe_own(&member.identity);
+            } else {
+                self.witnesses.observe_start(now, &member.identity);
+            }
+        }
+
+        self.members.replace(members);
+        self.plan_at = now;
+    }
+
+    /// Ends everything when a later start of this node exists.
+    fn observe_own(&mut self, start: &NodeIdentity) {
+        if start.incarnation <= self.identity.incarnation {
+            return;
+        }
+
+        self.is_outdated = true;
+
+        for (slice, holder) in mem::take(&mut self.holders) {
+            if let Some(grant) = holder.serving {
+                self.act(LeaseAction::Stop {
+                    slice,
+                    epoch: grant.epoch,
+                });
+            }
+        }
+
+        self.report(None, LeaseProblem::IncarnationOutdated);
+    }
+
+    /// Asks the other members what this start has forgotten.
+    fn ask_members(&mut self, now: LocalMoment) {
+        for (to, records) in self.witnesses.due_recalls(now, &self.identity) {
+            self.send(to, LeaseMessage::Recall { records });
+        }
+    }
+
+    /// Returns when something is due by itself.
+    fn find_wakeup(&self, now: LocalMoment) -> LocalMoment {
+        let pairs = self.pairs.values().map(|pair| pair.send_at);
+        let holders = self.holders.values().filter_map(LeaseHolder::next_wakeup);
+        let hand_overs = self.hand_overs.values().map(|attempt| attempt.send_at);
+        let others = [
+            Some(self.plan_at),
+            self.witnesses.next_wakeup(),
+            self.platform_wakeup(),
+        ];
+
+        let earliest = pairs
+            .chain(holders)
+            .chain(hand_overs)
+            .chain(others.into_iter().flatten())
+            .min();
+
+        earliest.unwrap_or(self.plan_at).max(now)
+    }
+
+    /// Returns the nodes that are gone for good and can hold no lease any more.
+    pub(crate) fn gone(&self) -> BTreeSet<NodeName> {
+        self.members.gone.clone()
     }
 }
--- a/crates/lease/src/message.rs
+++ b/crates/lease/src/message.rs
@@ -89,7 +89,7 @@
         /// The lowest epoch that the witness grants.
         promised: LeaseEpoch,
         /// The newest record that it saw.
-        newest: Option<LeaseRecord>,
+        newest: Option<Box<LeaseRecord>>,
     },
     /// The witness restarted and has not yet recalled its promises.
     Recovering,
--- /dev/null
+++ b/crates/lease/src/pairs.rs
@@ -0,0 +1,173 @@
+//! The renewals from one holder to its witnesses.
+
+use crate::message::LeaseMessage;
+use std::{collections::VecDeque, sync::Arc};
+use wagtail_core::{
+    ids::{LeaseEpoch, NodeName},
+    lease::LeaseRecord,
+    slice::SliceId,
+    units::LocalMoment,
+};
+
+/// The unanswered renewals that a pair remembers.
+const REMEMBERED_RENEWALS: usize = 16;
+
+/// `AskedSlice` is one slice of a list.
+#[derive(Debug, Clone)]
+pub(crate) struct AskedSlice {
+    /// The slice.
+    pub(crate) slice: SliceId,
+    /// The asked epoch.
+    pub(crate) epoch: LeaseEpoch,
+}
+
+/// `SentRenewal` is an unanswered renewal.
+#[derive(Debug)]
+struct SentRenewal {
+    /// Its ordinal.
+    sequence: u64,
+    /// When it was sent.
+    sent: LocalMoment,
+    /// The slices that it asked for.
+    asked: Arc<[AskedSlice]>,
+}
+
+/// `WitnessPair` is the renewals from one holder to one witness.
+#[derive(Debug)]
+pub(crate) struct WitnessPair {
+    /// The witness.
+    pub(crate) to: NodeName,
+    /// The ordinal of the last message.
+    sequence: u64,
+    /// The version of the list.
+    version: u64,
+    /// The list.
+    records: Vec<LeaseRecord>,
+    /// The slices of the list.
+    asked: Arc<[AskedSlice]>,
+    /// Whether the list is to be sent whole.
+    send_bundle: bool,
+    /// The unanswered renewals, oldest first.
+    unanswered: VecDeque<SentRenewal>,
+    /// When the witness last answered.
+    pub(crate) answered: Option<LocalMoment>,
+    /// Since when the pair exists.
+    pub(crate) since: LocalMoment,
+    /// When the next renewal is due.
+    pub(crate) send_at: LocalMoment,
+}
+
+impl WitnessPair {
+    /// Makes the pair with a witness that has been asked nothing.
+    pub(crate) fn new(to: NodeName, now: LocalMoment) -> Self {
+        Self {
+            to,
+            sequence: 0,
+            version: 0,
+            records: Vec::new(),
+            asked: Arc::from([]),
+            send_bundle: true,
+            unanswered: VecDeque::new(),
+            answered: None,
+            since: now,
+            send_at: now,
+        }
+    }
+
+    /// Takes up the list; a changed one is sent whole and at once.
+    pub(crate) fn list(&mut self, records: Vec<LeaseRecord>, now: LocalMoment) {
+        if records == self.records {
+            return;
+        }
+
+        self.asked = records
+            .iter()
+            .map(|record| AskedSlice {
+                slice: record.slice.clone(),
+                epoch: record.epoch,
+            })
+            .collect();
+        self.records = records;
+        self.version += 1;
+        self.send_bundle = true;
+        self.send_at = now;
+    }
+
+    /// Makes the next renewal.
+    pub(crate) fn renewal(&mut self, now: LocalMoment) -> LeaseMessage {
+        let sequence = self.next_sequence();
+
+        self.unanswered.push_back(SentRenewal {
+            sequence,
+            sent: now,
+            asked: Arc::clone(&self.asked),
+        });
+
+        if self.unanswered.len() > REMEMBERED_RENEWALS {
+            self.unanswered.pop_front();
+        }
+
+        let bundle = self.send_bundle.then(|| self.records.clone());
+
+        LeaseMessage::Renew {
+            sequence,
+            version: self.version,
+            bundle,
+        }
+    }
+
+    /// Returns the ordinal of the next message.
+    pub(crate) fn next_sequence(&mut self) -> u64 {
+        self.sequence += 1;
+
+        self.sequence
+    }
+
+    /// Takes in the answer to a renewal and returns when it was sent and what it asked for.
+    pub(crate) fn answered(
+        &mut self,
+        now: LocalMoment,
+        sequence: u64,
+    ) -> Option<(LocalMoment, Arc<[AskedSlice]>)> {
+        let place = self
+            .unanswered
+            .iter()
+            .position(|renewal| renewal.sequence == sequence)?;
+        let renewal = self.unanswered.remove(place)?;
+
+        self.answered = Some(now);
+
+        // The witness knows the list when the answer is to a renewal of the present one.
+        if Arc::ptr_eq(&renewal.asked, &self.asked) {
+            self.send_bundle = false;
+        }
+
+        Some((renewal.sent, renewal.asked))
+    }
+
+    /// Takes in that the witness lacks the list.
+    pub(crate) fn bundle_missing(&mut self, now: LocalMoment, sequence: u64) {
+        let place = self
+            .unanswered
+            .iter()
+            .position(|renewal| renewal.sequence == sequence);
+
+        if let Some(place) = place {
+            self.unanswered.remove(place);
+            self.answered = Some(now);
+            self.send_bundle = true;
+            self.send_at = now;
+        }
+    }
+
+    /// Returns whether the witness answered within a time.
+    pub(crate) fn is_answering(&self, now: LocalMoment, within: std::time::Duration) -> bool {
+        self.answered
+            .is_some_and(|answered| now.since(answered) <= within)
+    }
+
+    /// Returns whether the witness has been silent for a time.
+    pub(crate) fn is_silent(&self, now: LocalMoment, time: std::time::Duration) -> bool {
+        now.since(self.answered.unwrap_or(self.since)) >= time
+    }
+}
--- /dev/null
+++ b/crates/lease/src/planning.rs
@@ -0,0 +1,292 @@
+//! The choice and change of sets, and what the operator says is gone.
+
+use crate::{
+    event::VersionedRecord,
+    holder::{HolderPhase, LeaseHolder},
+    machine::LeaseMachine,
+    options::LeaseFault,
+    quorum::{majority, next_change_epoch},
+    witness::UNRECORDED_EPOCHS,
+};
+use std::{collections::BTreeSet, time::Duration};
+use wagtail_core::{
+    ids::{LeaseEpoch, NodeIdentity, NodeName},
+    lease::{LeaseRecord, ReplacedSet},
+    slice::SliceId,
+    units::LocalMoment,
+};
+
+/// The time between two looks at the sets.
+const PLAN_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The time within which a member must have answered before it is relied upon.
+const RECENT_ANSWER: Duration = Duration::from_secs(1);
+
+/// The deputies of a record that may be lost before it names others.
+const LOST_DEPUTIES: usize = 2;
+
+/// The changes of sets that one node has under way.
+const CHANGES_IN_FLIGHT: usize = 4;
+
+impl LeaseMachine {
+    /// Looks at the sets when it is due.
+    pub(crate) fn plan_sets(&mut self, now: LocalMoment) {
+        if now < self.plan_at {
+            return;
+        }
+
+        self.plan_at = now + PLAN_INTERVAL;
+
+        if self.members.len() == 0 {
+            return;
+        }
+
+        self.choose_set(now);
+        self.find_rescues();
+
+        let slices: Vec<SliceId> = self.holders.keys().cloned().collect();
+
+        for slice in slices {
+            self.plan_change(now, &slice);
+        }
+    }
+
+    /// Returns the first record of a slice.
+    pub(crate) fn first_record(&mut self, slice: SliceId) -> LeaseRecord {
+        let deputies =
+            self.members
+                .choose_deputies(&slice, &self.identity.name, self.options.deputies);
+
+        let mut record = LeaseRecord {
+            slice,
+            epoch: LeaseEpoch::default(),
+            owner: self.identity.clone(),
+            members: names(&self.set),
+            member_starts: self.set.iter().map(|member| member.incarnation).collect(),
+            set_epoch: LeaseEpoch::default(),
+            replaced: None,
+            deputies,
+            write_id: self.new_id(),
+        };
+
+        record.epoch = next_change_epoch(&record, LeaseEpoch::default());
+        record.set_epoch = record.epoch;
+
+        record
+    }
+
+    /// Takes the operator's word into force, once all that the gone nodes granted has lapsed.
+    pub(crate) fn advance_gone(&mut self, now: LocalMoment) {
+        let wait = self.options.witness_term();
+        let due: Vec<NodeName> = self
+            .going
+            .iter()
+            .filter(|(_, since)| now.since(**since) >= wait)
+            .map(|(name, _)| name.clone())
+            .collect();
+
+        for name in due {
+            self.going.remove(&name);
+            self.members.gone.insert(name);
+            self.plan_at = now;
+        }
+    }
+
+    /// Replaces a stored record whose set has no majority left, by the operator's word.
+    pub(crate) fn rescue(&mut self, now: LocalMoment, stored: &VersionedRecord) {
+        let slice = &stored.record.slice;
+
+        if !self.rescues.remove(slice) || self.holders.contains_key(slice) {
+            return;
+        }
+
+        if !is_lost(&stored.record, &self.members.gone) || self.set.is_empty() {
+            return;
+        }
+
+        // Takeovers that were served without a record had lower epochs than this.
+        let above = LeaseEpoch(stored.record.epoch.0 + UNRECORDED_EPOCHS);
+
+        let mut record = self.first_record(slice.clone());
+        record.epoch = next_change_epoch(&record, above);
+        record.set_epoch = record.epoch;
+
+        let mut holder = LeaseHolder::new(record, HolderPhase::Claiming, now, now);
+        holder.version = Some(stored.version);
+        holder.took_over = Some(stored.record.owner.name.clone());
+        self.holders.insert(slice.clone(), holder);
+    }
+
+    /// Chooses the shared set of this node.
+    fn choose_set(&mut self, now: LocalMoment) {
+        let replace_after = self.options.replace_after;
+        let is_usable = |name: &NodeName| {
+            let silent = self
+                .pairs
+                .get(name)
+                .is_some_and(|pair| pair.is_silent(now, replace_after));
+
+            !silent && !self.members.gone.contains(name)
+        };
+
+        let set = self.members.choose_set(
+            &self.identity,
+            &self.zone,
+            &self.set,
+            is_usable,
+            &self.options,
+        );
+
+        if set != self.set {
+            self.set = set;
+            self.is_relisted = true;
+        }
+    }
+
+    /// Finds the slices that are lost by the operator's word and are this node's to replace.
+    fn find_rescues(&mut self) {
+        if self.members.gone.is_empty() {
+            return;
+        }
+
+        let me = &self.identity.name;
+        let lost: Vec<SliceId> = self
+            .known
+            .values()
+            .filter(|record| is_lost(record, &self.members.gone))
+            .filter(|record| self.first_candidate(record).as_ref() == Some(me))
+            .map(|record| record.slice.clone())
+            .collect();
+
+        self.rescues.extend(lost);
+    }
+
+    /// Returns the first candidate of a record that is not gone.
+    fn first_candidate(&self, record: &LeaseRecord) -> Option<NodeName> {
+        (0..self.members.len())
+            .filter_map(|place| self.members.candidate(record, place))
+            .find(|name| !self.members.gone.contains(name))
+    }
+
+    /// Proposes a change of the set or the deputies of a held slice.
+    fn plan_change(&mut self, now: LocalMoment, slice: &SliceId) {
+        let changing = self.count_holders(|holder| holder.proposal.is_some());
+        let Some(holder) = self.holders.get(slice) else {
+            return;
+        };
+
+        let is_settled = holder.phase == HolderPhase::Serving
+            && holder.gained
+            && holder.serving.is_some_and(|grant| grant.until > now)
+            && holder.proposal.is_none()
+            && holder.record.replaced.is_none()
+            && !holder.is_unwritten()
+            && holder.version.is_some();
+
+        if !is_settled || changing >= CHANGES_IN_FLIGHT {
+            return;
+        }
+
+        let is_same_set = is_same(&names(&self.set), &holder.record.members);
+        let is_wanted = !is_same_set || self.are_deputies_lost(&holder.record);
+
+        if is_wanted && self.is_set_answering(now, &holder.record) {
+            self.propose(now, slice);
+        }
+    }
+
+    /// Returns whether the deputies of a record are too few.
+    fn are_deputies_lost(&self, record: &LeaseRecord) -> bool {
+        let usable = record
+            .deputies
+            .iter()
+            .filter(|name| self.members.can_own(name, &record.slice))
+            .count();
+        let best =
+            self.members
+                .choose_deputies(&record.slice, &record.owner.name, self.options.deputies);
+
+        let short = best.len().saturating_sub(usable);
+
+        short >= LOST_DEPUTIES || (usable == 0 && short > 0)
+    }
+
+    /// Returns whether a majority of the shared set and each new member of it answers.
+    fn is_set_answering(&self, now: LocalMoment, record: &LeaseRecord) -> bool {
+        let is_answering = |name: &NodeName| {
+            self.pairs
+                .get(name)
+                .is_some_and(|pair| pair.is_answering(now, RECENT_ANSWER))
+        };
+
+        let answering = self.set.iter().filter(|member| is_answering(&member.name));
+        let is_majority = answering.count() >= majority(self.set.len());
+
+        let are_new_answering = self
+            .set
+            .iter()
+            .filter(|member| !record.members.contains(&member.name))
+            .all(|member| is_answering(&member.name));
+
+        is_majority && are_new_answering
+    }
+
+    /// Proposes the shared set for a slice. It comes into force when it is known to be stored;
+    /// then majorities of both sets are needed until both were gained once.
+    fn propose(&mut self, now: LocalMoment, slice: &SliceId) {
+        let fresh = self.first_record(slice.clone());
+        let fault = self.options.fault;
+        let patience = self.patience();
+        let spread = self.call_spread();
+
+        let Some(holder) = self.holders.get_mut(slice) else {
+            return;
+        };
+
+        let held = &holder.record;
+        let mut record = fresh;
+        record.epoch = next_change_epoch(&record, held.epoch);
+        record.set_epoch = record.epoch;
+        record.replaced = Some(ReplacedSet {
+            members: held.members.clone(),
+            member_starts: held.member_starts.clone(),
+        });
+
+        if fault == LeaseFault::NewSetOnly {
+            record.replaced = None;
+        }
+
+        if fault == LeaseFault::UnwrittenSet {
+            holder.adopt(record, now + patience);
+            self.is_relisted = true;
+            return;
+        }
+
+        holder.proposal = Some(record);
+        holder.call_after = now + spread;
+    }
+}
+
+/// Returns whether neither set of a record has a majority that is not gone.
+fn is_lost(record: &LeaseRecord, gone: &BTreeSet<NodeName>) -> bool {
+    let lacks_majority = |members: &[NodeName]| {
+        let left = members.iter().filter(|name| !gone.contains(*name));
+
+        left.count() < majority(members.len())
+    };
+
+    let replaced = record.replaced.as_ref();
+
+    lacks_majority(&record.members)
+        && replaced.is_none_or(|replaced| lacks_majority(&replaced.members))
+}
+
+/// Returns the names of a set.
+fn names(set: &[NodeIdentity]) -> Vec<NodeName> {
+    set.iter().map(|member| member.name.clone()).collect()
+}
+
+/// Returns whether two sets have the same members.
+fn is_same(left: &[NodeName], right: &[NodeName]) -> bool {
+    left.len() == right.len() && left.iter().all(|name| right.contains(name))
+}
--- /dev/null
+++ b/crates/lease/src/serving.rs
@@ -0,0 +1,275 @@
+//! The course of a held slice: gained, served, raised, yielded, lapsed.
+
+use crate::{
+    action::{LeaseAction, LeaseProblem},
+    holder::{HolderPhase, HolderStep, LeaseHolder},
+    machine::LeaseMachine,
+    quorum::{next_change_epoch, rank},
+    serve::ServeGrant,
+};
+use std::time::Duration;
+use wagtail_core::{ids::LeaseEpoch, lease::LeaseRecord, slice::SliceId, units::LocalMoment};
+
+/// The time for which old members are told that their set is replaced.
+const FAREWELL: Duration = Duration::from_secs(5);
+
+/// The time after which an unused promise in the way of a holder is overtaken.
+const RAISE_PATIENCE: Duration = Duration::from_secs(1);
+
+impl LeaseHolder {
+    /// Returns when the holder has something to do by itself.
+    pub(crate) fn next_wakeup(&self) -> Option<LocalMoment> {
+        if let Some(grant) = self.serving {
+            let renewed = self.serve_from.filter(|_| grant.epoch != self.record.epoch);
+
+            return Some(renewed.map_or(grant.until, |from| from.min(grant.until)));
+        }
+
+        match (self.is_asking(), self.serve_from) {
+            (true, Some(from)) => Some(from.min(self.give_up_at).max(self.raised_at)),
+            (true, None) => Some(self.give_up_at),
+            (false, _) => None,
+        }
+    }
+}
+
+impl LeaseMachine {
+    /// Advances every holder.
+    pub(crate) fn advance_holders(&mut self, now: LocalMoment) {
+        let slices: Vec<SliceId> = self.holders.keys().cloned().collect();
+
+        for slice in slices {
+            self.extend_lease(now, &slice);
+            self.end_lapsed(now, &slice);
+            self.gain(now, &slice);
+            self.start_serving(now, &slice);
+            self.heed_refusals(now, &slice);
+            self.give_up(now, &slice);
+        }
+    }
+
+    /// Returns how long a holder without a lease goes on asking.
+    pub(crate) fn patience(&self) -> Duration {
+        self.options.renew_interval * 2
+    }
+
+    /// Gives a slice up to the holder of a later record.
+    pub(crate) fn yield_to(&mut self, slice: &SliceId, later: &LeaseRecord) {
+        self.learn(later);
+        self.drop_holder(slice);
+    }
+
+    /// Raises a holder's epoch above another, under the same set.
+    pub(crate) fn raise(&mut self, now: LocalMoment, slice: &SliceId, above: LeaseEpoch) {
+        let write_id = self.new_id();
+        let patience = self.patience();
+
+        if let Some(holder) = self.holders.get_mut(slice) {
+            let mut record = holder.record.clone();
+            record.epoch = next_change_epoch(&record, above.max(record.epoch));
+            record.write_id = write_id;
+
+            holder.adopt(record, now + patience);
+            holder.proposal = None;
+            holder.raised_at = now;
+            self.is_relisted = true;
+        }
+    }
+
+    /// Forgets a holder, and stops its work.
+    pub(crate) fn drop_holder(&mut self, slice: &SliceId) {
+        let Some(holder) = self.holders.remove(slice) else {
+            return;
+        };
+
+        self.is_relisted = true;
+
+        if let Some(grant) = holder.serving {
+            self.act(LeaseAction::Stop {
+                slice: slice.clone(),
+                epoch: grant.epoch,
+            });
+        }
+    }
+
+    /// Moves the end of the lease to what the grants give.
+    fn extend_lease(&mut self, now: LocalMoment, slice: &SliceId) {
+        let end = self.lease_end(now, slice);
+        let holder = self.holders.get_mut(slice);
+
+        if let (Some(end), Some(holder)) = (end, holder) {
+            let epoch = holder.record.epoch;
+
+            if let Some(grant) = &mut holder.serving
+                && grant.epoch == epoch
+            {
+                grant.until = grant.until.max(end);
+            }
+        }
+    }
+
+    /// Ends the service of a slice whose lease has lapsed.
+    fn end_lapsed(&mut self, now: LocalMoment, slice: &SliceId) {
+        let give_up_at = now + self.patience();
+
+        let Some(holder) = self.holders.get_mut(slice) else {
+            return;
+        };
+
+        let Some(grant) = holder.serving.filter(|grant| grant.until <= now) else {
+            return;
+        };
+
+        holder.serving = None;
+        holder.phase = HolderPhase::Gaining;
+        holder.give_up_at = give_up_at;
+
+        self.act(LeaseAction::Stop {
+            slice: slice.clone(),
+            epoch: grant.epoch,
+        });
+        self.report(Some(slice), LeaseProblem::Lapsed { epoch: grant.epoch });
+    }
+
+    /// Notes that a slice is gained when each needed majority has granted it.
+    fn gain(&mut self, now: LocalMoment, slice: &SliceId) {
+        if self.lease_end(now, slice).is_none() {
+            return;
+        }
+
+        let fenced = self.is_fenced(slice);
+        let gone = self.gone();
+        let write_id = self.new_id();
+        let spread = self.call_spread();
+
+        let Some(holder) = self.holders.get_mut(slice) else {
+            return;
+        };
+
+        if holder.gained || !holder.is_asking() {
+            return;
+        }
+
+        // Work of a predecessor may still be on its way to a target that checks no token.
+        let follows_itself = holder.serving.is_some();
+        let needs_wait = !(fenced || follows_itself || holder.follows_drained(&gone));
+        let wait = if needs_wait {
+            self.options.unfenced_wait
+        } else {
+            Duration::ZERO
+        };
+
+        holder.gained = true;
+        holder.serve_from = Some(now + wait);
+        holder.call_after = now + spread;
+
+        // Both majorities hold the set now, so that the old one can grant no other record again.
+        if holder.settle(now + FAREWELL) {
+            holder.record.write_id = write_id;
+            self.is_relisted = true;
+        }
+
+        let record = holder.record.clone();
+        self.learn(&record);
+    }
+
+    /// Starts to serve a gained slice after the wait.
+    fn start_serving(&mut self, now: LocalMoment, slice: &SliceId) {
+        let Some(until) = self.lease_end(now, slice) else {
+            return;
+        };
+
+        let Some(holder) = self.holders.get_mut(slice) else {
+            return;
+        };
+
+        let is_due = holder.serve_from.is_some_and(|from| from <= now);
+        let epoch = holder.record.epoch;
+        let is_served = holder.serving.is_some_and(|grant| grant.epoch == epoch);
+
+        if !is_due || is_served {
+            return;
+        }
+
+        holder.serving = Some(ServeGrant { epoch, until });
+
+        if holder.phase == HolderPhase::Gaining {
+            holder.phase = HolderPhase::Serving;
+        }
+
+        let took_over = holder.took_over.take();
+
+        self.act(LeaseAction::Serve {
+            slice: slice.clone(),
+            epoch,
+        });
+
+        if let Some(from) = took_over {
+            self.report(Some(slice), LeaseProblem::TookOver { from, epoch });
+        }
+    }
+
+    /// Yields to a later holder, or overtakes a promise that nobody uses.
+    fn heed_refusals(&mut self, now: LocalMoment, slice: &SliceId) {
+        let Some(holder) = self.holders.get_mut(slice) else {
+            return;
+        };
+
+        if holder.is_set_outdated() {
+            holder.version = None;
+        }
+
+        if !holder.is_asking() || matches!(holder.phase, HolderPhase::Draining { .. }) {
+            return;
+        }
+
+        match holder.step(now, &self.members.gone, &self.identity, RAISE_PATIENCE) {
+            HolderStep::Keep => {}
+            HolderStep::Raise(above) => self.raise(now, slice, above),
+            HolderStep::Yield(later) => self.yield_to(slice, &later),
+        }
+    }
+
+    /// Stops asking for a slice that can't be gained, so that its members call another node.
+    fn give_up(&mut self, now: LocalMoment, slice: &SliceId) {
+        let has_lease = self.lease_end(now, slice).is_some();
+
+        let Some(holder) = self.holders.get_mut(slice) else {
+            return;
+        };
+
+        if holder.is_asking() && !has_lease && holder.serving.is_none() && holder.give_up_at <= now
+        {
+            self.drop_holder(slice);
+        }
+    }
+
+    /// Returns the end of the lease under the record's epoch, when it is in the future.
+    fn lease_end(&self, now: LocalMoment, slice: &SliceId) -> Option<LocalMoment> {
+        let holder = self.holders.get(slice)?;
+        let end = holder.lease_end(&self.members.gone, self.options.term)?;
+
+        Some(end).filter(|end| *end > now)
+    }
+
+    /// Takes up the set of a stored record that replaced the held one, under a later epoch.
+    pub(crate) fn adopt_set(&mut self, now: LocalMoment, slice: &SliceId, stored: &LeaseRecord) {
+        let write_id = self.new_id();
+        let patience = self.patience();
+        let owner = self.identity.clone();
+
+        if let Some(holder) = self.holders.get_mut(slice) {
+            debug_assert!(rank(stored) > rank(&holder.record));
+
+            let above = stored.epoch.max(holder.record.epoch);
+            let mut record = stored.clone();
+            record.epoch = next_change_epoch(stored, above);
+            record.owner = owner;
+            record.write_id = write_id;
+
+            holder.adopt(record, now + patience);
+            holder.proposal = None;
+            self.is_relisted = true;
+        }
+    }
+}
--- /dev/null
+++ b/crates/lease/src/takeover.rs
@@ -0,0 +1,373 @@
+//! The takeover of a silent holder's slices, and the planned hand-over.
+
+use crate::{
+    action::{LeaseAction, LeaseProblem},
+    holder::{HolderPhase, LeaseHolder},
+    machine::LeaseMachine,
+    message::{LeaseMessage, SilentSlice},
+    quorum::{everyone, has_majority, is_member, next_bid_epoch, next_change_epoch, rank},
+};
+use std::{collections::BTreeMap, time::Duration};
+use wagtail_core::{
+    ids::{LeaseEpoch, NodeName},
+    lease::LeaseRecord,
+    slice::SliceId,
+    units::LocalMoment,
+};
+
+/// The time between two messages of one hand-over.
+const HAND_OVER_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The messages of one hand-over.
+const HAND_OVER_MESSAGES: u32 = 5;
+
+/// The time without a majority of calls after which the operator is told.
+const QUORUM_LOST_AFTER: Duration = Duration::from_secs(3);
+
+/// The time added between two rounds of calls to candidates that don't respond.
+const ROUND_PAUSE: Duration = Duration::from_millis(300);
+
+/// The most such times added.
+const ROUND_PAUSES: u32 = 4;
+
+/// The time for which a call of a witness counts. It covers a round and its pause, as the witnesses
+/// of one slice don't start their rounds together after restarts.
+const CALL_WINDOW: Duration = Duration::from_millis(1_800);
+
+/// `TakeoverBallot` is the calls of the witnesses of one slice to this node.
+#[derive(Debug)]
+pub(crate) struct TakeoverBallot {
+    /// When the first call came.
+    since: LocalMoment,
+    /// When the last call came.
+    last: LocalMoment,
+    /// The last call of each witness.
+    calls: BTreeMap<NodeName, (LocalMoment, SilentSlice)>,
+    /// Whether the operator was told that the calls don't suffice.
+    is_reported: bool,
+}
+
+/// `HandOverTry` is a hand-over that the new owner may not know of.
+#[derive(Debug)]
+pub(crate) struct HandOverTry {
+    /// The record for the new owner.
+    record: LeaseRecord,
+    /// The epoch under which all work has ended.
+    drained: LeaseEpoch,
+    /// When the message is sent next.
+    pub(crate) send_at: LocalMoment,
+    /// The messages left.
+    left: u32,
+}
+
+impl LeaseMachine {
+    /// Calls the next candidate for each slice whose holder is silent.
+    pub(crate) fn call_candidates(&mut self, now: LocalMoment) {
+        let mut calls: BTreeMap<NodeName, Vec<SilentSlice>> = BTreeMap::new();
+
+        for witness in self.witnesses.slices.values_mut() {
+            if witness.call_at > now {
+                continue;
+            }
+
+            if !is_member(&witness.record, &self.identity.name) {
+                witness.call_at = LocalMoment::from_micros(u64::MAX);
+                continue;
+            }
+
+            if let Some(name) = self.members.candidate(&witness.record, witness.calls) {
+                calls.entry(name).or_default().push(witness.silent_slice());
+            }
+
+            witness.calls += 1;
+            witness.call_at =
+                now + self.options.deputy_step + round_pause(witness.calls, &witness.record);
+        }
+
+        let me = self.identity.name.clone();
+
+        for (to, entries) in calls {
+            if to == me {
+                self.suspected(now, &me, entries);
+            } else {
+                self.send(to, LeaseMessage::Suspect { entries });
+            }
+        }
+    }
+
+    /// Takes in the call of a witness, and bids when a majority has called.
+    pub(crate) fn suspected(
+        &mut self,
+        now: LocalMoment,
+        from: &NodeName,
+        entries: Vec<SilentSlice>,
+    ) {
+        for entry in entries {
+            let slice = entry.record.slice.clone();
+
+            if self.holders.contains_key(&slice) || !self.can_own(&slice) {
+                continue;
+            }
+
+            let ballot = self
+                .ballots
+                .entry(slice.clone())
+                .or_insert_with(|| TakeoverBallot::new(now));
+
+            ballot.call(now, from, entry);
+            self.count_calls(now, &slice);
+        }
+    }
+
+    /// Starts to drain a slice for its next owner.
+    pub(crate) fn start_move(&mut self, slice: &SliceId, to: NodeName) {
+        let moving =
+            self.count_holders(|holder| matches!(holder.phase, HolderPhase::Draining { .. }));
+        let is_allowed = moving < self.options.moves_in_flight
+            && to != self.identity.name
+            && self.members.can_own(&to, slice);
+        let next = self
+            .members
+            .get(&to)
+            .map(|member| member.identity.clone())
+            .filter(|_| is_allowed);
+        let holder = self
+            .holders
+            .get_mut(slice)
+            .filter(|holder| holder.phase == HolderPhase::Serving);
+
+        let grant = holder.as_ref().and_then(|holder| holder.serving);
+
+        let (Some(next), Some(holder), Some(grant)) = (next, holder, grant) else {
+            self.report(Some(slice), LeaseProblem::MoveRefused { to });
+            return;
+        };
+
+        holder.phase = HolderPhase::Draining { to: next };
+
+        self.act(LeaseAction::Drain {
+            slice: slice.clone(),
+            epoch: grant.epoch,
+        });
+    }
+
+    /// Releases a drained slice and tells its next owner.
+    pub(crate) fn drained(&mut self, now: LocalMoment, slice: &SliceId, epoch: LeaseEpoch) {
+        let Some(holder) = self.holders.get(slice) else {
+            return;
+        };
+
+        let HolderPhase::Draining { to } = &holder.phase else {
+            return;
+        };
+
+        if holder.serving.is_none_or(|grant| grant.epoch != epoch) {
+            return;
+        }
+
+        let mut record = holder.record.clone();
+        record.epoch = next_change_epoch(&record, record.epoch);
+        record.owner = to.clone();
+
+        self.release(now, slice);
+        self.drop_holder(slice);
+        self.hand_overs.insert(
+            slice.clone(),
+            HandOverTry {
+                record,
+                drained: epoch,
+                send_at: now,
+                left: HAND_OVER_MESSAGES,
+            },
+        );
+        self.repeat_hand_overs(now);
+    }
+
+    /// Sends the hand-overs that are due.
+    pub(crate) fn repeat_hand_overs(&mut self, now: LocalMoment) {
+        let mut due = Vec::new();
+
+        for attempt in self.hand_overs.values_mut() {
+            if attempt.send_at <= now {
+                attempt.send_at = now + HAND_OVER_INTERVAL;
+                attempt.left -= 1;
+                due.push((attempt.record.clone(), attempt.drained));
+            }
+        }
+
+        self.hand_overs.retain(|_, attempt| attempt.left > 0);
+
+        for (record, drained) in due {
+            let to = record.owner.name.clone();
+            self.send(to, LeaseMessage::HandOver { record, drained });
+        }
+    }
+
+    /// Takes in that the owner of a slice has drained it for this node.
+    pub(crate) fn handed_over(
+        &mut self,
+        now: LocalMoment,
+        record: LeaseRecord,
+        drained: LeaseEpoch,
+    ) {
+        let is_newer = self
+            .known
+            .get(&record.slice)
+            .is_none_or(|known| known.epoch < record.epoch);
+
+        if record.owner != self.identity
+            || !is_newer
+            || !self.can_own(&record.slice)
+            || self.holders.contains_key(&record.slice)
+        {
+            return;
+        }
+
+        let mut holder = self.new_holder(now, record);
+        holder.drained = Some(drained);
+        self.start_gaining(holder);
+    }
+
+    /// Makes the holder of a slice that this node is to gain.
+    pub(crate) fn new_holder(&mut self, now: LocalMoment, mut record: LeaseRecord) -> LeaseHolder {
+        record.owner = self.identity.clone();
+        record.write_id = self.new_id();
+
+        let give_up_at = now + self.options.witness_term() * 2 + self.options.suspicion;
+
+        LeaseHolder::new(record, HolderPhase::Gaining, now, give_up_at)
+    }
+
+    /// Starts to ask the members of a slice.
+    pub(crate) fn start_gaining(&mut self, holder: LeaseHolder) {
+        self.learn(&holder.record.clone());
+        self.ballots.remove(&holder.record.slice);
+        self.holders.insert(holder.record.slice.clone(), holder);
+        self.is_relisted = true;
+    }
+
+    /// Bids for a slice when a majority of its members has called.
+    fn count_calls(&mut self, now: LocalMoment, slice: &SliceId) {
+        let Some(ballot) = self.ballots.get_mut(slice) else {
+            return;
+        };
+
+        let Some(newest) = ballot.newest().cloned() else {
+            return;
+        };
+
+        let called = |name: &NodeName| ballot.calls.contains_key(name);
+
+        if has_majority(&newest, &self.members.gone, called) {
+            let promised = ballot.promised().max(newest.epoch);
+            self.bid(now, newest, promised);
+            return;
+        }
+
+        if now.since(ballot.since) >= QUORUM_LOST_AFTER && !ballot.is_reported {
+            ballot.is_reported = true;
+
+            let silent = everyone(&newest)
+                .into_iter()
+                .filter(|name| !ballot.calls.contains_key(name))
+                .collect();
+
+            self.report(Some(slice), LeaseProblem::QuorumLost { silent });
+        }
+    }
+
+    /// Asks the members of a silent holder's slice to grant it to this node.
+    fn bid(&mut self, now: LocalMoment, newest: LeaseRecord, promised: LeaseEpoch) {
+        let from = newest.owner.name.clone();
+        let epoch = next_bid_epoch(&newest, promised, &self.identity.name);
+
+        let mut holder = self.new_holder(now, newest);
+        holder.record.epoch = epoch;
+        holder.took_over = Some(from);
+        self.start_gaining(holder);
+    }
+
+    /// Tells the members that a slice is given up.
+    fn release(&mut self, now: LocalMoment, slice: &SliceId) {
+        let Some(holder) = self.holders.get(slice) else {
+            return;
+        };
+
+        let epoch = holder.record.epoch;
+
+        for name in holder.audience() {
+            let Some(pair) = self.pairs.get_mut(&name) else {
+                continue;
+            };
+
+            let sequence = pair.next_sequence();
+
+            if name == self.identity.name {
+                let me = self.identity.clone();
+                self.witnesses.release(now, &me, sequence, slice, epoch);
+                continue;
+            }
+
+            let message = LeaseMessage::Release {
+                sequence,
+                slice: slice.clone(),
+                epoch,
+            };
+            self.send(name, message);
+        }
+    }
+}
+
+impl TakeoverBallot {
+    /// Makes the ballot at the first call.
+    fn new(now: LocalMoment) -> Self {
+        Self {
+            since: now,
+            last: now,
+            calls: BTreeMap::new(),
+            is_reported: false,
+        }
+    }
+
+    /// Takes in a call and forgets those older than a window.
+    fn call(&mut self, now: LocalMoment, from: &NodeName, entry: SilentSlice) {
+        // A ballot that was quiet for long is of an earlier loss.
+        if now.since(self.last) > QUORUM_LOST_AFTER * 2 {
+            self.since = now;
+            self.is_reported = false;
+        }
+
+        self.last = now;
+        self.calls
+            .retain(|_, (moment, _)| now.since(*moment) <= CALL_WINDOW);
+        self.calls.insert(from.clone(), (now, entry));
+    }
+
+    /// Returns the newest record that a caller saw.
+    fn newest(&self) -> Option<&LeaseRecord> {
+        self.calls
+            .values()
+            .map(|(_, entry)| &entry.record)
+            .max_by_key(|record| rank(record))
+    }
+
+    /// Returns the highest epoch that a caller promised.
+    fn promised(&self) -> LeaseEpoch {
+        let promised = self.calls.values().map(|(_, entry)| entry.promised).max();
+
+        promised.unwrap_or_default()
+    }
+}
+
+/// Returns the time to wait after a whole round of calls without a response.
+fn round_pause(calls: usize, record: &LeaseRecord) -> Duration {
+    let round = record.deputies.len() + 1;
+
+    if !calls.is_multiple_of(round) {
+        return Duration::ZERO;
+    }
+
+    let rounds = u32::try_from(calls / round).unwrap_or(u32::MAX);
+
+    ROUND_PAUSE * rounds.min(ROUND_PAUSES)
+}
