--- a/crates/lease/src/machine.rs
+++ b/crates/lease/src/machine.rs
@@ -18,6 +18,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     mem,
+    time::Duration,
 };
 use wagtail_core::{
     ids::{NodeIdentity, NodeName, ServiceName, ZoneName},
@@ -26,6 +27,9 @@
     units::LocalMoment,
 };
 
+/// The least time between two ticks.
+const LEAST_WAIT: Duration = Duration::from_millis(1);
+
 /// `LeaseMachine` decides for one node which slices it owns, grants and takes over.
 #[derive(Debug)]
 pub struct LeaseMachine {
@@ -371,7 +375,10 @@
     /// Returns when something is due by itself.
     fn find_wakeup(&self, now: LocalMoment) -> LocalMoment {
         let pairs = self.pairs.values().map(|pair| pair.send_at);
-        let holders = self.holders.values().filter_map(LeaseHolder::next_wakeup);
+        let holders = self
+            .holders
+            .values()
+            .filter_map(|holder| holder.next_wakeup(now));
         let hand_overs = self.hand_overs.values().map(|attempt| attempt.send_at);
         let others = [
             Some(self.plan_at),
@@ -385,7 +392,7 @@
             .chain(others.into_iter().flatten())
             .min();
 
-        earliest.unwrap_or(self.plan_at).max(now)
+        earliest.unwrap_or(self.plan_at).max(now + LEAST_WAIT)
     }
 
     /// Returns the nodes that are gone for good and can hold no lease any more.
--- a/crates/lease/src/platform.rs
+++ b/crates/lease/src/platform.rs
@@ -39,8 +39,13 @@
 }
 
 impl PlatformPace {
-    /// Returns whether a call may start.
+    /// Returns whether a call may start now.
     pub(crate) fn is_open(&self, now: LocalMoment, options: &LeaseOptions) -> bool {
+        self.has_room(options) && self.next_at <= now
+    }
+
+    /// Returns whether fewer calls than allowed are in flight.
+    pub(crate) fn has_room(&self, options: &LeaseOptions) -> bool {
         // A failing platform is tried with one call at a time.
         let limit = if self.failures > 0 {
             1
@@ -48,7 +53,7 @@
             options.platform_in_flight
         };
 
-        self.calls.len() < limit && self.next_at <= now
+        self.calls.len() < limit
     }
 
     /// Takes note of a call that starts.
--- a/crates/lease/src/recording.rs
+++ b/crates/lease/src/recording.rs
@@ -53,8 +53,9 @@
         let due = self
             .holders
             .values()
-            .filter(|holder| need_of(holder).is_some())
-            .map(|holder| holder.call_after.max(self.platform.next_at));
+            .filter(|holder| !holder.in_call && need_of(holder).is_some())
+            .map(|holder| holder.call_after.max(self.platform.next_at))
+            .filter(|_| self.platform.has_room(&self.options));
 
         expiry.chain(due).min()
     }
--- a/crates/lease/src/serving.rs
+++ b/crates/lease/src/serving.rs
@@ -18,18 +18,16 @@
 
 impl LeaseHolder {
     /// Returns when the holder has something to do by itself.
-    pub(crate) fn next_wakeup(&self) -> Option<LocalMoment> {
+    pub(crate) fn next_wakeup(&self, now: LocalMoment) -> Option<LocalMoment> {
         if let Some(grant) = self.serving {
-            let renewed = self.serve_from.filter(|_| grant.epoch != self.record.epoch);
-
-            return Some(renewed.map_or(grant.until, |from| from.min(grant.until)));
+            return Some(grant.until);
         }
 
-        match (self.is_asking(), self.serve_from) {
-            (true, Some(from)) => Some(from.min(self.give_up_at).max(self.raised_at)),
-            (true, None) => Some(self.give_up_at),
-            (false, _) => None,
-        }
+        // A wait that is over and has not led to service ends with a grant or the end of patience.
+        let wait = self.serve_from.filter(|from| *from > now);
+        let patience = self.is_asking().then_some(self.give_up_at);
+
+        wait.into_iter().chain(patience.filter(|end| *end > now)).min()
     }
 }
 
--- /dev/null
+++ b/crates/lease/tests/driver/storm.rs
@@ -0,0 +1,227 @@
+//! Random faults, alone and two at once, and a quiet end.
+
+use super::{MS, SECOND, World, WorldOptions};
+use rand::Rng;
+use wagtail_lease::LeaseEvent;
+
+/// The time after the last fault in which everything must be served and recorded again.
+const QUIET: u64 = 40 * SECOND;
+
+/// `StormResult` is what a run of random faults showed.
+#[derive(Debug)]
+pub struct StormResult {
+    pub world: World,
+    /// What was not in order at the quiet end.
+    pub unsettled: Vec<String>,
+    pub faults: u64,
+}
+
+impl StormResult {
+    pub fn is_green(&self) -> bool {
+        let counts = &self.world.counts;
+        let is_checked =
+            counts.owners > 0 && counts.epochs > 0 && counts.work > 0 && counts.records > 0;
+
+        is_checked
+            && self.faults > 0
+            && self.world.violations.is_empty()
+            && self.unsettled.is_empty()
+    }
+}
+
+/// Returns the shape of the storm of a seed.
+pub fn storm_options(seed: u64) -> WorldOptions {
+    WorldOptions {
+        seed,
+        nodes: 5 + (seed % 5) as usize,
+        loss: [0.0, 0.02, 0.1][(seed % 3) as usize],
+        duplicates: 0.05,
+        longest_delay: [2, 20, 120][(seed / 3 % 3) as usize] * MS,
+        ..WorldOptions::default()
+    }
+}
+
+/// Runs random faults for a time, heals everything and looks at the quiet end.
+pub fn run_storm(options: WorldOptions, micros: u64) -> StormResult {
+    let mut world = World::new(options);
+    world.run_for(SECOND);
+    world.claim_all();
+    world.run_for(4 * SECOND);
+
+    let end = world.now + micros;
+    let mut timers = Timers::default();
+    let mut faults = 0;
+
+    while world.now < end {
+        let wait = world.rng.random_range(50 * MS..1_500 * MS);
+        world.run_for(wait);
+        timers.fire(&mut world);
+        strike(&mut world, &mut timers);
+        faults += 1;
+
+        // Two faults at once, on purpose.
+        if world.rng.random_bool(0.3) {
+            strike(&mut world, &mut timers);
+            faults += 1;
+        }
+    }
+
+    timers.fire_all(&mut world);
+    world.options.loss = 0.0;
+    world.options.longest_delay = 5 * MS;
+    world.cuts.clear();
+    world.run_for(QUIET);
+
+    let unsettled = unsettled(&world);
+
+    StormResult {
+        world,
+        unsettled,
+        faults,
+    }
+}
+
+/// `Timers` is what ends at a moment.
+#[derive(Debug, Default)]
+struct Timers {
+    restarts: Vec<(u64, usize)>,
+    outage_until: u64,
+    slow_until: u64,
+}
+
+impl Timers {
+    fn fire(&mut self, world: &mut World) {
+        let now = world.now;
+        let due: Vec<usize> = self
+            .restarts
+            .iter()
+            .filter(|(at, _)| *at <= now)
+            .map(|(_, node)| *node)
+            .collect();
+        self.restarts.retain(|(at, _)| *at > now);
+
+        for node in due {
+            world.restart(node);
+        }
+
+        world.outage &= now < self.outage_until;
+
+        if now >= self.slow_until {
+            world.lost_answers = 0.0;
+            world.platform_delay = 5 * MS;
+        }
+    }
+
+    fn fire_all(&mut self, world: &mut World) {
+        for (at, _) in &mut self.restarts {
+            *at = 0;
+        }
+
+        self.outage_until = 0;
+        self.slow_until = 0;
+        self.fire(world);
+    }
+}
+
+/// Brings about one random fault or change.
+fn strike(world: &mut World, timers: &mut Timers) {
+    let node = world.rng.random_range(0..world.nodes.len());
+    let other = world.rng.random_range(0..world.nodes.len());
+    let time = world.rng.random_range(50 * MS..5 * SECOND);
+
+    match world.rng.random_range(0..11) {
+        0 | 1 => world.pause(node, time),
+        2 => lose(world, timers, node, time),
+        3 => world.cut(node, other, time),
+        4 => isolate(world, node, time),
+        5 => {
+            world.outage = true;
+            timers.outage_until = world.now + time * 4;
+        }
+        6 => {
+            world.lost_answers = 0.5;
+            world.platform_delay = 2_500 * MS;
+            timers.slow_until = world.now + time;
+        }
+        7 | 8 => move_slice(world, other),
+        9 => lose_owner_and_witness(world, timers, time),
+        _ => pause_owner(world, time),
+    }
+}
+
+fn lose(world: &mut World, timers: &mut Timers, node: usize, time: u64) {
+    if world.nodes[node].machine.is_some() {
+        world.kill(node);
+        timers.restarts.push((world.now + time, node));
+    }
+}
+
+fn isolate(world: &mut World, node: usize, time: u64) {
+    for other in 0..world.nodes.len() {
+        world.cut(node, other, time);
+        world.cut(other, node, time);
+    }
+}
+
+fn move_slice(world: &mut World, to: usize) {
+    let index = world.rng.random_range(0..world.options.slices);
+    let slice = world.slice(index);
+    let to = world.nodes[to].name.clone();
+
+    if let Some(owner) = world.owner(&slice) {
+        world.tell(owner, LeaseEvent::Move { slice, to });
+    }
+}
+
+fn lose_owner_and_witness(world: &mut World, timers: &mut Timers, time: u64) {
+    let index = world.rng.random_range(0..world.options.slices);
+    let slice = world.slice(index);
+
+    let Some(record) = world.store.get(&slice).map(|stored| stored.record.clone()) else {
+        return;
+    };
+
+    for name in record.members.iter().take(2) {
+        let node = world
+            .nodes
+            .iter()
+            .position(|node| &node.name == name)
+            .unwrap();
+        lose(world, timers, node, time);
+    }
+}
+
+fn pause_owner(world: &mut World, time: u64) {
+    let index = world.rng.random_range(0..world.options.slices);
+
+    if let Some(owner) = world.owner(&world.slice(index)) {
+        world.pause(owner, time);
+    }
+}
+
+/// Returns what is not in order when everything has been quiet.
+fn unsettled(world: &World) -> Vec<String> {
+    let mut unsettled = Vec::new();
+
+    for slice in world.slices() {
+        let owners = world.owners(&slice);
+
+        let [owner] = owners.as_slice() else {
+            unsettled.push(format!(
+                "{slice} is served by {owners:?}: {:?}",
+                world.store.get(&slice)
+            ));
+            continue;
+        };
+
+        let stored = world.store.get(&slice).map(|stored| &stored.record.owner);
+
+        if stored != Some(&world.identity(*owner)) {
+            unsettled.push(format!(
+                "{slice} is served by vm-{owner}, recorded {stored:?}"
+            ));
+        }
+    }
+
+    unsettled
+}
--- /dev/null
+++ b/crates/lease/tests/storms.rs
@@ -0,0 +1,22 @@
+//! Random faults in virtual time.
+
+mod driver;
+
+use driver::{
+    SECOND,
+    storm::{run_storm, storm_options},
+};
+
+#[test]
+fn storms_leave_one_owner_and_a_record() {
+    for seed in 0..12 {
+        let result = run_storm(storm_options(seed), 30 * SECOND);
+
+        assert!(
+            result.is_green(),
+            "seed {seed}: {:?} {:?}",
+            result.world.violations,
+            result.unsettled
+        );
+    }
+}
