--- a/crates/admit/src/machine.rs
+++ b/crates/admit/src/machine.rs
@@ -32,6 +32,15 @@
     Lost,
 }
 
+/// `AbandonedSlot` is a slot whose order was cancelled without a word from the target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct AbandonedSlot {
+    /// The moment of the cancellation.
+    since: LocalMoment,
+    /// The moment of the first sign that the target ran after it.
+    sign: Option<LocalMoment>,
+}
+
 /// `AdmitMachine` decides, beside one target, what happens to each arrival until its one final
 /// answer. It alone dispatches to the target.
 #[derive(Debug)]
@@ -50,10 +59,8 @@
     long: FairQueue,
     /// The tickets at the target.
     running: BTreeSet<u64>,
-    /// The moments at which orders were abandoned whose slots the target may still hold.
-    abandoned: VecDeque<LocalMoment>,
-    /// The moment at which the last abandoned slot was reused without a sign from the target.
-    reused: LocalMoment,
+    /// The abandoned orders whose slots the target may still hold, oldest first.
+    abandoned: VecDeque<AbandonedSlot>,
     /// The learned durations.
     estimates: WorkEstimates,
     /// The concurrency limit.
@@ -66,8 +73,6 @@
     waiting_since: Option<LocalMoment>,
     /// The moment of the last answer, or of the last dispatch to an idle target.
     progress: LocalMoment,
-    /// The moment of the last answer.
-    answered: Option<LocalMoment>,
     /// The moment before which a stalled target is not tried.
     next_probe: LocalMoment,
     /// The moment until which accepted work is dispatched, once stopping.
@@ -93,14 +98,12 @@
             long: FairQueue::new(),
             running: BTreeSet::new(),
             abandoned: VecDeque::new(),
-            reused: LocalMoment::ZERO,
             estimates: WorkEstimates::new(&options),
             limit: SlotLimit::new(&options),
             memory: RequestMemory::new(&options),
             halted: BTreeMap::new(),
             waiting_since: None,
             progress: LocalMoment::ZERO,
-            answered: None,
             next_probe: LocalMoment::ZERO,
             stop_until: None,
             leaving: false,
--- a/crates/admit/src/machine/expire.rs
+++ b/crates/admit/src/machine/expire.rs
@@ -68,32 +68,31 @@
         }
     }
 
-    /// Frees the slots of abandoned orders that the target must have noticed, and otherwise one
-    /// in each probe interval.
+    /// Frees the slots of abandoned orders that the target has noticed.
     fn release_abandoned(&mut self, now: LocalMoment) {
-        while let Some(moment) = self.next_slot_release()
-            && moment <= now
-        {
-            let Some(abandoned) = self.abandoned.pop_front() else {
-                break;
-            };
+        while self.next_slot_release().is_some_and(|moment| moment <= now) {
+            self.abandoned.pop_front();
+        }
+    }
 
-            if self.answered.is_none_or(|answered| answered <= abandoned) {
-                self.reused = now;
+    /// Takes in a sign that the target ran at or after a moment.
+    ///
+    /// A sign that may be from before a cancellation does not count: the target may have frozen
+    /// in between.
+    pub(super) fn record_sign(&mut self, now: LocalMoment, ran_after: LocalMoment) {
+        for slot in &mut self.abandoned {
+            if slot.sign.is_none() && ran_after >= slot.since {
+                slot.sign = Some(now);
             }
         }
     }
 
-    /// Returns the moment at which the next abandoned slot is freed.
+    /// Returns the moment at which the next abandoned slot is freed. Without a sign of the
+    /// target it never is, as the target may still run the order.
     pub(super) fn next_slot_release(&self) -> Option<LocalMoment> {
-        let abandoned = *self.abandoned.front()?;
-        let noticed = self.answered.is_some_and(|answered| answered > abandoned);
+        let sign = self.abandoned.front()?.sign?;
 
-        if noticed {
-            Some(abandoned + self.options.cancel_settle)
-        } else {
-            Some(abandoned.max(self.reused) + self.options.probe_interval)
-        }
+        Some(sign + self.options.cancel_settle)
     }
 
     /// Returns the moment at which a silent target counts as stalled.
--- a/crates/admit/src/machine/finish.rs
+++ b/crates/admit/src/machine/finish.rs
@@ -1,7 +1,7 @@
 //! The ends of arrivals.
 
 use crate::{
-    machine::AdmitMachine,
+    machine::{AbandonedSlot, AdmitMachine},
     messages::{AdmitAction, AdmitRefusal, WorkOutcome},
     work::{WorkEntry, WorkState},
 };
@@ -31,7 +31,10 @@
             WorkOutcome::Draining => self.finish_draining(ticket),
             WorkOutcome::Failed { verdict } => self.finish_failed(now, ticket, verdict),
             WorkOutcome::Abandoned => {
-                self.abandoned.push_back(now);
+                self.abandoned.push_back(AbandonedSlot {
+                    since: now,
+                    sign: None,
+                });
                 self.finish_failed(now, ticket, RunVerdict::Unknown);
             }
         }
@@ -40,13 +43,16 @@
     /// Resolves an order that was answered.
     fn finish_answered(&mut self, now: LocalMoment, ticket: u64, bytes: u64, took: Duration) {
         self.progress = now;
-        self.answered = Some(now);
         self.limit.record_answer(now);
 
         let Some(work) = self.take(ticket) else {
             return;
         };
 
+        if let WorkState::Running(since) = work.state {
+            self.record_sign(now, since);
+        }
+
         self.estimates
             .record(&work.arrival.operation, work.arrival.class, took);
 
@@ -55,29 +61,30 @@
         }
 
         self.keep_answer(now, &work, bytes);
-
-        for follower in &work.followers {
-            self.replay(*follower, ticket);
-        }
     }
 
-    /// Keeps the answer of a non-idempotent order for repeats.
+    /// Keeps the answer of a non-idempotent order and gives it to the repeats that wait.
     fn keep_answer(&mut self, now: LocalMoment, work: &WorkEntry, bytes: u64) {
         if work.arrival.idempotent {
             return;
         }
 
+        let ticket = work.arrival.ticket;
         let kept = self.memory.resolve_answered(now, &work.arrival, bytes);
 
-        if kept.keep {
-            self.actions.push(AdmitAction::Keep {
-                ticket: work.arrival.ticket,
-            });
+        self.actions.push(AdmitAction::Keep { ticket });
+
+        for follower in &work.followers {
+            self.replay(*follower, ticket);
         }
 
         for ticket in kept.dropped {
             self.actions.push(AdmitAction::Forget { ticket });
         }
+
+        if !kept.keep {
+            self.actions.push(AdmitAction::Forget { ticket });
+        }
     }
 
     /// Gives a waiting repeat the answer of the first.
@@ -98,6 +105,7 @@
             return;
         };
 
+        self.give_ups.remove(&(work.give_up, ticket));
         work.sheds += 1;
         work.give_up = work.arrival.deadline - work.expected;
 
@@ -125,7 +133,6 @@
             return;
         };
 
-        self.give_ups.remove(&(work.arrival.deadline, ticket));
         work.state = WorkState::Queued;
         self.insert(work);
     }
--- a/crates/admit/src/machine/slices.rs
+++ b/crates/admit/src/machine/slices.rs
@@ -100,6 +100,8 @@
 
     /// Takes in the load that the target reports.
     pub(super) fn report(&mut self, now: LocalMoment, running: u32) {
+        self.record_sign(now, now - self.options.report_lag);
+
         // The target runs more than it has slots for, which only orders of others can cause.
         if running > self.options.max_running() {
             self.limit.record_shed(now);
--- a/crates/admit/src/messages.rs
+++ b/crates/admit/src/messages.rs
@@ -93,8 +93,8 @@
     Stop,
     /// The target started and is cold.
     TargetStarted,
-    /// The target reported its own load. The report is a hint: it may lower the limit but never
-    /// raise it.
+    /// The target announced itself or reported its load. The load is a hint that may lower the
+    /// limit but never raise it; the report itself shows that the target runs.
     TargetReport {
         /// The requests that the target says it runs.
         running: u32,
--- a/crates/admit/src/options.rs
+++ b/crates/admit/src/options.rs
@@ -64,6 +64,8 @@
     pub probe_interval: Duration,
     /// The time after which the target has noticed a cancellation, once it answers again.
     pub cancel_settle: Duration,
+    /// The longest time for which a report of the target may have been on its way.
+    pub report_lag: Duration,
     /// The time for which accepted work is still dispatched after a stop.
     pub stop_grace: Duration,
 }
@@ -93,6 +95,7 @@
             stall_factor: 10,
             probe_interval: Duration::from_millis(500),
             cancel_settle: Duration::from_millis(5),
+            report_lag: Duration::from_millis(500),
             stop_grace: Duration::from_secs(2),
         }
     }
--- /dev/null
+++ b/crates/bench/src/requests/report.rs
@@ -0,0 +1,141 @@
+//! The command.
+
+use crate::requests::{
+    broken::BrokenPart,
+    checks::InvariantChecks,
+    scenarios::{self, ScenarioResult, ScenarioSetup},
+    sizes::DeploymentSize,
+    world::RouterVersion,
+};
+use clap::{Arg, ArgMatches, Command, builder::PossibleValuesParser, value_parser};
+
+/// A measured situation.
+type ScenarioRun = fn(&ScenarioSetup) -> ScenarioResult;
+
+/// The measured situations by name.
+const SCENARIOS: [(&str, ScenarioRun); 7] = [
+    ("crest", scenarios::crest),
+    ("head-of-line", scenarios::head_of_line),
+    (
+        "head-of-line-undeclared",
+        scenarios::head_of_line_undeclared,
+    ),
+    ("hurt", scenarios::hurt),
+    ("fairness", scenarios::fairness),
+    ("waste", scenarios::waste),
+    ("storm", scenarios::storm),
+];
+
+/// Returns the command's arguments.
+pub fn command() -> Command {
+    let names = SCENARIOS.map(|(name, _)| name);
+    let names = names.into_iter().chain(["broken"]);
+
+    Command::new("requests")
+        .about("Measures the request decisions in virtual time")
+        .arg(Arg::new("scenario").value_parser(PossibleValuesParser::new(names)))
+        .arg(
+            Arg::new("seeds")
+                .long("seeds")
+                .value_parser(value_parser!(u64))
+                .default_value("5"),
+        )
+        .arg(
+            Arg::new("fleet")
+                .long("fleet")
+                .value_parser(["malla", "suturo"]),
+        )
+}
+
+/// Runs the command.
+pub fn run(matches: &ArgMatches) {
+    let wanted = matches.get_one::<String>("scenario");
+    let fleet = matches.get_one::<String>("fleet");
+    let seeds = matches.get_one::<u64>("seeds").copied().unwrap_or(1);
+    let sizes = [DeploymentSize::malla(), DeploymentSize::suturo()];
+
+    if wanted.is_some_and(|wanted| wanted == "broken") {
+        print_broken(sizes[0], seeds);
+    }
+
+    for (name, scenario) in SCENARIOS {
+        if wanted.is_some_and(|wanted| wanted != name) {
+            continue;
+        }
+
+        for size in sizes {
+            if fleet.is_none_or(|fleet| fleet == size.name) {
+                print_scenario(name, scenario, size, seeds);
+            }
+        }
+    }
+}
+
+/// Runs the storm with each broken part and prints what the checks found.
+fn print_broken(size: DeploymentSize, seeds: u64) {
+    for part in BrokenPart::ALL {
+        let version = RouterVersion::Broken(part);
+        let mut checks = InvariantChecks::default();
+
+        for seed in 1..=seeds {
+            checks.add(&scenarios::storm(&ScenarioSetup::new(version, size, seed)).checks);
+        }
+
+        let found = checks.count(part.breaks());
+
+        println!(
+            "broken={part:?} fleet={} invariant={:?} found={}/{} in_all={}",
+            size.name,
+            part.breaks(),
+            found.broken,
+            found.checked,
+            checks.broken(),
+        );
+    }
+}
+
+/// Runs a scenario with some seeds for both versions and prints the figures.
+fn print_scenario(name: &str, scenario: ScenarioRun, size: DeploymentSize, seeds: u64) {
+    for version in [RouterVersion::Wagtail, RouterVersion::Naive] {
+        let results: Vec<ScenarioResult> = (1..=seeds)
+            .map(|seed| scenario(&ScenarioSetup::new(version, size, seed)))
+            .collect();
+
+        println!(
+            "{name} fleet={} version={version:?} seeds={seeds}",
+            size.name
+        );
+        print_results(&results);
+    }
+}
+
+/// Prints the median and the range of each figure, and the invariants.
+fn print_results(results: &[ScenarioResult]) {
+    let Some(first) = results.first() else {
+        return;
+    };
+
+    for figure in &first.figures {
+        let mut values: Vec<f64> = results
+            .iter()
+            .map(|result| result.figure(figure.name))
+            .collect();
+
+        values.sort_by(f64::total_cmp);
+        println!(
+            "  {:24} median {:10.4}  least {:10.4}  most {:10.4}",
+            figure.name,
+            values[values.len() / 2],
+            values[0],
+            values[values.len() - 1],
+        );
+    }
+
+    let mut checks = first.checks.clone();
+
+    for result in &results[1..] {
+        checks.add(&result.checks);
+    }
+
+    println!("  broken/checked: {checks}");
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -14,6 +14,6 @@
 
 pub use budget::{BudgetOptions, RetryBudget};
 pub use choice::{ChoiceAction, ChoiceEvent, ChoiceMachine, ChoiceOptions};
-pub use retry::{RetryDecision, RetryPolicy, RetryQuestion, RetryRefusal};
+pub use retry::{RetryDecision, RetryPolicy, RetryQuestion, RetryRefusal, combined_verdict};
 pub use standing::{AttemptResult, LoadHint};
 pub use table::{RouteHint, RouteTable};
--- a/crates/route/src/retry.rs
+++ b/crates/route/src/retry.rs
@@ -168,3 +168,13 @@
         None
     }
 }
+
+/// Returns the verdict on a request after one more attempt: it is "not run" only when no
+/// attempt may have run.
+pub const fn combined_verdict(earlier: Option<RunVerdict>, last: RunVerdict) -> RunVerdict {
+    match (earlier, last) {
+        (_, RunVerdict::Done) => RunVerdict::Done,
+        (None | Some(RunVerdict::NotRun), RunVerdict::NotRun) => RunVerdict::NotRun,
+        _ => RunVerdict::Unknown,
+    }
+}
