--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,6 +1,7 @@
 //! Measurements of the decisions in virtual time and of the daemons over loopback.
 
 mod lease;
+mod requests;
 
 use clap::Command;
 use std::process::ExitCode;
@@ -11,16 +12,17 @@
         .about("Measures the decisions in virtual time and the daemons over loopback")
         .subcommand_required(true)
         .subcommand(lease::storm_command())
+        .subcommand(requests::report::command())
         .get_matches();
 
     let is_green = match matches.subcommand() {
         Some(("lease-storm", arguments)) => lease::run_storms(arguments),
+        Some(("requests", arguments)) => {
+            requests::report::run(arguments);
+            true
+        }
         _ => false,
     };
 
-    if is_green {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::FAILURE
-    }
+    if is_green { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
