--- a/crates/intent/src/keeper.rs
+++ b/crates/intent/src/keeper.rs
@@ -1,33 +1,12 @@
 //! The configuration that a node has in force.
 //!
 //! A node takes configurations up in the order of their versions and never goes back. A started
-//! daemon remembers nothing, so it takes nothing up before it has read the platform. When the
-//! platform stays out of reach, it accepts the newest configuration that several peers have in
-//! force, once the time has passed in which every accepted configuration reaches every node.
+//! daemon remembers nothing, so it takes nothing up before it has read the platform: during an
+//! outage its peers may not know yet what this node had in force before it stopped.
 
 use serde::{Deserialize, Serialize};
-use std::{collections::BTreeMap, mem, time::Duration};
-use wagtail_core::{ids::NodeName, service::ConfigDocument, units::LocalMoment};
-
-/// `KeeperOptions` sets how a started node trusts its peers.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct KeeperOptions {
-    /// The time after the start from which peers are believed while the platform is out of
-    /// reach. It is no shorter than the time in which a configuration reaches every node.
-    pub peers_after: Duration,
-    /// The peers that must have told their configuration by then.
-    pub peers_needed: usize,
-}
-
-impl Default for KeeperOptions {
-    fn default() -> Self {
-        Self {
-            peers_after: Duration::from_secs(17),
-            peers_needed: 3,
-        }
-    }
-}
+use std::mem;
+use wagtail_core::{ids::NodeName, service::ConfigDocument};
 
 /// `KeeperEvent` is what reaches a [`ConfigKeeper`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -59,8 +38,6 @@
         /// Its configuration.
         document: ConfigDocument,
     },
-    /// Time has passed.
-    Tick,
 }
 
 /// `KeeperAction` is what a [`ConfigKeeper`] asks of its daemon.
@@ -86,7 +63,8 @@
     },
     /// The platform is to be read.
     ReadPlatform,
-    /// The platform holds an older configuration than the one in force, which stays.
+    /// The platform told an older configuration than the one in force, which stays. A late answer
+    /// does so too; only reports that go on need attention.
     ReportReverted {
         /// The version in the platform.
         found: u64,
@@ -101,11 +79,8 @@
 /// `ConfigKeeper` holds the configuration in force at one node; its version only grows.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct ConfigKeeper {
-    options: KeeperOptions,
-    started: LocalMoment,
     state: KeeperState,
     document: ConfigDocument,
-    offers: BTreeMap<NodeName, u64>,
     candidate: ConfigDocument,
 }
 
@@ -115,32 +90,26 @@
 pub enum KeeperState {
     /// Nothing is in force yet.
     Starting,
-    /// The configuration comes from peers; the platform was not read since the start.
-    FromPeers,
     /// The platform was read since the start.
     Confirmed,
 }
 
+impl Default for ConfigKeeper {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl ConfigKeeper {
-    /// Makes the keeper of a daemon that starts now.
-    pub fn new(started: LocalMoment) -> Self {
+    /// Makes the keeper of a daemon that starts.
+    pub fn new() -> Self {
         Self {
-            options: KeeperOptions::default(),
-            started,
             state: KeeperState::Starting,
             document: ConfigDocument::default(),
-            offers: BTreeMap::new(),
             candidate: ConfigDocument::default(),
         }
     }
 
-    /// Sets the options.
-    #[must_use]
-    pub fn with_options(mut self, options: KeeperOptions) -> Self {
-        self.options = options;
-        self
-    }
-
     /// Returns the configuration in force; version zero while nothing is.
     pub fn document(&self) -> &ConfigDocument {
         &self.document
@@ -152,15 +121,13 @@
     }
 
     /// Takes an event and returns what is to be done.
-    pub fn handle(&mut self, now: LocalMoment, event: KeeperEvent) -> Vec<KeeperAction> {
+    pub fn handle(&mut self, event: KeeperEvent) -> Vec<KeeperAction> {
         match event {
             KeeperEvent::PlatformRead { document } => self.on_platform(document),
-            KeeperEvent::PlatformFailed | KeeperEvent::Tick => self.believe_peers(now),
-            KeeperEvent::Accepted { document } => self.take(document),
+            KeeperEvent::PlatformFailed => self.ask_platform(),
+            KeeperEvent::Accepted { document } => self.on_accepted(document),
             KeeperEvent::PeerVersion { peer, version } => self.on_peer_version(peer, version),
-            KeeperEvent::PeerDocument { peer, document } => {
-                self.on_peer_document(now, peer, document)
-            }
+            KeeperEvent::PeerDocument { document, .. } => self.on_peer_document(document),
         }
     }
 
@@ -174,30 +141,30 @@
             }];
         }
 
-        let first = self.state != KeeperState::Confirmed;
         self.state = KeeperState::Confirmed;
-        self.offers.clear();
         let candidate = mem::take(&mut self.candidate);
 
         // The read may be older than what a peer took up since.
         if candidate.version > document.version {
-            return self.take(candidate);
+            self.take(candidate)
+        } else {
+            self.take(document)
         }
-        if first && document.version == self.document.version && document == self.document {
-            return vec![KeeperAction::PutInForce { document }];
+    }
+
+    /// Takes what the platform accepted from this node, which is as good as a read.
+    fn on_accepted(&mut self, document: ConfigDocument) -> Vec<KeeperAction> {
+        if document.version < self.document.version {
+            return Vec::new();
         }
 
-        self.take(document)
+        self.on_platform(Some(document))
     }
 
     /// Compares the version of a peer with the one in force.
     fn on_peer_version(&mut self, peer: NodeName, version: u64) -> Vec<KeeperAction> {
         let known = self.document.version.max(self.candidate.version);
 
-        if self.state == KeeperState::Starting {
-            self.offers.insert(peer.clone(), version);
-        }
-
         if version > known {
             vec![KeeperAction::FetchFromPeer { peer, version }]
         } else if version < self.document.version {
@@ -208,47 +175,24 @@
     }
 
     /// Takes the configuration of a peer, or keeps it until the platform has been read.
-    fn on_peer_document(
-        &mut self,
-        now: LocalMoment,
-        peer: NodeName,
-        document: ConfigDocument,
-    ) -> Vec<KeeperAction> {
-        if self.state != KeeperState::Starting {
+    fn on_peer_document(&mut self, document: ConfigDocument) -> Vec<KeeperAction> {
+        if self.state == KeeperState::Confirmed {
             return self.take(document);
         }
 
-        self.offers.insert(peer, document.version);
-
         if document.version > self.candidate.version {
             self.candidate = document;
         }
 
-        self.believe_peers(now)
+        self.ask_platform()
     }
 
-    /// Takes the newest configuration of the peers once enough of them were heard for long
-    /// enough; reads the platform otherwise.
-    fn believe_peers(&mut self, now: LocalMoment) -> Vec<KeeperAction> {
-        if self.state != KeeperState::Starting {
-            return Vec::new();
-        }
-
-        let waited = now.since(self.started) >= self.options.peers_after;
-        let heard = self.offers.len() >= self.options.peers_needed;
-        // A peer whose newer document has not arrived yet is waited for.
-        let newest = self.offers.values().copied().max().unwrap_or(0);
-        let complete = self.candidate.version > 0 && newest <= self.candidate.version;
-
-        if waited && heard && complete {
-            self.state = KeeperState::FromPeers;
-            self.offers.clear();
-            let candidate = mem::take(&mut self.candidate);
-
-            return self.take(candidate);
+    /// Asks for the platform to be read as long as it was not since the start.
+    fn ask_platform(&self) -> Vec<KeeperAction> {
+        match self.state {
+            KeeperState::Starting => vec![KeeperAction::ReadPlatform],
+            KeeperState::Confirmed => Vec::new(),
         }
-
-        vec![KeeperAction::ReadPlatform]
     }
 
     /// Puts a newer configuration in force and refuses every other.
--- a/crates/intent/src/lib.rs
+++ b/crates/intent/src/lib.rs
@@ -41,7 +41,7 @@
 pub use events::{
     CallId, ConfigOutcome, IntentAction, IntentEvent, IntentReply, PlanOutcome, WriteOutcome,
 };
-pub use keeper::{ConfigKeeper, KeeperAction, KeeperEvent, KeeperOptions};
+pub use keeper::{ConfigKeeper, KeeperAction, KeeperEvent, KeeperState};
 pub use machine::{IntentMachine, IntentOptions};
 pub use plan::{PlanDocument, SliceMove, UnavailableEstimate, make_plan};
 pub use promise::check_promises;
