--- /dev/null
+++ b/crates/tool/src/args.rs
@@ -0,0 +1,349 @@
+//! The command line.
+
+use crate::errors::{Result, ToolError};
+use clap::{
+    Arg, ArgAction, ArgMatches, Command, ValueHint,
+    builder::{EnumValueParser, PossibleValue},
+    value_parser,
+};
+use clap_complete::Shell;
+use std::{fs, net::SocketAddr, path::PathBuf};
+use wagtail_core::ids::{NodeName, ServiceName};
+
+/// The variable that holds the address of the node.
+pub const NODE_VARIABLE: &str = "WAGTAIL_NODE";
+/// The variable that holds the token.
+pub const TOKEN_VARIABLE: &str = "WAGTAIL_TOKEN";
+/// What the help says about exit codes.
+const EXIT_CODES: &str = "\
+Exit codes:
+  0  done
+  1  refused, or another plan was confirmed first; nothing was changed
+  2  the command line or a file is at fault; nothing was changed
+  3  the node or the platform is out of reach; nothing was changed
+  4  no whole answer; the plan may be in force: confirm it again
+  5  the token is missing or wrong; nothing was changed";
+
+/// `OutputFormat` is the form of the output.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OutputFormat {
+    /// Tables for people.
+    Table,
+    /// JSON for programs.
+    Json,
+}
+
+impl clap::ValueEnum for OutputFormat {
+    fn value_variants<'a>() -> &'a [Self] {
+        &[Self::Table, Self::Json]
+    }
+
+    fn to_possible_value(&self) -> Option<PossibleValue> {
+        Some(match self {
+            Self::Table => PossibleValue::new("table"),
+            Self::Json => PossibleValue::new("json"),
+        })
+    }
+}
+
+/// `ToolCommand` is what the operator wants.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ToolCommand {
+    /// Make a plan from an intent file.
+    Plan {
+        /// The path of the file.
+        file: PathBuf,
+    },
+    /// Put a plan in force.
+    Confirm {
+        /// The identifier of the plan.
+        plan: String,
+    },
+    /// Show the state of a node.
+    Status,
+    /// Show the services in force.
+    Services,
+    /// Show who owns a key.
+    Owner {
+        /// The service.
+        service: ServiceName,
+        /// The key.
+        key: String,
+    },
+    /// Make a plan that drains a VM.
+    Drain {
+        /// The VM.
+        vm: NodeName,
+        /// Whether the plan is confirmed at once.
+        confirmed: bool,
+    },
+    /// Show each configuration as it comes into force.
+    Watch {
+        /// The version to stop at.
+        until: Option<u64>,
+    },
+    /// Print the completion script of a shell.
+    Completion {
+        /// The shell.
+        shell: Shell,
+    },
+}
+
+/// `CommandLine` is the whole command line, with what the environment adds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CommandLine {
+    /// The address of the node; absent for a command that asks none.
+    pub node: Option<SocketAddr>,
+    /// The token.
+    pub token: Option<String>,
+    /// The form of the output.
+    pub output: OutputFormat,
+    /// The command.
+    pub command: ToolCommand,
+}
+
+/// Returns the definition of the command line.
+pub fn build_command() -> Command {
+    Command::new("wagtail")
+        .version(clap::crate_version!())
+        .about("Plans, confirms and shows the configuration of wagtailpulley")
+        .after_help(EXIT_CODES)
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .args(global_args())
+        .subcommands(plan_commands())
+        .subcommands(show_commands())
+}
+
+/// Returns the arguments that every command takes.
+fn global_args() -> [Arg; 3] {
+    [
+        Arg::new("node")
+            .long("node")
+            .value_name("ADDRESS")
+            .global(true)
+            .value_parser(value_parser!(SocketAddr))
+            .help("Address of any node's admin port, as IP:PORT [env: WAGTAIL_NODE]"),
+        Arg::new("token-file")
+            .long("token-file")
+            .value_name("FILE")
+            .global(true)
+            .value_parser(value_parser!(PathBuf))
+            .value_hint(ValueHint::FilePath)
+            .help("File that holds the token [env: WAGTAIL_TOKEN holds the token itself]"),
+        Arg::new("output")
+            .long("output")
+            .value_name("FORMAT")
+            .global(true)
+            .value_parser(EnumValueParser::<OutputFormat>::new())
+            .default_value("table")
+            .help("Form of the output"),
+    ]
+}
+
+/// Returns the commands that plan and confirm.
+fn plan_commands() -> [Command; 3] {
+    [
+        Command::new("plan")
+            .about("Make a plan from an intent file; nothing is in force before `confirm`")
+            .arg(
+                Arg::new("file")
+                    .value_name("FILE")
+                    .required(true)
+                    .value_parser(value_parser!(PathBuf))
+                    .value_hint(ValueHint::FilePath)
+                    .help("Intent in YAML; `-` reads the standard input"),
+            ),
+        Command::new("confirm")
+            .about("Put a plan in force; a repeat has no further effect")
+            .arg(text_arg("plan", "PLAN", "Identifier of the plan")),
+        Command::new("drain")
+            .about("Make a plan that drains a VM")
+            .arg(text_arg("vm", "VM", "Name of the VM"))
+            .arg(
+                Arg::new("yes")
+                    .long("yes")
+                    .action(ArgAction::SetTrue)
+                    .help("Confirm the plan at once"),
+            ),
+    ]
+}
+
+/// Returns the commands that show something.
+fn show_commands() -> [Command; 5] {
+    [
+        Command::new("status").about("Show the state of the node"),
+        Command::new("services").about("Show the services in force"),
+        Command::new("owner")
+            .about("Show who owns a key")
+            .arg(text_arg("service", "SERVICE", "Name of the service"))
+            .arg(text_arg("key", "KEY", "The key")),
+        Command::new("watch")
+            .about("Show each configuration as it comes into force at the node")
+            .arg(
+                Arg::new("until")
+                    .long("until")
+                    .value_name("VERSION")
+                    .value_parser(value_parser!(u64))
+                    .help("Stop once this version is in force"),
+            ),
+        Command::new("completion")
+            .about("Print the completion script of a shell")
+            .arg(
+                Arg::new("shell")
+                    .value_name("SHELL")
+                    .required(true)
+                    .value_parser(value_parser!(Shell))
+                    .help("The shell"),
+            ),
+    ]
+}
+
+/// Returns a required argument that is a text.
+fn text_arg(id: &'static str, name: &'static str, help: &'static str) -> Arg {
+    Arg::new(id).value_name(name).required(true).help(help)
+}
+
+/// Returns whether errors are to be written as JSON.
+pub fn wants_json(matches: &ArgMatches) -> bool {
+    matches.get_one::<OutputFormat>("output") == Some(&OutputFormat::Json)
+}
+
+/// Reads the parsed command line, the environment and the token file.
+///
+/// # Errors
+///
+/// Fails when a name is invalid, no node is given, or the token file cannot be read.
+pub fn read_matches(
+    matches: &ArgMatches,
+    variable: impl Fn(&str) -> Option<String>,
+) -> Result<CommandLine> {
+    let command = read_command(matches)?;
+    let output = matches.get_one::<OutputFormat>("output");
+    let needs_node = !matches!(command, ToolCommand::Completion { .. });
+
+    let (node, token) = if needs_node {
+        (
+            Some(read_node(matches, &variable)?),
+            read_token(matches, &variable)?,
+        )
+    } else {
+        (None, None)
+    };
+
+    Ok(CommandLine {
+        node,
+        token,
+        output: output.copied().unwrap_or(OutputFormat::Table),
+        command,
+    })
+}
+
+/// Reads the address of the node.
+fn read_node(
+    matches: &ArgMatches,
+    variable: impl Fn(&str) -> Option<String>,
+) -> Result<SocketAddr> {
+    if let Some(node) = matches.get_one::<SocketAddr>("node") {
+        return Ok(*node);
+    }
+
+    let usage = |reason: String| ToolError::Usage {
+        what: "--node",
+        reason,
+    };
+    let text = variable(NODE_VARIABLE).ok_or_else(|| {
+        usage("give the address of any node's admin port, as IP:PORT, or set WAGTAIL_NODE".into())
+    })?;
+
+    text.parse().map_err(|error| {
+        usage(format!(
+            "WAGTAIL_NODE is {text:?}: {error}; it must be IP:PORT"
+        ))
+    })
+}
+
+/// Reads the token from its file or the environment.
+fn read_token(
+    matches: &ArgMatches,
+    variable: impl Fn(&str) -> Option<String>,
+) -> Result<Option<String>> {
+    let token = match matches.get_one::<PathBuf>("token-file") {
+        Some(path) => {
+            let text = fs::read_to_string(path).map_err(|source| ToolError::File {
+                path: path.clone(),
+                source,
+            })?;
+
+            Some(text)
+        }
+        None => variable(TOKEN_VARIABLE),
+    };
+    let token = token.map(|token| token.trim().to_owned());
+
+    match token {
+        Some(token) if !token.bytes().all(|byte| byte.is_ascii_graphic()) => {
+            Err(ToolError::Usage {
+                what: "token",
+                reason: "it must be printable ASCII without spaces".into(),
+            })
+        }
+        token => Ok(token.filter(|token| !token.is_empty())),
+    }
+}
+
+/// Reads the command with its arguments.
+fn read_command(matches: &ArgMatches) -> Result<ToolCommand> {
+    let Some((name, matches)) = matches.subcommand() else {
+        return Err(ToolError::Usage {
+            what: "COMMAND",
+            reason: "is required".into(),
+        });
+    };
+    let text = |id: &str| matches.get_one::<String>(id).cloned().unwrap_or_default();
+
+    let command = match name {
+        "plan" => ToolCommand::Plan {
+            file: matches
+                .get_one::<PathBuf>("file")
+                .cloned()
+                .unwrap_or_default(),
+        },
+        "confirm" => ToolCommand::Confirm {
+            plan: checked("PLAN", text("plan"), NodeName::new)?.to_string(),
+        },
+        "status" => ToolCommand::Status,
+        "services" => ToolCommand::Services,
+        "owner" => ToolCommand::Owner {
+            service: checked("SERVICE", text("service"), ServiceName::new)?,
+            key: text("key"),
+        },
+        "drain" => ToolCommand::Drain {
+            vm: checked("VM", text("vm"), NodeName::new)?,
+            confirmed: matches.get_flag("yes"),
+        },
+        "watch" => ToolCommand::Watch {
+            until: matches.get_one::<u64>("until").copied(),
+        },
+        _ => ToolCommand::Completion {
+            shell: matches
+                .get_one::<Shell>("shell")
+                .copied()
+                .unwrap_or(Shell::Bash),
+        },
+    };
+
+    Ok(command)
+}
+
+/// Checks a name on the command line.
+fn checked<T>(
+    what: &'static str,
+    text: String,
+    check: impl Fn(String) -> wagtail_core::Result<T>,
+) -> Result<T> {
+    check(text).map_err(|error| ToolError::Usage {
+        what,
+        reason: error.to_string(),
+    })
+}
