Caller stand-in: seeded requests, checks of each answer and of the execution logs

Each attempt has an identifier of its own, so that a refusal as not run is looked for in the logs even when a later attempt of the same request ran.

--- /dev/null
+++ b/standins/caller/src/cli.rs
@@ -0,0 +1,136 @@
+//! The command line.
+
+use crate::plan::PlannedService;
+use clap::{Arg, ArgMatches, Command, value_parser};
+use std::{net::SocketAddr, path::PathBuf, sync::Arc};
+use wagtail_core::ids::ServiceName;
+
+/// `CallerOptions` is what the command line sets.
+#[derive(Debug, Clone)]
+pub struct CallerOptions {
+    /// The `callers` addresses of the nodes.
+    pub nodes: Vec<SocketAddr>,
+    /// The count of requests.
+    pub requests: usize,
+    /// The count of callers.
+    pub callers: usize,
+    /// The requests a second of all callers together.
+    pub rate: u64,
+    /// The count of keys of each keyed service.
+    pub keys: u32,
+    /// The seed of the requests.
+    pub seed: u64,
+    /// The services.
+    pub services: Vec<PlannedService>,
+    /// The wait in milliseconds between the last outcome and the reading of the logs.
+    pub settle_ms: u64,
+    /// The execution logs of all targets.
+    pub logs: Vec<PathBuf>,
+}
+
+/// Describes the command line.
+pub fn command() -> Command {
+    let number = |name: &'static str, default: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_name("NUMBER")
+            .default_value(default)
+            .value_parser(value_parser!(u64).range(1..))
+            .help(help)
+    };
+
+    Command::new("caller-standin")
+        .about("Stands in for the callers: sends requests and checks the answers")
+        .arg(
+            Arg::new("nodes")
+                .long("nodes")
+                .value_name("ADDRESS,...")
+                .required(true)
+                .value_delimiter(',')
+                .value_parser(value_parser!(SocketAddr))
+                .help("The callers addresses of the daemons"),
+        )
+        .arg(
+            Arg::new("services")
+                .long("services")
+                .value_name("NAME[:SLICES],...")
+                .required(true)
+                .value_delimiter(',')
+                .value_parser(parse_service)
+                .help("The services; a keyed one names its count of slices"),
+        )
+        .arg(
+            Arg::new("check-logs")
+                .long("check-logs")
+                .value_name("FILE")
+                .num_args(1..)
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("The execution logs of all targets"),
+        )
+        .arg(number("requests", "4000", "The count of requests"))
+        .arg(number("callers", "32", "The count of callers"))
+        .arg(number(
+            "rate",
+            "400",
+            "The requests a second of all callers together",
+        ))
+        .arg(number(
+            "keys",
+            "500",
+            "The count of keys of each keyed service",
+        ))
+        .arg(number("seed", "1", "The seed of the requests"))
+        .arg(number(
+            "settle-ms",
+            "500",
+            "The wait before the logs are read, in milliseconds",
+        ))
+}
+
+/// Reads the options from the command line.
+///
+/// # Panics
+///
+/// Panics when the matches are not those of [`command`].
+pub fn read_options(matches: &ArgMatches) -> CallerOptions {
+    let number = |name: &str| *matches.get_one::<u64>(name).expect("it has a default");
+    let count = |name: &str| usize::try_from(number(name)).unwrap_or(usize::MAX);
+
+    CallerOptions {
+        nodes: read_list(matches, "nodes"),
+        requests: count("requests"),
+        callers: count("callers"),
+        rate: number("rate"),
+        keys: u32::try_from(number("keys")).unwrap_or(u32::MAX),
+        seed: number("seed"),
+        services: read_list(matches, "services"),
+        settle_ms: number("settle-ms"),
+        logs: read_list(matches, "check-logs"),
+    }
+}
+
+/// Reads the values of an argument that can be repeated.
+fn read_list<T: Clone + Send + Sync + 'static>(matches: &ArgMatches, name: &str) -> Vec<T> {
+    matches
+        .get_many::<T>(name)
+        .map(|values| values.cloned().collect())
+        .unwrap_or_default()
+}
+
+/// Reads `NAME` of a service without keys or `NAME:SLICES` of one with keys.
+fn parse_service(text: &str) -> Result<PlannedService, String> {
+    let (name, slices) = match text.split_once(':') {
+        Some((name, slices)) => {
+            let slices: u32 = slices.parse().map_err(|error| format!("{error}"))?;
+            (name, slices.max(1))
+        }
+        None => (text, 0),
+    };
+    let name = ServiceName::new(name).map_err(|error| error.to_string())?;
+
+    Ok(PlannedService {
+        name: Arc::from(name.as_str()),
+        slices,
+    })
+}
--- a/standins/caller/src/main.rs
+++ b/standins/caller/src/main.rs
@@ -1,4 +1,98 @@
-//! A stand-in for the callers: sends requests and checks the answers.
+//! The program of the caller stand-in.
 
-/// Runs the program.
-fn main() {}
+use caller_standin::{
+    audit::audit_run,
+    cli::{self, CallerOptions},
+    logs::{LoggedRun, read_log},
+    plan::RequestPlanner,
+    record::RequestRecord,
+    report::{RunReport, describe_latency},
+    sender::CallerTask,
+};
+use std::{cell::Cell, fs, process::ExitCode, rc::Rc, time::Duration};
+use wagtail_core::service::WorkClass;
+
+/// The exit code when a log cannot be read.
+const EXIT_UNREADABLE: u8 = 2;
+
+/// Sends the requests, checks the answers and prints the counts.
+#[compio::main]
+async fn main() -> ExitCode {
+    let options = cli::read_options(&cli::command().get_matches());
+
+    let records = send_all(&options).await;
+    compio::time::sleep(Duration::from_millis(options.settle_ms)).await;
+
+    let runs = match read_logs(&options) {
+        Ok(runs) => runs,
+        Err(reason) => {
+            eprintln!("caller-standin: {reason}");
+            return ExitCode::from(EXIT_UNREADABLE);
+        }
+    };
+
+    let report = RunReport::new(&records, audit_run(&records, &runs));
+    println!("{}", describe_latency(&records, WorkClass::Short, "short"));
+    println!("{}", describe_latency(&records, WorkClass::Long, "long"));
+    print!("{}", report.describe());
+
+    if report.passes() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+/// Runs every caller to its end.
+async fn send_all(options: &CallerOptions) -> Vec<RequestRecord> {
+    let callers = options.callers.min(options.requests);
+    let callers_in_rate = u32::try_from(callers).unwrap_or(u32::MAX);
+    let rate = u32::try_from(options.rate).unwrap_or(u32::MAX);
+    let interval = Duration::from_secs(1) * callers_in_rate / rate;
+    let sent = Rc::new(Cell::new(0));
+    let half = options.requests / 2;
+
+    let mut tasks = Vec::new();
+    for caller in 0..callers {
+        let planner = RequestPlanner::new(
+            options.seed,
+            caller as u64,
+            options.services.clone(),
+            options.keys,
+        );
+        let mut task = CallerTask::new(planner, &options.nodes, interval);
+        let extra = usize::from(caller < options.requests % callers);
+        let count = options.requests / callers + extra;
+        let sent = Rc::clone(&sent);
+
+        tasks.push(compio::runtime::spawn(async move {
+            let count_request = || {
+                sent.set(sent.get() + 1);
+                if sent.get() == half {
+                    println!("caller-standin: half of the requests are sent");
+                }
+            };
+            task.run(count, count_request).await
+        }));
+    }
+
+    let mut records = Vec::with_capacity(options.requests);
+    for task in tasks {
+        records.extend(task.await.expect("a caller does not panic"));
+    }
+
+    records
+}
+
+/// Reads the execution logs.
+fn read_logs(options: &CallerOptions) -> Result<Vec<LoggedRun>, String> {
+    let mut runs = Vec::new();
+
+    for path in &options.logs {
+        let shown = path.display();
+        let text = fs::read_to_string(path).map_err(|error| format!("{shown}: {error}"))?;
+        runs.extend(read_log(&text).map_err(|error| format!("{shown}: {error}"))?);
+    }
+
+    Ok(runs)
+}
--- /dev/null
+++ b/standins/caller/src/plan.rs
@@ -0,0 +1,197 @@
+//! The seeded requests.
+
+use rand::{Rng, SeedableRng, seq::IndexedRandom};
+use rand_chacha::ChaCha8Rng;
+use std::sync::Arc;
+use wagtail_core::service::WorkClass;
+
+/// The share of requests that are long.
+const LONG_SHARE: f64 = 0.04;
+
+/// The share of the short requests that are not idempotent.
+const CREATE_SHARE: f64 = 0.4;
+
+/// The share of keyed requests that ask for the hot key.
+const HOT_SHARE: f64 = 0.05;
+
+/// The tenants that share the services.
+const TENANTS: [&str; 3] = ["malla", "suturo", "default"];
+
+/// `PlannedService` is a service that requests are sent to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlannedService {
+    /// The name.
+    pub name: Arc<str>,
+    /// The count of slices of a keyed service; zero for another.
+    pub slices: u32,
+}
+
+/// `RequestKind` is one of the operations that each service declares.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestKind {
+    /// `GET /items`: idempotent and short.
+    List,
+    /// `POST /items`: not idempotent and short.
+    Create,
+    /// `GET /files`: idempotent and long.
+    Download,
+}
+
+impl RequestKind {
+    /// Returns the HTTP method.
+    pub const fn method(self) -> &'static str {
+        match self {
+            Self::List | Self::Download => "GET",
+            Self::Create => "POST",
+        }
+    }
+
+    /// Returns the path below the service.
+    pub const fn path(self) -> &'static str {
+        match self {
+            Self::List | Self::Create => "/items",
+            Self::Download => "/files",
+        }
+    }
+
+    /// Returns whether a repeat has no further effect.
+    pub const fn is_idempotent(self) -> bool {
+        !matches!(self, Self::Create)
+    }
+
+    /// Returns the class of the work.
+    pub const fn class(self) -> WorkClass {
+        match self {
+            Self::List | Self::Create => WorkClass::Short,
+            Self::Download => WorkClass::Long,
+        }
+    }
+
+    /// Returns the time in milliseconds that the caller waits for an answer.
+    pub const fn deadline_ms(self) -> u64 {
+        match self.class() {
+            WorkClass::Short => 5_000,
+            WorkClass::Long => 10_000,
+        }
+    }
+}
+
+/// `PlannedRequest` is one request before it is sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlannedRequest {
+    /// The identifier, to which each attempt adds its ordinal.
+    pub id: Arc<str>,
+    /// The service.
+    pub service: PlannedService,
+    /// The key of a keyed service.
+    pub key: Option<Arc<str>>,
+    /// The tenant.
+    pub tenant: &'static str,
+    /// The operation.
+    pub kind: RequestKind,
+    /// The time in milliseconds that the target works.
+    pub work_ms: u64,
+    /// The size of the answer's body in bytes.
+    pub answer_bytes: usize,
+}
+
+/// `RequestPlanner` makes the requests of one caller, the same for the same seed.
+#[derive(Debug)]
+pub struct RequestPlanner {
+    /// The prefix of the identifiers.
+    prefix: Arc<str>,
+    /// The services to choose from.
+    services: Vec<PlannedService>,
+    /// The count of keys of a keyed service.
+    keys: u32,
+    /// The source of chance.
+    random: ChaCha8Rng,
+    /// The count of planned requests.
+    planned: u64,
+}
+
+impl RequestPlanner {
+    /// Makes the planner of a caller.
+    pub fn new(seed: u64, caller: u64, services: Vec<PlannedService>, keys: u32) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        random.set_stream(caller);
+
+        Self {
+            prefix: Arc::from(format!("{seed}-{caller}")),
+            services,
+            keys,
+            random,
+            planned: 0,
+        }
+    }
+
+    /// Plans the next request.
+    ///
+    /// # Panics
+    ///
+    /// Panics when there is no service.
+    pub fn next_request(&mut self) -> PlannedRequest {
+        self.planned += 1;
+        let service = self
+            .services
+            .choose(&mut self.random)
+            .expect("there is a service to call")
+            .clone();
+        let kind = self.choose_kind();
+        let (work_ms, answer_bytes) = match kind.class() {
+            WorkClass::Short => (
+                self.random.random_range(1..=5),
+                self.random.random_range(200..=2_000),
+            ),
+            WorkClass::Long => (
+                self.random.random_range(150..=300),
+                self.random.random_range(100_000..=300_000),
+            ),
+        };
+
+        PlannedRequest {
+            id: Arc::from(format!("{}-{}", self.prefix, self.planned)),
+            key: self.choose_key(&service),
+            service,
+            tenant: TENANTS
+                .choose(&mut self.random)
+                .copied()
+                .unwrap_or("default"),
+            kind,
+            work_ms,
+            answer_bytes,
+        }
+    }
+
+    /// Returns a number below `count` by chance.
+    pub fn choose_below(&mut self, count: usize) -> usize {
+        self.random.random_range(0..count)
+    }
+
+    /// Chooses an operation.
+    fn choose_kind(&mut self) -> RequestKind {
+        if self.random.random_bool(LONG_SHARE) {
+            RequestKind::Download
+        } else if self.random.random_bool(CREATE_SHARE) {
+            RequestKind::Create
+        } else {
+            RequestKind::List
+        }
+    }
+
+    /// Chooses the key for a keyed service, the hot one more often. The name of the service is
+    /// part of the key, so that the logs of two services never mix.
+    fn choose_key(&mut self, service: &PlannedService) -> Option<Arc<str>> {
+        if service.slices == 0 {
+            return None;
+        }
+
+        let ordinal = if self.random.random_bool(HOT_SHARE) {
+            0
+        } else {
+            self.random.random_range(0..self.keys)
+        };
+
+        Some(Arc::from(format!("{}-{ordinal}", service.name)))
+    }
+}
--- /dev/null
+++ b/standins/caller/src/sender.rs
@@ -0,0 +1,205 @@
+//! The callers with their connections.
+
+use crate::{
+    judge::judge_answer,
+    plan::{PlannedRequest, RequestPlanner},
+    record::{AttemptOutcome, AttemptRecord, RequestRecord},
+};
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+use standin_net::{
+    NetError, Result,
+    client::{ClientConnection, WholeAnswer},
+    clock::monotonic_us,
+};
+use std::{net::SocketAddr, time::Duration};
+
+/// The longest wait for a connection.
+const CONNECT_WAIT: Duration = Duration::from_millis(500);
+
+/// The time beyond its deadline for which a caller waits for an answer.
+const ANSWER_GRACE: Duration = Duration::from_secs(2);
+
+/// The time in microseconds for which a request is repeated after refusals.
+const REPEAT_LIMIT_US: u64 = 10_000_000;
+
+/// The time in microseconds for which a caller avoids a node that did not answer.
+const AVOID_US: u64 = 2_000_000;
+
+/// The wait in milliseconds before a repeat when no node accepts a connection.
+const NO_NODE_RETRY_MS: u64 = 100;
+
+/// `NodeChannel` is a caller's kept connection to one node.
+#[derive(Debug)]
+struct NodeChannel {
+    /// The `callers` address of the node.
+    address: SocketAddr,
+    /// The connection that waits for the next request.
+    connection: Option<ClientConnection>,
+    /// The end in microseconds of the time in which the node is avoided.
+    avoided_until_us: u64,
+}
+
+impl NodeChannel {
+    /// Makes a channel without a connection.
+    fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            connection: None,
+            avoided_until_us: 0,
+        }
+    }
+
+    /// Sends an attempt and waits for its whole answer.
+    async fn send(&mut self, request: Request<Full<Bytes>>, wait: Duration) -> Result<WholeAnswer> {
+        let mut connection = match self.connection.take().filter(ClientConnection::is_open) {
+            Some(connection) => connection,
+            None => ClientConnection::connect(self.address, CONNECT_WAIT).await?,
+        };
+
+        // A connection with a failed exchange is dropped.
+        let answer = connection.send(request, wait).await?;
+        self.connection = Some(connection);
+
+        Ok(answer)
+    }
+}
+
+/// `CallerTask` is one caller, which sends one request at a time.
+#[derive(Debug)]
+pub struct CallerTask {
+    /// The source of the requests.
+    planner: RequestPlanner,
+    /// The nodes.
+    channels: Vec<NodeChannel>,
+    /// The time between the starts of two requests.
+    interval: Duration,
+}
+
+impl CallerTask {
+    /// Makes a caller.
+    ///
+    /// # Panics
+    ///
+    /// Panics when there is no node.
+    pub fn new(planner: RequestPlanner, nodes: &[SocketAddr], interval: Duration) -> Self {
+        assert!(!nodes.is_empty(), "a caller needs a node");
+
+        Self {
+            planner,
+            channels: nodes.iter().copied().map(NodeChannel::new).collect(),
+            interval,
+        }
+    }
+
+    /// Sends `count` requests and returns what became of them. `on_send` is called
+    /// for each.
+    pub async fn run(&mut self, count: usize, on_send: impl Fn()) -> Vec<RequestRecord> {
+        let mut records = Vec::with_capacity(count);
+
+        for _ in 0..count {
+            let started_us = monotonic_us();
+            let request = self.planner.next_request();
+            on_send();
+            records.push(self.send_request(request).await);
+
+            // A late caller does not catch up, as a person would not.
+            let spent = Duration::from_micros(monotonic_us() - started_us);
+            compio::time::sleep(self.interval.saturating_sub(spent)).await;
+        }
+
+        records
+    }
+
+    /// Sends a request, and again after each refusal as not run until the limit passes.
+    async fn send_request(&mut self, request: PlannedRequest) -> RequestRecord {
+        let mut record = RequestRecord::new(request);
+        let limit_us = monotonic_us() + REPEAT_LIMIT_US;
+
+        loop {
+            let attempt = self.attempt(&record).await;
+            let retry_after_ms = match attempt.outcome {
+                AttemptOutcome::NotRun { retry_after_ms } => Some(retry_after_ms),
+                _ => None,
+            };
+            record.attempts.push(attempt);
+
+            let Some(retry_after_ms) = retry_after_ms else {
+                return record;
+            };
+            if monotonic_us() + retry_after_ms * 1_000 > limit_us {
+                return record;
+            }
+            compio::time::sleep(Duration::from_millis(retry_after_ms)).await;
+        }
+    }
+
+    /// Sends one attempt to the first node that accepts it.
+    async fn attempt(&mut self, record: &RequestRecord) -> AttemptRecord {
+        let id = record.next_id();
+        let sent_us = monotonic_us();
+        let wait = Duration::from_millis(record.request.kind.deadline_ms()) + ANSWER_GRACE;
+        let mut outcome = AttemptOutcome::NotRun {
+            retry_after_ms: NO_NODE_RETRY_MS,
+        };
+
+        for index in self.order_nodes(sent_us) {
+            let channel = &mut self.channels[index];
+            let answer = match build_request(&record.request, &id) {
+                Ok(request) => channel.send(request, wait).await,
+                Err(error) => Err(error),
+            };
+
+            match answer {
+                Ok(answer) => {
+                    outcome = judge_answer(&record.request, &id, &answer);
+                    break;
+                }
+                Err(error) => {
+                    channel.avoided_until_us = monotonic_us() + AVOID_US;
+                    if error.may_have_arrived() {
+                        outcome = AttemptOutcome::Unknown;
+                        break;
+                    }
+                }
+            }
+        }
+
+        AttemptRecord {
+            id,
+            sent_us,
+            ended_us: monotonic_us(),
+            outcome,
+        }
+    }
+
+    /// Returns the indices of the nodes from a random one on, the avoided ones last.
+    fn order_nodes(&mut self, now_us: u64) -> Vec<usize> {
+        let count = self.channels.len();
+        let first = self.planner.choose_below(count);
+
+        let mut order: Vec<usize> = (0..count).map(|step| (first + step) % count).collect();
+        order.sort_by_key(|&index| self.channels[index].avoided_until_us > now_us);
+
+        order
+    }
+}
+
+/// Builds an attempt.
+fn build_request(request: &PlannedRequest, id: &str) -> Result<Request<Full<Bytes>>, NetError> {
+    let uri = format!("/{}{}", request.service.name, request.kind.path());
+    let mut builder = Request::builder()
+        .method(request.kind.method())
+        .uri(uri)
+        .header("wagtail-request-id", id)
+        .header("wagtail-tenant", request.tenant)
+        .header("wagtail-deadline-ms", request.kind.deadline_ms())
+        .header("standin-work-ms", request.work_ms)
+        .header("standin-bytes", request.answer_bytes);
+    if let Some(key) = &request.key {
+        builder = builder.header("wagtail-key", &**key);
+    }
+
+    Ok(builder.body(Full::new(Bytes::new()))?)
+}
--- a/standins/net/src/client.rs
+++ b/standins/net/src/client.rs
@@ -38,7 +38,7 @@
     pub async fn connect(address: SocketAddr, wait: Duration) -> Result<Self> {
         let stream = compio::time::timeout(wait, TcpStream::connect(address))
             .await
-            .map_err(|_elapsed| NetError::Timeout)??;
+            .map_err(|_elapsed| NetError::NoConnection)??;
         stream.set_nodelay(true)?;
 
         let (sender, connection) = http1::handshake(HyperStream::new_plain(stream)).await?;
--- a/standins/net/src/errors.rs
+++ b/standins/net/src/errors.rs
@@ -19,6 +19,9 @@
     /// A request or an answer could not be built.
     #[error("message: {0}")]
     Message(#[from] http::Error),
+    /// The connection was not accepted in time.
+    #[error("no connection")]
+    NoConnection,
     /// The exchange took longer than allowed.
     #[error("timeout")]
     Timeout,
@@ -37,6 +40,15 @@
 }
 
 impl NetError {
+    /// Returns whether the server may have received the request that met this error.
+    pub fn may_have_arrived(&self) -> bool {
+        match self {
+            Self::Http(error) => !error.is_canceled(),
+            Self::Socket(_) | Self::NoConnection | Self::Message(_) => false,
+            Self::Timeout | Self::Injected { .. } | Self::Malformed { .. } => true,
+        }
+    }
+
     /// Makes the error for unreadable content.
     pub fn malformed(reason: impl Into<Arc<str>>) -> Self {
         Self::Malformed {
