--- a/standins/caller/src/cli.rs
+++ b/standins/caller/src/cli.rs
@@ -22,6 +22,8 @@
     pub seed: u64,
     /// The services.
     pub services: Vec<PlannedService>,
+    /// The longest wait in milliseconds until every slice is served for the first time.
+    pub ready_ms: u64,
     /// The wait in milliseconds between the last outcome and the reading of the logs.
     pub settle_ms: u64,
     /// The execution logs of all targets.
@@ -105,6 +107,7 @@
         keys: u32::try_from(number("keys")).unwrap_or(u32::MAX),
         seed: number("seed"),
         services: read_list(matches, "services"),
+        ready_ms: number("ready-ms"),
         settle_ms: number("settle-ms"),
         logs: read_list(matches, "check-logs"),
     }
--- a/standins/caller/src/main.rs
+++ b/standins/caller/src/main.rs
@@ -4,22 +4,37 @@
     audit::audit_run,
     cli::{self, CallerOptions},
     logs::{LoggedRun, read_log},
-    plan::RequestPlanner,
+    plan::{RequestPlanner, plan_probes},
     record::RequestRecord,
     report::{RunReport, describe_latency},
     sender::CallerTask,
 };
-use std::{cell::Cell, fs, process::ExitCode, rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    fs,
+    process::ExitCode,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 use wagtail_core::service::WorkClass;
 
 /// The exit code when a log cannot be read.
 const EXIT_UNREADABLE: u8 = 2;
 
+/// The exit code when the services are not ready in time.
+const EXIT_UNREADY: u8 = 3;
+
 /// Sends the requests, checks the answers and prints the counts.
 #[compio::main]
 async fn main() -> ExitCode {
     let options = cli::read_options(&cli::command().get_matches());
 
+    if let Err(reason) = wait_until_ready(&options).await {
+        eprintln!("caller-standin: {reason}");
+        return ExitCode::from(EXIT_UNREADY);
+    }
+    println!("caller-standin: every slice is served");
+
     let records = send_all(&options).await;
     compio::time::sleep(Duration::from_millis(options.settle_ms)).await;
 
@@ -43,6 +58,24 @@
     }
 }
 
+/// Waits until every slice of every service has answered.
+async fn wait_until_ready(options: &CallerOptions) -> Result<(), String> {
+    let planner = RequestPlanner::new(options.seed, 0, options.services.clone(), options.keys);
+    let mut task = CallerTask::new(planner, &options.nodes, Duration::ZERO);
+    let end = Instant::now() + Duration::from_millis(options.ready_ms);
+
+    for service in &options.services {
+        for probe in plan_probes(service) {
+            let left = end.saturating_duration_since(Instant::now());
+            if !task.wait_for_answer(&probe, left).await {
+                return Err(format!("{} got no answer in time", probe.id));
+            }
+        }
+    }
+
+    Ok(())
+}
+
 /// Runs every caller to its end.
 async fn send_all(options: &CallerOptions) -> Vec<RequestRecord> {
     let callers = options.callers.min(options.requests);
--- a/standins/caller/src/plan.rs
+++ b/standins/caller/src/plan.rs
@@ -2,8 +2,8 @@
 
 use rand::{Rng, SeedableRng, seq::IndexedRandom};
 use rand_chacha::ChaCha8Rng;
-use std::sync::Arc;
-use wagtail_core::service::WorkClass;
+use std::{collections::BTreeMap, sync::Arc};
+use wagtail_core::{service::WorkClass, slice::KeyHash};
 
 /// The share of requests that are long.
 const LONG_SHARE: f64 = 0.04;
@@ -14,6 +14,9 @@
 /// The share of keyed requests that ask for the hot key.
 const HOT_SHARE: f64 = 0.05;
 
+/// The size in bytes of the answer to a probe.
+const PROBE_BYTES: usize = 512;
+
 /// The tenants that share the services.
 const TENANTS: [&str; 3] = ["malla", "suturo", "default"];
 
@@ -195,3 +198,42 @@
         Some(Arc::from(format!("{}-{ordinal}", service.name)))
     }
 }
+
+/// Plans a request for each slice of a keyed service, and one for another service, by which a
+/// caller learns that the service is ready.
+pub fn plan_probes(service: &PlannedService) -> Vec<PlannedRequest> {
+    if service.slices == 0 {
+        return vec![plan_probe(service, None)];
+    }
+
+    let mut keys = BTreeMap::new();
+    for ordinal in 0.. {
+        let key = format!("{}-probe-{ordinal}", service.name);
+        let slice = KeyHash::new(key.as_bytes()).slice_index(service.slices);
+        keys.entry(slice).or_insert(key);
+
+        // Hashed keys reach every slice in the end.
+        if keys.len() == service.slices as usize {
+            break;
+        }
+    }
+
+    keys.into_values()
+        .map(|key| plan_probe(service, Some(Arc::from(key))))
+        .collect()
+}
+
+/// Plans one probe.
+fn plan_probe(service: &PlannedService, key: Option<Arc<str>>) -> PlannedRequest {
+    let name = key.as_ref().unwrap_or(&service.name);
+
+    PlannedRequest {
+        id: Arc::from(format!("probe-{name}")),
+        service: service.clone(),
+        key,
+        tenant: "default",
+        kind: RequestKind::List,
+        work_ms: 0,
+        answer_bytes: PROBE_BYTES,
+    }
+}
--- a/standins/caller/src/sender.rs
+++ b/standins/caller/src/sender.rs
@@ -112,6 +112,21 @@
         records
     }
 
+    /// Repeats a request until it is answered or `limit` passes, and returns whether it was.
+    pub async fn wait_for_answer(&mut self, request: &PlannedRequest, limit: Duration) -> bool {
+        let answered = async {
+            loop {
+                let record = self.send_request(request.clone()).await;
+                if matches!(record.outcome(), Some(AttemptOutcome::Answered { .. })) {
+                    return;
+                }
+                compio::time::sleep(Duration::from_millis(NO_NODE_RETRY_MS)).await;
+            }
+        };
+
+        compio::time::timeout(limit, answered).await.is_ok()
+    }
+
     /// Sends a request, and again after each refusal as not run until the limit passes.
     async fn send_request(&mut self, request: PlannedRequest) -> RequestRecord {
         let mut record = RequestRecord::new(request);
