--- a/standins/caller/src/cli.rs
+++ b/standins/caller/src/cli.rs
@@ -83,6 +83,11 @@
             "The count of keys of each keyed service",
         ))
         .arg(number("seed", "1", "The seed of the requests"))
+        .arg(number(
+            "ready-ms",
+            "30000",
+            "The longest wait for the first answers, in milliseconds",
+        ))
         .arg(number(
             "settle-ms",
             "500",
--- a/standins/caller/tests/checks.rs
+++ b/standins/caller/tests/checks.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use caller_standin::{
     audit::{AuditReport, audit_run},
+    cli,
     judge::judge_answer,
     logs::{LogError, LoggedRun, read_log},
     plan::{PlannedRequest, PlannedService, RequestKind, RequestPlanner},
@@ -308,3 +309,17 @@
             .any(|request| request.kind == RequestKind::Create)
     );
 }
+
+#[test]
+fn the_least_command_line_has_every_default() {
+    let line = "caller-standin --nodes 127.0.0.1:1,127.0.0.1:2 --services agenda:64,patrones \
+                --check-logs a.jsonl b.jsonl";
+
+    let options = cli::read_options(&cli::command().get_matches_from(line.split_whitespace()));
+
+    assert_eq!(options.nodes.len(), 2);
+    assert_eq!(options.logs.len(), 2);
+    assert_eq!(options.services[0].slices, 64);
+    assert_eq!(options.services[1].slices, 0);
+    assert!(options.ready_ms > 0);
+}
