--- a/standins/target/src/lib.rs
+++ b/standins/target/src/lib.rs
@@ -12,15 +12,19 @@
 //! - [`health`]: the health report, which lags or lies.
 //! - [`state`]: all that the stand-in knows.
 //! - [`work`]: the run of one order.
+//! - [`guard`]: the guards that count an order and record its execution.
+//! - [`answer`]: the answers to orders.
 //! - [`api`]: the calls of the HTTP API.
 //! - [`announce`]: the announcements to the daemon beside it.
 
 pub mod announce;
+pub mod answer;
 pub mod api;
 pub mod cli;
 pub mod execution;
 pub mod faults;
 pub mod grants;
+pub mod guard;
 pub mod health;
 pub mod options;
 pub mod order;
--- a/standins/target/src/work.rs
+++ b/standins/target/src/work.rs
@@ -1,64 +1,25 @@
 //! The run of one order.
 
 use crate::{
-    execution::ExecutionEntry,
+    answer::{OrderRefusal, format_content, name_request, refusal_reply},
+    guard::{ExecutionGuard, InFlightGuard},
     order::OrderFields,
     slots::{SlotClaim, SlotGuard, SlotPool},
     state::TargetState,
 };
-use bytes::Bytes;
-use http::{Response, StatusCode, header::HeaderValue};
-use serde::Serialize;
+use http::Response;
 use standin_net::{
     NetError, Result,
     body::AnswerBody,
     clock::{boottime_us, monotonic_us},
     repeat::RepeatAnswer,
-    reply::{AnswerResponse, error_reply},
+    reply::AnswerResponse,
 };
 use std::{cell::RefCell, future::poll_fn, rc::Rc, sync::Arc, task::Poll, time::Duration};
 
 /// The longest wait for a slot in microseconds when the order has no deadline.
 const MAX_WAIT_US: u64 = 60_000_000;
 
-/// `OrderRefusal` is why an order was refused before its start.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum OrderRefusal {
-    /// The target has no room.
-    Shed,
-    /// The target leaves.
-    Draining,
-    /// The time for the order is over.
-    Deadline,
-    /// No grant allows the order.
-    Fenced,
-}
-
-impl OrderRefusal {
-    /// Returns the value of the `wagtail-refused` header.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Shed => "shed",
-            Self::Draining => "draining",
-            Self::Deadline => "deadline",
-            Self::Fenced => "fenced",
-        }
-    }
-}
-
-/// `AnswerContent` is the JSON line of an answer's body.
-#[derive(Debug, Serialize)]
-struct AnswerContent<'a> {
-    /// The identifier of the request.
-    id: &'a str,
-    /// The key.
-    key: Option<&'a str>,
-    /// The target.
-    target: &'a str,
-    /// The ordinal of the execution.
-    run: usize,
-}
-
 /// `OrderRunner` runs orders under the slots, grants and faults of the target.
 #[derive(Debug, Clone)]
 pub struct OrderRunner {
@@ -208,85 +169,6 @@
     }
 }
 
-/// `InFlightGuard` counts an accepted order until it is answered or cancelled.
-#[derive(Debug)]
-struct InFlightGuard {
-    /// The state of the target.
-    state: Rc<RefCell<TargetState>>,
-}
-
-impl InFlightGuard {
-    /// Counts an order.
-    fn new(state: &Rc<RefCell<TargetState>>) -> Self {
-        state.borrow_mut().in_flight += 1;
-
-        Self {
-            state: Rc::clone(state),
-        }
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.state.borrow_mut().in_flight -= 1;
-    }
-}
-
-/// `ExecutionGuard` records the end of an execution, also of one that is cancelled.
-#[derive(Debug)]
-struct ExecutionGuard {
-    /// The state of the target.
-    state: Rc<RefCell<TargetState>>,
-    /// The ordinal of the execution.
-    run: usize,
-    /// Whether the end is recorded.
-    ended: bool,
-}
-
-impl ExecutionGuard {
-    /// Records the start of an execution.
-    fn start(state: &Rc<RefCell<TargetState>>, order: &OrderFields) -> Self {
-        let mut target = state.borrow_mut();
-        let entry = ExecutionEntry {
-            id: Arc::clone(&order.id),
-            key: order.key.clone(),
-            slice: order.slice,
-            epoch: order.epoch,
-            operation: Arc::clone(&order.operation),
-            started_us: monotonic_us(),
-            ended_us: None,
-            cancelled: false,
-            target: Arc::clone(&target.name),
-            process: target.started_ms,
-            run: 0,
-        };
-        target.running += 1;
-
-        Self {
-            run: target.log.start(entry),
-            state: Rc::clone(state),
-            ended: false,
-        }
-    }
-
-    /// Records the end of the execution.
-    fn end(&mut self, ended_us: u64, cancelled: bool) {
-        let mut target = self.state.borrow_mut();
-
-        target.running -= 1;
-        target.log.end(self.run, ended_us, cancelled);
-        self.ended = true;
-    }
-}
-
-impl Drop for ExecutionGuard {
-    fn drop(&mut self) {
-        if !self.ended {
-            self.end(monotonic_us(), true);
-        }
-    }
-}
-
 /// Lets the other tasks run once.
 async fn yield_turn() {
     let mut yielded = false;
@@ -302,45 +184,3 @@
     })
     .await;
 }
-
-/// Makes the answer to an order that was refused before its start.
-fn refusal_reply(order: &OrderFields, refusal: OrderRefusal) -> AnswerResponse {
-    let mut reply = error_reply(
-        StatusCode::SERVICE_UNAVAILABLE,
-        refusal.as_str(),
-        "the order was refused before its start",
-    );
-    let refused = HeaderValue::from_static(refusal.as_str());
-    reply.headers_mut().insert("wagtail-refused", refused);
-
-    // The identifier came in a header, so it fits into one.
-    let _named = name_request(&mut reply, order);
-
-    reply
-}
-
-/// Names the request in its answer.
-fn name_request(response: &mut Response<AnswerBody>, order: &OrderFields) -> Result<()> {
-    let id = HeaderValue::from_str(&order.id).map_err(http::Error::from)?;
-    response.headers_mut().insert("wagtail-request-id", id);
-
-    Ok(())
-}
-
-/// Writes the JSON line of an answer, padded to the asked size.
-fn format_content(order: &OrderFields, target: &str, run: usize) -> Bytes {
-    let content = AnswerContent {
-        id: &order.id,
-        key: order.key.as_deref(),
-        target,
-        run,
-    };
-    let mut text = serde_json::to_vec(&content).unwrap_or_default();
-
-    if text.len() + 1 < order.answer_bytes {
-        text.resize(order.answer_bytes - 1, b' ');
-    }
-    text.push(b'\n');
-
-    Bytes::from(text)
-}
