--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -24,5 +24,9 @@
         _ => false,
     };
 
-    if is_green { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+    if is_green {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
 }
--- a/crates/daemon/src/agent/command.rs
+++ b/crates/daemon/src/agent/command.rs
@@ -96,6 +96,8 @@
     ConfigChanged,
     /// The daemon or its target leaves: nothing new is taken.
     Stop,
+    /// Somebody asks what the target says of itself.
+    Target(Sender<Option<TargetNotice>>),
     /// Somebody asks for the state.
     Summary(Sender<Option<AdmitSummary>>),
 }
@@ -166,6 +168,17 @@
     }
 }
 
+impl AgentHandle {
+    /// Returns what the target says of itself, or nothing when none has announced itself.
+    pub async fn target(&self) -> Option<TargetNotice> {
+        let (reply, notice) = oneshot::channel();
+
+        self.tell(AgentCommand::Target(reply));
+
+        notice.await.ok().flatten()
+    }
+}
+
 /// `SubmitGuard` tells the task when the submitter goes away before the answer.
 #[derive(Debug)]
 struct SubmitGuard<'a> {
--- a/crates/daemon/src/agent/task.rs
+++ b/crates/daemon/src/agent/task.rs
@@ -155,6 +155,10 @@
             AgentCommand::Grant(grants) => self.grant(grants),
             AgentCommand::ConfigChanged => self.config_changed(),
             AgentCommand::Stop => self.stop(),
+            AgentCommand::Target(reply) => {
+                // Somebody who has gone needs no notice.
+                drop(reply.send(self.target.as_ref().map(|target| target.notice.clone())));
+            }
             AgentCommand::Summary(reply) => self.summary(reply),
         }
     }
@@ -237,13 +241,13 @@
 
         let actions = target.admission.handle(clock::now(), event);
         for action in actions {
-            self.act(action);
+            self.act(&action);
         }
     }
 
     /// Does one thing that the admission asks for.
-    fn act(&mut self, action: AdmitAction) {
-        match action {
+    fn act(&mut self, action: &AdmitAction) {
+        match *action {
             AdmitAction::Dispatch { ticket } => self.dispatch(ticket),
             AdmitAction::Refuse {
                 ticket,
--- a/crates/daemon/src/directory.rs
+++ b/crates/daemon/src/directory.rs
@@ -19,6 +19,7 @@
     ids::NodeName,
     ports::{PlatformStore, StoredValue, WatchBatch},
 };
+use wagtail_intent::{ConfigKeeper, KeeperAction, KeeperEvent};
 
 /// The longest time that one watch waits; a watch counts as one call.
 const WATCH_WAIT: Duration = Duration::from_secs(25);
@@ -68,6 +69,7 @@
     revision: u64,
     random: ChaCha8Rng,
     pause: Duration,
+    keeper: ConfigKeeper,
 }
 
 /// Spawns the directory task.
@@ -82,6 +84,7 @@
         revision: 0,
         random,
         pause: MIN_PAUSE,
+        keeper: ConfigKeeper::new(),
     };
 
     compio::runtime::spawn(task.run()).detach();
@@ -113,7 +116,7 @@
     async fn read_all(&mut self) -> Result<()> {
         let batch = self.options.store.list(FLEET_PREFIX).await?;
 
-        self.apply(batch);
+        self.apply(&batch);
 
         Ok(())
     }
@@ -135,7 +138,7 @@
         };
 
         let changed = !batch.changed.is_empty();
-        self.apply(batch);
+        self.apply(&batch);
 
         // Every watcher is woken by the same change; the next watches are spread out.
         if changed {
@@ -177,7 +180,7 @@
                     version,
                     value: Arc::from(value),
                 };
-                self.apply(WatchBatch {
+                self.apply(&WatchBatch {
                     revision: self.revision,
                     changed: vec![stored],
                 });
@@ -190,7 +193,7 @@
     }
 
     /// Takes changes over into the shared state.
-    fn apply(&mut self, batch: WatchBatch) {
+    fn apply(&mut self, batch: &WatchBatch) {
         self.revision = self.revision.max(batch.revision);
 
         if batch.changed.is_empty() {
@@ -216,12 +219,51 @@
             .insert(Arc::clone(&stored.key), stored.version);
 
         if &*stored.key == CONFIG_KEY {
-            apply_config(state, &stored.value);
+            self.apply_config(state, &stored.value);
         } else if let Some(name) = stored.key.strip_prefix(NODES_PREFIX) {
             apply_node(state, name, &stored.value);
         }
     }
 
+    /// Takes a configuration over when it is newer than the one in force.
+    fn apply_config(&mut self, state: &mut FleetState, value: &str) {
+        let document = match serde_json::from_str(value) {
+            Ok(document) => Some(document),
+            Err(error) => {
+                error!(event = "config-unreadable", %error, advice = "confirm a new plan");
+                return;
+            }
+        };
+
+        for action in self.keeper.handle(KeeperEvent::PlatformRead { document }) {
+            match action {
+                KeeperAction::PutInForce { document } => {
+                    info!(
+                        event = "config-in-force", version = document.version, plan = %document.plan
+                    );
+                    state.config = document;
+                }
+                KeeperAction::ReportReverted { found } => {
+                    warn!(
+                        event = "config-reverted",
+                        found,
+                        known = state.config.version
+                    );
+                }
+                KeeperAction::ReportMismatch { version } => {
+                    error!(
+                        event = "config-mismatch",
+                        version,
+                        advice = "confirm a new plan"
+                    );
+                }
+                KeeperAction::FetchFromPeer { .. }
+                | KeeperAction::SendToPeer { .. }
+                | KeeperAction::ReadPlatform => {}
+            }
+        }
+    }
+
     /// Waits after a failed call, longer after each one in a row.
     async fn back_off(&mut self, call: &str, error: &CoreError) {
         warn!(event = "platform-failed", call, %error, pause_ms = self.pause.as_millis());
@@ -232,24 +274,6 @@
     }
 }
 
-/// Takes a configuration over when it is newer than the one in force.
-fn apply_config(state: &mut FleetState, value: &str) {
-    match serde_json::from_str::<wagtail_core::service::ConfigDocument>(value) {
-        Ok(config) if config.version > state.config.version => {
-            info!(event = "config-in-force", version = config.version, plan = %config.plan);
-            state.config = config;
-        }
-        Ok(config) => {
-            warn!(
-                event = "config-ignored",
-                version = config.version,
-                known = state.config.version
-            );
-        }
-        Err(error) => warn!(event = "config-unreadable", %error),
-    }
-}
-
 /// Takes the entry of a node over; an empty value removes it.
 fn apply_node(state: &mut FleetState, name: &str, value: &str) {
     let Ok(name) = NodeName::new(name) else {
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -53,7 +53,7 @@
 impl FleetState {
     /// Returns whether a node is to receive no new work.
     pub fn is_leaving(&self, entry: &NodeEntry) -> bool {
-        entry.leaving || self.config.draining.contains(&entry.identity.name)
+        entry.leaving || !self.config.takes_work(&entry.identity)
     }
 
     /// Returns the nodes whose targets serve a service, in the order of their names.
--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -3,7 +3,7 @@
 use crate::{
     agent::{AgentHandle, answer::RefusalAnswer},
     fleet::FleetCell,
-    ownership::OwnershipView,
+    ownership::{OwnershipCommand, OwnershipHandle, OwnershipView, claim_targets},
 };
 use bytes::Bytes;
 use compio::time::timeout;
@@ -16,6 +16,7 @@
     time::Duration,
 };
 use tracing::{debug, info};
+use wagtail_assign::placement::rank_targets;
 use wagtail_core::{
     CoreError, Result,
     ids::{NodeName, ServiceName},
@@ -57,6 +58,8 @@
     pub view: OwnershipView,
     /// The agent task of this node.
     pub agent: AgentHandle,
+    /// The ownership task, which is told of slices whose owner is not known.
+    pub ownership: OwnershipHandle,
     /// The seed of the choices.
     pub seed: u64,
 }
@@ -119,6 +122,7 @@
 
         loop {
             let Some(node) = self.next_node(head, &route) else {
+                self.refresh(&route);
                 return self.refuse(head, &no_owner(&route));
             };
 
@@ -147,16 +151,25 @@
     /// Returns the node to try next.
     fn next_node(&self, head: &RequestHead, route: &RequestRoute) -> Option<NodeName> {
         match &route.slice {
-            Some(slice) => self
-                .options
-                .view
-                .routes()
-                .borrow()
-                .next(slice, &route.tried),
+            Some(slice) => self.next_owner(slice, &route.tried),
             None => self.choose(&head.service, &route.tried),
         }
     }
 
+    /// Returns the node that most likely owns a slice: the known owner, its deputies, and then
+    /// the targets in the order in which they claim a slice without a record.
+    fn next_owner(&self, slice: &SliceId, tried: &[NodeName]) -> Option<NodeName> {
+        let known = self.options.view.routes().borrow().next(slice, tried);
+
+        known.or_else(|| {
+            let targets = claim_targets(&self.options.fleet.load(), &slice.service);
+
+            rank_targets(slice, &targets)
+                .into_iter()
+                .find(|node| !tried.contains(node))
+        })
+    }
+
     /// Chooses a target of a service without keys.
     fn choose(&self, service: &ServiceName, tried: &[NodeName]) -> Option<NodeName> {
         let now = clock::now();
@@ -329,9 +342,10 @@
 
         if is_redirection(&outcome) && route.redirections < MAX_REDIRECTIONS {
             route.redirections += 1;
-            if self.next_node(head, route).is_some() {
+            if self.has_other(head, route) {
                 return None;
             }
+            self.refresh(route);
         } else if self.may_retry(head, route, verdict) {
             route.attempt += 1;
             return None;
@@ -364,13 +378,7 @@
     /// Returns whether a node that was not tried may serve the request.
     fn has_other(&self, head: &RequestHead, route: &RequestRoute) -> bool {
         match &route.slice {
-            Some(slice) => self
-                .options
-                .view
-                .routes()
-                .borrow()
-                .next(slice, &route.tried)
-                .is_some(),
+            Some(slice) => self.next_owner(slice, &route.tried).is_some(),
             None => self
                 .choices
                 .borrow()
@@ -379,6 +387,16 @@
         }
     }
 
+    /// Asks for the record of a slice that no tried node owns.
+    fn refresh(&self, route: &RequestRoute) {
+        if let Some(slice) = &route.slice {
+            let slice = slice.clone();
+            self.options
+                .ownership
+                .tell(OwnershipCommand::Refresh { slice });
+        }
+    }
+
     /// Makes the final answer for an error.
     fn refuse(&self, head: &RequestHead, error: &CoreError) -> TargetAnswer {
         RefusalAnswer::from(error).into_answer(&head.id, &self.options.node)
--- a/crates/daemon/src/ingress.rs
+++ b/crates/daemon/src/ingress.rs
@@ -99,7 +99,7 @@
 
         let parsed = match parse_request(&parts, &self.options.fleet.load()) {
             Ok(parsed) => parsed,
-            Err(failure) => return self.refuse_parse(failure),
+            Err(failure) => return self.refuse_parse(&failure),
         };
         let id = parsed.head.id.clone();
 
@@ -162,7 +162,7 @@
     }
 
     /// Refuses a request that cannot be read.
-    fn refuse_parse(&self, failure: ParseFailure) -> Response<ServerBody> {
+    fn refuse_parse(&self, failure: &ParseFailure) -> Response<ServerBody> {
         let refusal = RefusalAnswer::from(&failure.error);
         let refusal = if failure.not_found {
             refusal.with_status(STATUS_NOT_FOUND)
--- a/crates/daemon/src/latency.rs
+++ b/crates/daemon/src/latency.rs
@@ -1,13 +1,41 @@
 //! The latencies for each tenant and class.
 
-use std::time::Duration;
+use std::{cell::RefCell, rc::Rc, time::Duration};
 use wagtail_core::{ids::TenantName, service::WorkClass};
+use wagtail_telemetry::{
+    latency::{LatencyBook, LatencySnapshot},
+    metrics::MetricSink,
+};
 
-/// `LatencyHandle` records latencies in the book of this daemon.
-#[derive(Debug, Clone, Default)]
-pub struct LatencyHandle;
+/// `LatencyHandle` records latencies in the book of this daemon and sends them as metrics.
+#[derive(Debug, Clone)]
+pub struct LatencyHandle {
+    book: Rc<RefCell<LatencyBook>>,
+    metrics: Rc<MetricSink>,
+}
 
 impl LatencyHandle {
+    /// Makes a handle with an empty book.
+    pub fn new(metrics: Rc<MetricSink>) -> Self {
+        Self {
+            book: Rc::default(),
+            metrics,
+        }
+    }
+
     /// Records the latency of an answered request.
-    pub fn record(&self, _tenant: &TenantName, _class: WorkClass, _took: Duration) {}
+    pub fn record(&self, tenant: &TenantName, class: WorkClass, took: Duration) {
+        let name = match class {
+            WorkClass::Short => "request.short",
+            WorkClass::Long => "request.long",
+        };
+
+        self.metrics.time(name, took);
+        self.book.borrow_mut().record(tenant, class, took);
+    }
+
+    /// Returns the quantiles so far.
+    pub fn snapshot(&self) -> LatencySnapshot {
+        self.book.borrow().snapshot()
+    }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,10 +10,12 @@
 //! - [`agent`]: the queue and the dispatch to the target beside the daemon.
 //! - [`ingress`], [`parse`] and [`forward`]: the way of a caller's request.
 //! - [`inbound`] and [`control`]: what the other daemons send, and what is sent to them.
+//! - [`admin`]: the administration API.
 //! - [`local`]: the announcements of the target.
 //! - [`latency`]: the latencies for each tenant and class.
 //! - [`timer`]: waiting for a message or a due time.
 
+pub mod admin;
 pub mod agent;
 pub mod control;
 pub mod directory;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -2,9 +2,9 @@
 
 use clap::{Arg, ArgAction, Command, crate_version, value_parser};
 use std::{fs, path::PathBuf, process::ExitCode};
-use tracing_subscriber::{EnvFilter, layer::SubscriberExt, util::SubscriberInitExt};
 use wagtail_daemon::run::run;
 use wagtail_settings::DaemonSettings;
+use wagtail_telemetry::logs::init_logs;
 
 /// The exit code when requests were cut off or an address is not available.
 const EXIT_FAILED: u8 = 1;
@@ -32,7 +32,11 @@
         return ExitCode::SUCCESS;
     }
 
-    init_logs(&settings.log);
+    if let Err(error) = init_logs(&settings.log) {
+        eprintln!("{}: log: {error}", path.display());
+        return ExitCode::from(EXIT_SETTINGS);
+    }
+
     run_daemon(settings)
 }
 
@@ -64,16 +68,6 @@
     DaemonSettings::from_yaml(&text).map_err(|error| error.to_string())
 }
 
-/// Writes events to the standard error as lines of key=value pairs.
-fn init_logs(filter: &str) {
-    let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new("info"));
-
-    tracing_subscriber::registry()
-        .with(filter)
-        .with(tracing_logfmt::layer())
-        .init();
-}
-
 /// Runs the daemon to its end.
 fn run_daemon(settings: DaemonSettings) -> ExitCode {
     let runtime = match compio::runtime::Runtime::new() {
--- a/crates/daemon/src/ownership.rs
+++ b/crates/daemon/src/ownership.rs
@@ -3,14 +3,20 @@
 use crate::{
     agent::{AgentCommand, AgentHandle},
     control::{ControlBody, ControlOutbox},
-    fleet::{FleetCell, LEASE_PREFIX},
+    fleet::{FleetCell, FleetState, LEASE_PREFIX},
     memories::MemoryBook,
     timer,
 };
 use compio::time::sleep;
 use futures_channel::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use serde::{Deserialize, Serialize};
-use std::{cell::RefCell, collections::BTreeMap, fmt::Debug, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    fmt::Debug,
+    rc::Rc,
+    time::Duration,
+};
 use tracing::{info, warn};
 use wagtail_admit::MemoryTransfer;
 use wagtail_assign::placement::{PlacementTarget, place_slice};
@@ -39,6 +45,12 @@
 /// The pause before the records are listed again after a failure.
 const LIST_PAUSE: Duration = Duration::from_millis(500);
 
+/// The time between two reads of the same record for its owner.
+const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The identifier of a read that the machine did not ask for.
+const REFRESH: u64 = 0;
+
 /// `SliceLeases` answers for the leases of this node at this instant.
 pub trait SliceLeases: Debug {
     /// Returns the right to dispatch work of a slice now.
@@ -88,6 +100,8 @@
     Read {
         /// The slice.
         slice: SliceId,
+        /// The identifier of the read.
+        read_id: u64,
         /// The stored record, or the failure.
         outcome: wagtail_core::Result<Option<StoredValue>>,
     },
@@ -107,6 +121,11 @@
     },
     /// The former owner of a slice sent what it remembers of its requests.
     Memory(MemoryNotice),
+    /// No node that was tried owns a slice.
+    Refresh {
+        /// The slice.
+        slice: SliceId,
+    },
     /// A slice is to move to another node.
     Move {
         /// The slice.
@@ -214,6 +233,8 @@
     records: BTreeMap<ServiceName, ServiceRecords>,
     epochs: BTreeMap<SliceId, LeaseEpoch>,
     memories: MemoryBook,
+    gone: BTreeSet<NodeIdentity>,
+    refreshed: BTreeMap<SliceId, LocalMoment>,
     claim_at: Option<LocalMoment>,
     grant_at: LocalMoment,
 }
@@ -238,6 +259,8 @@
         records: BTreeMap::new(),
         epochs: BTreeMap::new(),
         memories: MemoryBook::default(),
+        gone: BTreeSet::new(),
+        refreshed: BTreeMap::new(),
         claim_at: None,
         grant_at: LocalMoment::ZERO,
     };
@@ -295,12 +318,17 @@
                 self.records.remove(&service);
                 self.read_services();
             }
-            OwnershipCommand::Read { slice, outcome } => self.record_read(slice, outcome),
+            OwnershipCommand::Read {
+                slice,
+                read_id,
+                outcome,
+            } => self.record_read(slice, read_id, outcome),
             OwnershipCommand::Written { write_id, outcome } => {
                 self.drive(LeaseEvent::WriteFinished { write_id, outcome });
             }
             OwnershipCommand::SliceDrained { slice, memory } => self.slice_drained(slice, memory),
             OwnershipCommand::Memory(notice) => self.memories.receive(clock::now(), notice),
+            OwnershipCommand::Refresh { slice } => self.refresh(slice),
             OwnershipCommand::Move { slice, to } => self.move_slice(slice, to),
         }
     }
@@ -325,7 +353,7 @@
             LeaseAction::Send { to, message } => {
                 self.options.outbox.send(&to, ControlBody::Lease(message));
             }
-            LeaseAction::ReadRecord { slice } => self.read_record(slice),
+            LeaseAction::ReadRecord { slice, read_id } => self.read_record(slice, read_id),
             LeaseAction::WriteRecord {
                 record,
                 expected_version,
@@ -370,6 +398,14 @@
             });
         }
 
+        for gone in &fleet.config.gone {
+            if self.gone.insert(gone.clone()) {
+                self.drive(LeaseEvent::NodeGone {
+                    name: gone.name.clone(),
+                });
+            }
+        }
+
         self.options.agent.tell(AgentCommand::ConfigChanged);
         self.read_services();
         self.claim_at = Some(clock::now() + CLAIM_SETTLE);
@@ -419,23 +455,23 @@
     fn listed(&mut self, service: ServiceName, records: &[StoredValue]) {
         info!(event = "leases-listed", %service, records = records.len());
 
+        let mut versioned = Vec::new();
         for stored in records {
-            let Some(versioned) = parse_record(stored) else {
+            if let Some(record) = parse_record(stored) {
+                versioned.push(record);
+            } else {
                 warn!(event = "lease-unreadable", key = %stored.key);
-                continue;
-            };
+            }
+        }
+
+        for stored in &versioned {
             self.options
                 .view
                 .routes
                 .borrow_mut()
-                .learn(RouteHint::from(&versioned.record));
-
-            let slice = versioned.record.slice.clone();
-            self.drive(LeaseEvent::RecordRead {
-                slice,
-                stored: Some(versioned),
-            });
+                .learn(RouteHint::from(&stored.record));
         }
+        self.drive(LeaseEvent::RecordsListed(versioned));
 
         self.records.insert(service, ServiceRecords::Known);
         self.claim_at = Some(clock::now() + CLAIM_SETTLE);
@@ -461,11 +497,7 @@
             return;
         };
 
-        let targets: Vec<PlacementTarget> = fleet
-            .targets(&service)
-            .filter(|entry| !fleet.is_leaving(entry))
-            .map(|entry| PlacementTarget::new(entry.identity.name.clone(), 1))
-            .collect();
+        let targets = claim_targets(&fleet, &service);
 
         for index in 0..spec.slices {
             let slice = SliceId::new(service.clone(), index);
@@ -478,20 +510,41 @@
         }
     }
 
+    /// Reads the record of a slice whose owner is not known, at most once in a while.
+    fn refresh(&mut self, slice: SliceId) {
+        let now = clock::now();
+        self.refreshed
+            .retain(|_, at| now.since(*at) < REFRESH_INTERVAL);
+
+        if !self.refreshed.contains_key(&slice) {
+            self.refreshed.insert(slice.clone(), now);
+            self.read_record(slice, REFRESH);
+        }
+    }
+
     /// Spawns the read of a record.
-    fn read_record(&self, slice: SliceId) {
+    fn read_record(&self, slice: SliceId, read_id: u64) {
         let store = Rc::clone(&self.options.store);
         let handle = self.handle.clone();
 
         let call = async move {
             let outcome = store.get(&record_key(&slice)).await;
-            handle.tell(OwnershipCommand::Read { slice, outcome });
+            handle.tell(OwnershipCommand::Read {
+                slice,
+                read_id,
+                outcome,
+            });
         };
         compio::runtime::spawn(call).detach();
     }
 
     /// Takes a record in, or the failure to read it.
-    fn record_read(&mut self, slice: SliceId, outcome: wagtail_core::Result<Option<StoredValue>>) {
+    fn record_read(
+        &mut self,
+        slice: SliceId,
+        read_id: u64,
+        outcome: wagtail_core::Result<Option<StoredValue>>,
+    ) {
         let event = match outcome {
             Ok(stored) => {
                 let stored = stored.as_ref().and_then(parse_record);
@@ -499,11 +552,15 @@
                     let hint = RouteHint::from(&versioned.record);
                     self.options.view.routes.borrow_mut().learn(hint);
                 }
-                LeaseEvent::RecordRead { slice, stored }
+                LeaseEvent::RecordRead {
+                    slice,
+                    read_id,
+                    stored,
+                }
             }
             Err(error) => {
                 warn!(event = "platform-failed", call = "get-lease", %slice, %error);
-                LeaseEvent::ReadFailed { slice }
+                LeaseEvent::ReadFailed { slice, read_id }
             }
         };
 
@@ -648,8 +705,17 @@
     }
 }
 
+/// Returns the targets that may claim slices of a service.
+pub fn claim_targets(fleet: &FleetState, service: &ServiceName) -> Vec<PlacementTarget> {
+    fleet
+        .targets(service)
+        .filter(|entry| !fleet.is_leaving(entry))
+        .map(|entry| PlacementTarget::new(entry.identity.name.clone(), 1))
+        .collect()
+}
+
 /// Returns the key of a slice's record.
-fn record_key(slice: &SliceId) -> String {
+pub fn record_key(slice: &SliceId) -> String {
     format!("{LEASE_PREFIX}{slice}")
 }
 
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -1,16 +1,17 @@
 //! Starting, stopping and the order of both.
 
 use crate::{
+    admin::{AdminHandler, AdminOptions, status::StatusSources},
     agent::{self, AgentCommand, AgentHandle, AgentOptions},
     control::ControlOutbox,
-    directory::{self, DirectoryOptions},
+    directory::{self, DirectoryHandle, DirectoryOptions},
     fleet::{FleetCell, NodeEntry},
     forward::{ForwardOptions, RequestForwarder},
     inbound::InboundHandler,
     ingress::{IngressHandler, IngressOptions},
     latency::LatencyHandle,
     local::LocalHandler,
-    ownership::{self, OwnershipOptions, OwnershipView},
+    ownership::{self, OwnershipHandle, OwnershipOptions, OwnershipView},
 };
 use compio::{
     net::TcpListener,
@@ -26,6 +27,7 @@
     net::SocketAddr,
     pin::pin,
     rc::Rc,
+    sync::Arc,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 use thiserror::Error;
@@ -41,6 +43,7 @@
 };
 use wagtail_platform::HttpStore;
 use wagtail_settings::DaemonSettings;
+use wagtail_telemetry::{TelemetryError, metrics::MetricSink};
 
 /// The largest head of an announcement in bytes.
 const LOCAL_HEADER_BYTES: usize = 16 << 10;
@@ -64,6 +67,12 @@
         /// The system's error.
         source: io::Error,
     },
+    /// The metrics cannot be sent.
+    #[error("statsd: {source}")]
+    Metrics {
+        /// What failed.
+        source: TelemetryError,
+    },
     /// A second signal came before the shutdown was complete.
     #[error("stopped by a second signal with {in_flight} requests in flight")]
     Interrupted {
@@ -133,127 +142,189 @@
     }
 }
 
+/// `DaemonBase` is what the parts share.
+#[derive(Debug)]
+struct DaemonBase {
+    identity: NodeIdentity,
+    seed: u64,
+    http_store: Rc<HttpStore>,
+    store: Rc<dyn PlatformStore>,
+    fleet: FleetCell,
+    view: OwnershipView,
+    latency: LatencyHandle,
+    agent: AgentHandle,
+    agent_done: StopSignal,
+    ownership: OwnershipHandle,
+    directory: DirectoryHandle,
+}
+
 /// Starts every part of the daemon.
 async fn start(settings: &DaemonSettings) -> Result<DaemonParts> {
     let listeners = DaemonListeners::bind(settings).await?;
+    let base = start_tasks(settings)?;
+
+    let entry = NodeEntry {
+        identity: base.identity.clone(),
+        zone: settings.zone.clone(),
+        peers: settings.listen.peers,
+        service: None,
+        fenced: false,
+        leaving: false,
+    };
+    base.directory.publish(entry.clone());
+
+    Ok(start_servers(settings, listeners, base, entry))
+}
+
+/// Spawns the tasks that own the leases, the target and the view of the fleet.
+fn start_tasks(settings: &DaemonSettings) -> Result<DaemonBase> {
     let identity = NodeIdentity::new(settings.node.clone(), start_number());
     let seed = identity.incarnation.0;
-
-    let store: Rc<dyn PlatformStore> = Rc::new(HttpStore::new(settings.platform));
+    let http_store = Rc::new(HttpStore::new(settings.platform));
+    let store: Rc<dyn PlatformStore> = Rc::<HttpStore>::clone(&http_store);
+    let latency = LatencyHandle::new(Rc::new(metric_sink(settings)?));
     let fleet = FleetCell::default();
-    let machine = LeaseMachine::new(
-        identity.clone(),
-        settings.zone.clone(),
-        lease_options(settings),
-        seed,
-    );
+    let zone = settings.zone.clone();
+    let machine = LeaseMachine::new(identity.clone(), zone, lease_options(settings), seed);
     let view = OwnershipView::new(machine);
-    let outbox = Rc::new(ControlOutbox::new(identity.clone(), fleet.clone()));
 
     // The handles come first, as the tasks tell each other.
-    let (agent_handle, agent_commands) = agent::task::channel(settings.node.clone());
-    let (ownership_handle, ownership_commands) = ownership::channel();
+    let (agent, agent_commands) = agent::task::channel(settings.node.clone());
+    let (ownership, ownership_commands) = ownership::channel();
     let agent_done = StopSignal::new();
 
-    agent::spawn(
-        agent_handle.clone(),
-        agent_commands,
-        AgentOptions {
-            node: settings.node.clone(),
-            fleet: fleet.clone(),
-            leases: Rc::new(view.clone()),
-            ownership: ownership_handle.clone(),
-            latency: LatencyHandle,
-            done: agent_done.clone(),
-            seed,
-        },
-    );
-    ownership::spawn(
-        ownership_handle.clone(),
-        ownership_commands,
-        OwnershipOptions {
-            identity: identity.clone(),
-            store: Rc::clone(&store),
-            fleet: fleet.clone(),
-            view: view.clone(),
-            agent: agent_handle.clone(),
-            outbox,
-        },
-    );
+    let agent_options = AgentOptions {
+        node: settings.node.clone(),
+        fleet: fleet.clone(),
+        leases: Rc::new(view.clone()),
+        ownership: ownership.clone(),
+        latency: latency.clone(),
+        done: agent_done.clone(),
+        seed,
+    };
+    agent::spawn(agent.clone(), agent_commands, agent_options);
+
+    let ownership_options = OwnershipOptions {
+        identity: identity.clone(),
+        store: Rc::clone(&store),
+        fleet: fleet.clone(),
+        view: view.clone(),
+        agent: agent.clone(),
+        outbox: Rc::new(ControlOutbox::new(identity.clone(), fleet.clone())),
+    };
+    ownership::spawn(ownership.clone(), ownership_commands, ownership_options);
+
     let directory = directory::spawn(DirectoryOptions {
-        store,
+        store: Rc::clone(&store),
         fleet: fleet.clone(),
-        ownership: ownership_handle.clone(),
+        ownership: ownership.clone(),
         seed,
     });
 
-    let entry = NodeEntry {
+    Ok(DaemonBase {
         identity,
-        zone: settings.zone.clone(),
-        peers: settings.listen.peers,
-        service: None,
-        fenced: false,
-        leaving: false,
-    };
-    directory.publish(entry.clone());
-    let local = Rc::new(LocalHandler::new(agent_handle.clone(), directory, entry));
+        seed,
+        http_store,
+        store,
+        fleet,
+        view,
+        latency,
+        agent,
+        agent_done,
+        ownership,
+        directory,
+    })
+}
 
+/// Starts the servers for callers, peers, operators and the target.
+fn start_servers(
+    settings: &DaemonSettings,
+    listeners: DaemonListeners,
+    base: DaemonBase,
+    entry: NodeEntry,
+) -> DaemonParts {
     let callers_stop = StopSignal::new();
     let peers_stop = StopSignal::new();
-    let forwarder = Rc::new(RequestForwarder::new(ForwardOptions {
-        node: settings.node.clone(),
-        fleet: fleet.clone(),
-        view: view.clone(),
-        agent: agent_handle.clone(),
-        seed,
-    }));
+    let header_bytes = to_usize(settings.limits.max_header_bytes);
+    let max_body_bytes = to_usize(settings.limits.max_body_bytes);
+
     let ingress = Rc::new(IngressHandler::new(IngressOptions {
         node: settings.node.clone(),
-        fleet,
-        forwarder,
-        max_body_bytes: to_usize(settings.limits.max_body_bytes),
+        fleet: base.fleet.clone(),
+        forwarder: Rc::new(forwarder(settings, &base)),
+        max_body_bytes,
         max_requests: to_usize(settings.limits.max_requests),
         stop: callers_stop.clone(),
     }));
+    let handler = Rc::<IngressHandler>::clone(&ingress);
+    let callers = serve_http(listeners.callers, handler, header_bytes, &callers_stop);
+
     let inbound = Rc::new(InboundHandler::new(
-        agent_handle.clone(),
-        ownership_handle,
-        to_usize(settings.limits.max_body_bytes),
+        base.agent.clone(),
+        base.ownership.clone(),
+        max_body_bytes,
     ));
+    let serve_peers = wagtail_peer::server::serve(listeners.peers, inbound, peers_stop.clone());
+    let peers = compio::runtime::spawn(serve_peers);
 
-    let header_bytes = to_usize(settings.limits.max_header_bytes);
-    let callers = serve_http(
-        listeners.callers,
-        ingress.clone(),
-        header_bytes,
-        &callers_stop,
-    );
-    serve_http(
-        listeners.local,
-        local.clone(),
-        LOCAL_HEADER_BYTES,
-        &peers_stop,
-    )
-    .detach();
-    let peers = compio::runtime::spawn(wagtail_peer::server::serve(
-        listeners.peers,
-        inbound,
-        peers_stop.clone(),
+    let local = Rc::new(LocalHandler::new(
+        base.agent.clone(),
+        base.directory.clone(),
+        entry,
     ));
+    let handler = Rc::<LocalHandler>::clone(&local);
+    serve_http(listeners.local, handler, LOCAL_HEADER_BYTES, &peers_stop).detach();
 
-    Ok(DaemonParts {
-        agent: agent_handle,
-        agent_done,
-        view,
+    let parts = DaemonParts {
+        agent: base.agent.clone(),
+        agent_done: base.agent_done.clone(),
+        view: base.view.clone(),
         local,
         ingress,
         callers_stop,
         callers,
-        peers_stop,
+        peers_stop: peers_stop.clone(),
         peers,
+    };
+
+    let admin = Rc::new(AdminHandler::new(admin_options(settings, base)));
+    serve_http(listeners.admin, admin, LOCAL_HEADER_BYTES, &peers_stop).detach();
+
+    parts
+}
+
+/// Makes the forwarder of callers' requests.
+fn forwarder(settings: &DaemonSettings, base: &DaemonBase) -> RequestForwarder {
+    RequestForwarder::new(ForwardOptions {
+        node: settings.node.clone(),
+        fleet: base.fleet.clone(),
+        view: base.view.clone(),
+        agent: base.agent.clone(),
+        ownership: base.ownership.clone(),
+        seed: base.seed,
     })
 }
 
+/// Returns the collaborators of the administration API.
+fn admin_options(settings: &DaemonSettings, base: DaemonBase) -> AdminOptions {
+    AdminOptions {
+        token: Arc::clone(&settings.admin_token),
+        store: base.store,
+        fleet: base.fleet.clone(),
+        view: base.view.clone(),
+        status: StatusSources {
+            identity: base.identity,
+            zone: settings.zone.clone(),
+            fleet: base.fleet,
+            view: base.view,
+            agent: base.agent,
+            latency: base.latency,
+            store: base.http_store,
+        },
+        seed: base.seed,
+    }
+}
+
 /// Leaves in order: no new work, slices handed over, queues emptied, callers answered, peers
 /// answered.
 async fn leave(parts: DaemonParts) {
@@ -279,6 +350,7 @@
     callers: TcpListener,
     peers: TcpListener,
     local: TcpListener,
+    admin: TcpListener,
 }
 
 impl DaemonListeners {
@@ -288,6 +360,7 @@
             callers: bind("callers", settings.listen.callers).await?,
             peers: bind("peers", settings.listen.peers).await?,
             local: bind("local", settings.listen.local).await?,
+            admin: bind("admin", settings.listen.admin).await?,
         })
     }
 }
@@ -334,6 +407,15 @@
     NodeIncarnation(u64::try_from(unix.as_millis()).unwrap_or(0))
 }
 
+/// Makes the sink of the metrics.
+fn metric_sink(settings: &DaemonSettings) -> Result<MetricSink> {
+    match settings.statsd {
+        Some(address) => MetricSink::with_statsd(address, &settings.node)
+            .map_err(|source| RunError::Metrics { source }),
+        None => Ok(MetricSink::new(&settings.node)),
+    }
+}
+
 /// Returns the options of the lease machine.
 fn lease_options(settings: &DaemonSettings) -> LeaseOptions {
     LeaseOptions {
--- a/crates/daemon/src/timer.rs
+++ b/crates/daemon/src/timer.rs
@@ -6,10 +6,13 @@
     StreamExt,
     future::{Either, select},
 };
-use std::pin::pin;
+use std::{pin::pin, time::Duration};
 use wagtail_core::units::LocalMoment;
 use wagtail_net::clock;
 
+/// The shortest wait for a due time.
+const MIN_WAIT: Duration = Duration::from_millis(1);
+
 /// `Waited` is what a wait ended with.
 #[derive(Debug)]
 pub enum Waited<T> {
@@ -35,10 +38,8 @@
         return messages.next().await.map_or(Waited::Closed, Waited::Item);
     };
 
-    let wait = due.since(clock::now());
-    if wait.is_zero() {
-        return Waited::Due;
-    }
+    // Waiting at least a little lets the other tasks run, whatever the due time.
+    let wait = due.since(clock::now()).max(MIN_WAIT);
 
     match select(messages.next(), pin!(sleep(wait))).await {
         Either::Left((Some(message), _)) => Waited::Item(message),
--- a/crates/lease/src/serving.rs
+++ b/crates/lease/src/serving.rs
@@ -27,7 +27,9 @@
         let wait = self.serve_from.filter(|from| *from > now);
         let patience = self.is_asking().then_some(self.give_up_at);
 
-        wait.into_iter().chain(patience.filter(|end| *end > now)).min()
+        wait.into_iter()
+            .chain(patience.filter(|end| *end > now))
+            .min()
     }
 }
 
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -9,9 +9,13 @@
 use wagtail_core::{
     CoreError, Result,
     ports::{LocalFuture, PlatformStore, StoredValue, WatchBatch},
+    units::LocalMoment,
     verdict::RunVerdict,
 };
-use wagtail_net::client::{HttpPool, PooledAnswer};
+use wagtail_net::{
+    client::{HttpPool, PooledAnswer},
+    clock,
+};
 
 /// The longest answer in bytes: a list of the largest fleet's records.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
@@ -31,6 +35,8 @@
 pub struct HttpStore {
     pool: HttpPool,
     counts: Cell<CallCounts>,
+    failures_in_row: Cell<u64>,
+    answered_at: Cell<LocalMoment>,
 }
 
 impl HttpStore {
@@ -39,6 +45,8 @@
         Self {
             pool: HttpPool::new(address),
             counts: Cell::default(),
+            failures_in_row: Cell::new(0),
+            answered_at: Cell::new(clock::now()),
         }
     }
 
@@ -47,6 +55,18 @@
         self.counts.get()
     }
 
+    /// Returns how many of the latest calls failed in a row.
+    pub fn failures_in_row(&self) -> u64 {
+        self.failures_in_row.get()
+    }
+
+    /// Returns the time in milliseconds since the latest answer.
+    pub fn last_answer_ms(&self) -> u64 {
+        let silence = clock::now().since(self.answered_at.get());
+
+        u64::try_from(silence.as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Makes one call and reads its whole answer.
     async fn call(&self, call: PlatformCall<'_>) -> Result<CallAnswer> {
         self.count(|counts| counts.record(call.kind));
@@ -71,6 +91,10 @@
         });
         if outcome.as_ref().map_or(true, CallAnswer::is_refusal) {
             self.count(|counts| counts.failures += 1);
+            self.failures_in_row.set(self.failures_in_row.get() + 1);
+        } else {
+            self.failures_in_row.set(0);
+            self.answered_at.set(clock::now());
         }
 
         outcome
--- a/standins/caller/src/record.rs
+++ b/standins/caller/src/record.rs
@@ -2,6 +2,7 @@
 
 use crate::plan::PlannedRequest;
 use std::sync::Arc;
+use uuid::Uuid;
 use wagtail_core::slice::{KeyHash, SliceId};
 
 /// `AttemptOutcome` is how one attempt ended.
@@ -59,9 +60,10 @@
         }
     }
 
-    /// Returns the identifier of the next attempt.
+    /// Returns a fresh identifier for the next attempt. It carries its time of issue, so that a
+    /// new owner can tell that no earlier one saw it.
     pub fn next_id(&self) -> Arc<str> {
-        Arc::from(format!("{}.{}", self.request.id, self.attempts.len() + 1))
+        Arc::from(Uuid::now_v7().to_string())
     }
 
     /// Returns how the last attempt ended.
