--- a/crates/bench/src/lease.rs
+++ b/crates/bench/src/lease.rs
@@ -1,6 +1,10 @@
 //! Storms and measurements of the lease machines in virtual time.
 
-#[path = "../../lease/tests/driver/mod.rs"]
+#[path = "../../lease/tests/lease/driver/mod.rs"]
+#[expect(
+    dead_code,
+    reason = "the tests use more of the driver than the measurements"
+)]
 mod driver;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
@@ -37,9 +41,6 @@
 
         checked += counts.owners + counts.epochs + counts.work + counts.records;
         faults += result.faults;
-        if std::env::var("V").is_ok() {
-            println!("{counts:?}");
-        }
 
         if !result.is_green() {
             failed += 1;
