Admission: tell bursts from overloads, cut the queue once when one lasts

Cause: a queue counted as standing after 100 ms without being empty, also while it was being worked off.

--- a/crates/admit/src/fair.rs
+++ b/crates/admit/src/fair.rs
@@ -131,6 +131,18 @@
         removed.is_some()
     }
 
+    /// Removes the oldest arrival of the tenant with the longest backlog for its weight.
+    pub fn pop_oldest(&mut self) -> Option<u64> {
+        let (tenant, queue) = self
+            .tenants
+            .iter()
+            .max_by_key(|(_, queue)| queue.backlog / u64::from(queue.weight))?;
+        let ticket = queue.items.front()?.ticket;
+        let tenant = tenant.clone();
+
+        self.remove(&tenant, ticket).then_some(ticket)
+    }
+
     /// Predicts the wait of a further arrival of a tenant when `slots` slots serve this queue.
     ///
     /// The tenant waits for its own backlog at its share of the slots, and never longer than
--- a/crates/admit/src/machine.rs
+++ b/crates/admit/src/machine.rs
@@ -13,6 +13,7 @@
     memory::RequestMemory,
     messages::{AdmitAction, AdmitEvent},
     options::AdmitOptions,
+    pressure::QueuePressure,
     summary::{AdmitCounters, AdmitSummary},
     work::WorkEntry,
 };
@@ -69,8 +70,8 @@
     memory: RequestMemory,
     /// The slices that get no new work.
     halted: BTreeMap<u32, SliceHalt>,
-    /// The moment since which short work has been waiting without a break.
-    waiting_since: Option<LocalMoment>,
+    /// Whether short work is in a burst or an overload.
+    pressure: QueuePressure,
     /// The moment of the last answer, or of the last dispatch to an idle target.
     progress: LocalMoment,
     /// The moment before which a stalled target is not tried.
@@ -102,7 +103,7 @@
             limit: SlotLimit::new(&options),
             memory: RequestMemory::new(&options),
             halted: BTreeMap::new(),
-            waiting_since: None,
+            pressure: QueuePressure::new(options.queue_interval),
             progress: LocalMoment::ZERO,
             next_probe: LocalMoment::ZERO,
             stop_until: None,
--- a/crates/admit/src/machine/arrive.rs
+++ b/crates/admit/src/machine/arrive.rs
@@ -61,6 +61,10 @@
     fn admit(&mut self, now: LocalMoment, arrival: WorkArrival) {
         let class = self.estimates.treated_as(&arrival.operation, arrival.class);
 
+        if class == WorkClass::Short {
+            self.record_offer(now, &arrival);
+        }
+
         if let Some(refusal) = self.entry_refusal(now, &arrival, class) {
             let retry_after = self.retry_after(&arrival, class);
 
@@ -134,23 +138,18 @@
     /// Predicts how long an arrival would wait for a slot.
     fn predicted_wait(&self, arrival: &WorkArrival, class: WorkClass) -> Duration {
         let weight = self.options.weight(&arrival.tenant);
-        let limit = self.limit.current();
-        let cap = self.long_cap();
 
         match class {
             WorkClass::Short => {
-                let slots = limit - self.running_long().min(cap);
+                let slots = self.short_slots();
 
                 self.short.predicted_wait(&arrival.tenant, weight, slots)
             }
             WorkClass::Long => {
                 // Long work gets only its floor while short work keeps the slots busy.
+                let cap = self.long_cap();
                 let floor = self.options.long_floor.min(cap);
-                let slots = if self.waiting_since.is_some() {
-                    floor
-                } else {
-                    cap
-                };
+                let slots = if self.short.is_empty() { cap } else { floor };
 
                 self.long.predicted_wait(&arrival.tenant, weight, slots)
             }
@@ -159,22 +158,62 @@
 
     /// Returns the longest wait that the queue of a class allows now.
     ///
-    /// A queue that was empty lately absorbs a burst up to the deadlines; a queue that stands
-    /// only adds its length to every answer, so it is kept short.
+    /// A queue absorbs a burst up to the deadlines; one that stands in an overload only adds its
+    /// length to every answer, so it is kept short.
     fn longest_wait(&self, now: LocalMoment, class: WorkClass) -> Duration {
-        let standing = self
-            .waiting_since
-            .is_some_and(|since| now.since(since) >= self.options.queue_interval);
-
-        if !standing && class == WorkClass::Short {
+        if class == WorkClass::Short && !self.pressure.is_standing(now) {
             return Duration::MAX;
         }
 
+        self.standing_wait(class)
+    }
+
+    /// Returns the longest wait in a standing queue.
+    fn standing_wait(&self, class: WorkClass) -> Duration {
         let means = self.estimates.class_mean(class) * STANDING_MEANS;
 
         self.options.queue_target.max(means)
     }
 
+    /// Returns the slots that short work has now.
+    fn short_slots(&self) -> u32 {
+        let long = self.running_long().min(self.long_cap());
+
+        self.limit.current().saturating_sub(long).max(1)
+    }
+
+    /// Takes in that short work was offered, and cuts the queue when an overload begins to
+    /// count.
+    fn record_offer(&mut self, now: LocalMoment, arrival: &WorkArrival) {
+        let cost = self
+            .estimates
+            .expected(&arrival.operation, WorkClass::Short);
+        let slots = self.short_slots();
+        let target = self.standing_wait(WorkClass::Short);
+        let waiting = self.short.backlog() > target * slots;
+
+        if self.pressure.record(now, cost, waiting, slots) {
+            self.cut_queue(target * slots);
+        }
+    }
+
+    /// Refuses the oldest waiting short work down to a backlog, as what waits behind it would be
+    /// answered as late.
+    fn cut_queue(&mut self, backlog: Duration) {
+        while self.short.backlog() > backlog
+            && let Some(ticket) = self.short.pop_oldest()
+        {
+            let retry_after = self.options.queue_interval;
+
+            self.end(
+                ticket,
+                AdmitRefusal::QueueCut,
+                RunVerdict::NotRun,
+                retry_after,
+            );
+        }
+    }
+
     /// Returns the time after which a repeat is expected to find room.
     pub(super) fn retry_after(&mut self, arrival: &WorkArrival, class: WorkClass) -> Duration {
         let wait = if self.limit.is_stalled() {
--- a/crates/admit/src/machine/dispatch.rs
+++ b/crates/admit/src/machine/dispatch.rs
@@ -19,7 +19,9 @@
             self.dispatch_one(now, ticket);
         }
 
-        self.note_waiting(now);
+        if self.short.is_empty() {
+            self.pressure.record_empty();
+        }
     }
 
     /// Sends one order, or gives it up when its deadline cannot be met any more.
@@ -90,13 +92,4 @@
         // A lowered limit still lets one long order run beside a short one.
         free.max(u32::from(limit > 1 || self.options.max_running() == 1))
     }
-
-    /// Notes since when short work has been waiting without a break.
-    fn note_waiting(&mut self, now: LocalMoment) {
-        if self.short.is_empty() {
-            self.waiting_since = None;
-        } else if self.waiting_since.is_none() {
-            self.waiting_since = Some(now);
-        }
-    }
 }
--- a/crates/admit/src/messages.rs
+++ b/crates/admit/src/messages.rs
@@ -122,6 +122,8 @@
 pub enum AdmitRefusal {
     /// The queue holds as much as can be answered in time.
     QueueFull,
+    /// The queue was cut because an overload lasts.
+    QueueCut,
     /// The tenant's share of the queue is used up while others keep theirs.
     TenantOverShare,
     /// The deadline has passed or cannot be met.
@@ -153,6 +155,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::QueueFull => "queue-full",
+            Self::QueueCut => "queue-cut",
             Self::TenantOverShare => "tenant-over-share",
             Self::DeadlinePassed => "deadline-exceeded",
             Self::Duplicate => "duplicate",
--- a/crates/admit/src/options.rs
+++ b/crates/admit/src/options.rs
@@ -30,7 +30,8 @@
     pub max_queued: usize,
     /// The longest wait while the queue is standing.
     pub queue_target: Duration,
-    /// The time for which a queue may stay non-empty before it counts as standing.
+    /// The time for which more work than the slots can do must be offered before the queue
+    /// counts as standing.
     pub queue_interval: Duration,
     /// The slots that long work never takes; half of the slots when absent.
     pub reserved_slots: Option<u32>,
@@ -78,8 +79,8 @@
             fenced: false,
             tenants: Vec::new(),
             max_queued: 4_096,
-            queue_target: Duration::from_millis(50),
-            queue_interval: Duration::from_millis(100),
+            queue_target: Duration::from_millis(20),
+            queue_interval: Duration::from_millis(150),
             reserved_slots: None,
             long_floor: 1,
             long_factor: 8,
--- a/crates/bench/src/requests/report.rs
+++ b/crates/bench/src/requests/report.rs
@@ -8,13 +8,15 @@
     world::RouterVersion,
 };
 use clap::{Arg, ArgMatches, Command, builder::PossibleValuesParser, value_parser};
+use wagtail_admit::AdmitOptions;
 
 /// A measured situation.
 type ScenarioRun = fn(&ScenarioSetup) -> ScenarioResult;
 
 /// The measured situations by name.
-const SCENARIOS: [(&str, ScenarioRun); 7] = [
+const SCENARIOS: [(&str, ScenarioRun); 8] = [
     ("crest", scenarios::crest),
+    ("pulses", scenarios::pulses),
     ("head-of-line", scenarios::head_of_line),
     (
         "head-of-line-undeclared",
@@ -26,6 +28,12 @@
     ("storm", scenarios::storm),
 ];
 
+/// The compared versions by name.
+const VERSIONS: [(&str, RouterVersion); 2] = [
+    ("wagtail", RouterVersion::Wagtail),
+    ("naive", RouterVersion::Naive),
+];
+
 /// Returns the command's arguments.
 pub fn command() -> Command {
     let names = SCENARIOS.map(|(name, _)| name);
@@ -45,13 +53,26 @@
                 .long("fleet")
                 .value_parser(["malla", "suturo"]),
         )
+        .arg(
+            Arg::new("version")
+                .long("version")
+                .value_parser(["wagtail", "naive"]),
+        )
+        .arg(
+            Arg::new("admit")
+                .long("admit")
+                .help("Settings beside each target that differ, as JSON")
+                .value_parser(|text: &str| serde_json::from_str::<AdmitOptions>(text)),
+        )
 }
 
 /// Runs the command.
 pub fn run(matches: &ArgMatches) {
     let wanted = matches.get_one::<String>("scenario");
     let fleet = matches.get_one::<String>("fleet");
+    let version = matches.get_one::<String>("version");
     let seeds = matches.get_one::<u64>("seeds").copied().unwrap_or(1);
+    let admit = matches.get_one::<AdmitOptions>("admit").cloned();
     let sizes = [DeploymentSize::malla(), DeploymentSize::suturo()];
 
     if wanted.is_some_and(|wanted| wanted == "broken") {
@@ -64,8 +85,19 @@
         }
 
         for size in sizes {
-            if fleet.is_none_or(|fleet| fleet == size.name) {
-                print_scenario(name, scenario, size, seeds);
+            if fleet.is_some_and(|fleet| fleet != size.name) {
+                continue;
+            }
+
+            for (label, router) in VERSIONS {
+                if version.is_none_or(|version| version == label) {
+                    let setup = ScenarioSetup {
+                        admit: admit.clone().unwrap_or_default(),
+                        ..ScenarioSetup::new(router, size, 0)
+                    };
+
+                    print_scenario(name, scenario, &setup, seeds);
+                }
             }
         }
     }
@@ -94,19 +126,22 @@
     }
 }
 
-/// Runs a scenario with some seeds for both versions and prints the figures.
-fn print_scenario(name: &str, scenario: ScenarioRun, size: DeploymentSize, seeds: u64) {
-    for version in [RouterVersion::Wagtail, RouterVersion::Naive] {
-        let results: Vec<ScenarioResult> = (1..=seeds)
-            .map(|seed| scenario(&ScenarioSetup::new(version, size, seed)))
-            .collect();
-
-        println!(
-            "{name} fleet={} version={version:?} seeds={seeds}",
-            size.name
-        );
-        print_results(&results);
-    }
+/// Runs a scenario with some seeds and prints the figures.
+fn print_scenario(name: &str, scenario: ScenarioRun, setup: &ScenarioSetup, seeds: u64) {
+    let results: Vec<ScenarioResult> = (1..=seeds)
+        .map(|seed| {
+            scenario(&ScenarioSetup {
+                seed,
+                ..setup.clone()
+            })
+        })
+        .collect();
+
+    println!(
+        "{name} fleet={} version={:?} seeds={seeds}",
+        setup.size.name, setup.version
+    );
+    print_results(&results);
 }
 
 /// Prints the median and the range of each figure, and the invariants.
--- a/crates/bench/src/requests/scenarios.rs
+++ b/crates/bench/src/requests/scenarios.rs
@@ -152,6 +152,24 @@
         )
 }
 
+/// Measures pulses of three times what the slots can do, which at 0.9 on average need no
+/// refusal.
+pub fn pulses(setup: &ScenarioSetup) -> ScenarioResult {
+    let mix = WorkMix::default();
+    let stretch = |millis, load| LoadPhase {
+        length: Duration::from_millis(millis),
+        load,
+    };
+    let phases = [stretch(420, 0.5), stretch(80, 3.0)].repeat(12);
+    let calls = setup.calls(&mix, &phases);
+    let result = setup.run(&mix, FaultPlan::default(), calls);
+    let span = seconds(0, 6);
+
+    ScenarioResult::new(result.checks.clone())
+        .with("useful", score::useful_share(&result, &setup.size, span))
+        .with("p99_ms", millis(score::percentile(&result, span, 99)))
+}
+
 /// Measures short work with and without one in twenty calls that takes fifty times as long.
 pub fn head_of_line(setup: &ScenarioSetup) -> ScenarioResult {
     head_of_line_mix(setup, false)
--- a/crates/bench/src/requests/world/caller.rs
+++ b/crates/bench/src/requests/world/caller.rs
@@ -290,6 +290,7 @@
     matches!(
         refusal,
         AdmitRefusal::QueueFull
+            | AdmitRefusal::QueueCut
             | AdmitRefusal::TenantOverShare
             | AdmitRefusal::DeadlinePassed
             | AdmitRefusal::Duplicate
