Route: the home of a non-idempotent request of a service without keys

A repeat under the same identifier must reach the daemon that remembers it. Identifiers made at an ingress name the chosen node; for a caller's own one all ingresses compute the node from the targets that were there when it was issued, and refuse where a target that may have run it is gone. A daemon that started again says so by lose_memory and refuses what it can't tell from a repeat.

--- a/crates/admit/src/machine/slices.rs
+++ b/crates/admit/src/machine/slices.rs
@@ -24,6 +24,13 @@
         self.memory.import(now, slice, transfer);
     }
 
+    /// Takes in that an earlier start of this daemon, or of another beside the same target, ran
+    /// requests of a service without keys that are unknown now. It is not called at the first
+    /// start of a node.
+    pub fn lose_memory(&mut self, now: LocalMoment) {
+        self.memory.lose(now);
+    }
+
     /// Admits work for a slice.
     pub(super) fn gain_slice(&mut self, slice: u32) {
         self.halted.remove(&slice);
--- a/crates/admit/src/memory.rs
+++ b/crates/admit/src/memory.rs
@@ -110,6 +110,8 @@
     kept_bytes: u64,
     /// The slices that were taken over without memory, with the moment of the take-over.
     floors: BTreeMap<u32, LocalMoment>,
+    /// The moment at which the memory of the whole service was lost, if it was.
+    lost: Option<LocalMoment>,
     /// The time for which a resolved request is remembered.
     time: Duration,
     /// The most requests.
@@ -131,6 +133,7 @@
             kept: VecDeque::new(),
             kept_bytes: 0,
             floors: BTreeMap::new(),
+            lost: None,
             time: options.memory_time,
             max_entries: options.memory_entries,
             max_bytes: options.memory_bytes,
@@ -263,6 +266,11 @@
             .collect()
     }
 
+    /// Notes that an earlier start of this daemon may have run requests that are unknown now.
+    pub fn lose(&mut self, now: LocalMoment) {
+        self.lost = Some(now);
+    }
+
     /// Takes in what the former owner of a slice remembered.
     pub fn import(&mut self, now: LocalMoment, slice: u32, transfer: MemoryTransfer) {
         let entries = match transfer {
@@ -300,16 +308,18 @@
 
     /// Refuses an identifier that may be one whose record was forgotten or lost.
     fn check_age(&self, now: LocalMoment, arrival: &WorkArrival) -> Option<AdmitRefusal> {
-        let floor = arrival
+        let of_slice = arrival
             .slice
-            .and_then(|slice| self.floors.get(&slice))
-            .filter(|floor| now.since(**floor) < self.time);
+            .and_then(|slice| self.floors.get(&slice).copied());
+        let floor = of_slice
+            .max(self.lost)
+            .filter(|floor| now.since(*floor) < self.time);
 
         let too_old = match arrival.age {
             IdentifierAge::Made => false,
             IdentifierAge::Issued(issued) => {
                 let forgotten = now.since(issued) + self.skew >= self.time;
-                let lost = floor.is_some_and(|floor| issued <= *floor + self.skew);
+                let lost = floor.is_some_and(|floor| issued <= floor + self.skew);
 
                 forgotten || lost
             }
@@ -405,10 +415,10 @@
     }
 }
 
-/// Returns the time of issue in milliseconds of the Unix epoch that a UUID of version 7
-/// carries.
+/// Returns the time of issue in milliseconds of the Unix epoch that an identifier carries: one
+/// that is, or ends after a `~` with, a UUID of version 7.
 pub fn issued_unix_ms(id: &RequestId) -> Option<u64> {
-    let text = id.as_str();
+    let text = id.as_str().rsplit('~').next()?;
     let hyphens = [8, 13, 18, 23];
     let shaped = text.len() == 36
         && text.bytes().enumerate().all(|(index, byte)| {
--- a/crates/bench/src/requests/workload.rs
+++ b/crates/bench/src/requests/workload.rs
@@ -49,6 +49,8 @@
     pub short_patience: Duration,
     /// The time that a caller of long work waits.
     pub long_patience: Duration,
+    /// The part of the callers that make their own identifiers.
+    pub own_identifiers: f64,
     /// The tenants.
     pub tenants: Vec<TenantLoad>,
     /// The part of the callers that repeat an unsuccessful call under the same identifier.
@@ -67,6 +69,7 @@
             non_idempotent: 0.2,
             short_patience: Duration::from_secs(1),
             long_patience: Duration::from_secs(10),
+            own_identifiers: 0.3,
             tenants: vec![TenantLoad {
                 name: "default",
                 weight: 1,
@@ -109,6 +112,8 @@
     pub work: Duration,
     /// The time that the caller waits.
     pub patience: Duration,
+    /// Whether the caller made the identifier, so that only its home may run the call.
+    pub own_identifier: bool,
     /// The number of the identifier; a repeat has that of the first.
     pub identifier: usize,
     /// The time after which the caller goes away, if early.
@@ -223,6 +228,7 @@
             idempotent: long || !self.rng.random_bool(self.mix.non_idempotent),
             work: self.work(class),
             patience,
+            own_identifier: repeats || self.rng.random_bool(self.mix.own_identifiers),
             identifier: 0,
             gone: gone.then_some(early),
             repeats: if repeats { 2 } else { 0 },
--- a/crates/bench/src/requests/world/setup.rs
+++ b/crates/bench/src/requests/world/setup.rs
@@ -87,8 +87,8 @@
         let first = size.first_node(plan.service);
         let targets = size.services[plan.service].targets;
         let owner = plan.slice.map(|slice| first + slice as usize % targets);
-        let home =
-            (!plan.idempotent && owner.is_none()).then_some(first + plan.identifier % targets);
+        let bound = !plan.idempotent && owner.is_none() && plan.own_identifier;
+        let home = bound.then_some(first + plan.identifier % targets);
 
         IngressCall {
             service: plan.service,
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -2,18 +2,21 @@
 //!
 //! - [`choice`]: the choice of a target for services without keys.
 //! - [`standing`]: what one ingress knows of one target.
+//! - [`home`]: the one target that may run a non-idempotent request.
 //! - [`retry`]: whether a failed attempt may be repeated.
 //! - [`budget`]: the retries that a service and tenant may still cause.
 //! - [`table`]: the owners of the slices of keyed services.
 
 pub mod budget;
 pub mod choice;
+pub mod home;
 pub mod retry;
 pub mod standing;
 pub mod table;
 
 pub use budget::{BudgetOptions, RetryBudget};
 pub use choice::{ChoiceAction, ChoiceEvent, ChoiceMachine, ChoiceOptions};
+pub use home::{HomeChoice, HomeOptions, HomeTable, mint_identifier, named_home};
 pub use retry::{RetryDecision, RetryPolicy, RetryQuestion, RetryRefusal, combined_verdict};
 pub use standing::{AttemptResult, LoadHint};
 pub use table::{RouteHint, RouteTable};
