Route: a target that keeps silent counts as slow as its silence is long

Cause: after a freeze the ingresses went on sending to the target until three attempts of each had failed or its daemon called it stalled after 250 ms; a cold target's first slow answers took as long to be noticed.

--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -179,7 +179,7 @@
 
         let (_, node) = best?;
 
-        self.update(&node, TargetStanding::begin);
+        self.update(&node, |standing| standing.begin(now));
 
         Some(node)
     }
--- a/crates/route/src/standing.rs
+++ b/crates/route/src/standing.rs
@@ -63,6 +63,8 @@
     on_trial: bool,
     /// The moving average of the answer times in microseconds.
     average: u64,
+    /// The moment of the last reply, or since which an attempt has been under way.
+    heard: LocalMoment,
     /// The moment at which the target became known, while it is cold.
     cold_since: Option<LocalMoment>,
     /// The latest hint.
@@ -85,6 +87,7 @@
             left_until: LocalMoment::ZERO,
             on_trial: false,
             average: 0,
+            heard: now,
             cold_since: cold.then_some(now),
             hint: None,
             hinted: LocalMoment::ZERO,
@@ -102,15 +105,29 @@
 
     /// Returns the expected cost of one more attempt; lower is better.
     ///
-    /// The cost is the load over the speed. A bad word of the health endpoint only adds to it:
+    /// The cost is the load over the speed; a target that keeps silent counts as slow as its
+    /// silence is long. A bad word of the health endpoint only adds to it:
     /// the endpoint may be wrong both ways.
     pub fn cost(&self, now: LocalMoment, warmup: Duration) -> u64 {
         let hinted = self.hint.filter(|_| now.since(self.hinted) < HINT_LIFE);
         let load = hinted.map_or(0, |hint| u64::from(hint.load)) + u64::from(self.pending) + 1;
-        let speed = self.average.max(1);
+        let speed = self.average.max(self.silence(now)).max(1);
         let doubt = if self.healthy { 1 } else { 4 };
 
-        load * speed * doubt * self.cold_factor(now, warmup)
+        load.saturating_mul(speed)
+            .saturating_mul(doubt * self.cold_factor(now, warmup))
+    }
+
+    /// Returns the time in microseconds for which attempts are under way without any reply.
+    fn silence(&self, now: LocalMoment) -> u64 {
+        if self.pending == 0 {
+            return 0;
+        }
+
+        now.since(self.heard)
+            .as_micros()
+            .try_into()
+            .unwrap_or(u64::MAX)
     }
 
     /// Returns the factor on the cost of a target that is still warming up, from 8 to 1.
@@ -126,7 +143,11 @@
     }
 
     /// Counts an attempt as under way.
-    pub fn begin(&mut self) {
+    pub fn begin(&mut self, now: LocalMoment) {
+        if self.pending == 0 {
+            self.heard = now;
+        }
+
         self.pending += 1;
     }
 
@@ -134,6 +155,10 @@
     pub fn end(&mut self, now: LocalMoment, result: AttemptResult, took: Duration) {
         self.pending = self.pending.saturating_sub(1);
 
+        if result != AttemptResult::Cancelled {
+            self.heard = now;
+        }
+
         match result {
             AttemptResult::Answered => self.record_answer(took),
             AttemptResult::Failed { .. } => self.record_failure(now),
