--- a/crates/assign/src/balance.rs
+++ b/crates/assign/src/balance.rs
@@ -31,6 +31,11 @@
         if excess > margin { excess } else { 0.0 }
     }
 
+    /// Returns the load that the target can take without being one that hands slices over.
+    pub fn room(&self, options: &AssignOptions) -> f64 {
+        (self.fair * (1.0 + options.high_margin) - self.load).max(0.0)
+    }
+
     /// Returns three standard deviations of the measured rate when arrivals are independent.
     fn noise(&self, options: &AssignOptions) -> f64 {
         /// The standard deviations that a difference must exceed to count.
--- a/crates/assign/src/claims.rs
+++ b/crates/assign/src/claims.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     options::AssignOptions,
-    placement::{PlacementTarget, rank_targets},
+    placement::{PlacementTarget, ranks_within},
 };
 use std::collections::BTreeMap;
 use wagtail_core::{
@@ -50,12 +50,13 @@
             return Vec::new();
         }
 
-        let ranked = |slice: u32| rank_targets(&SliceId::new(service.clone(), slice), targets);
+        let step = options.claim_step.as_micros().max(1);
         let due = |(&slice, &since): (&u32, &LocalMoment)| {
-            let rank = ranked(slice).iter().position(|target| target == node)?;
-            let wait = options.claim_step * u32::try_from(rank).unwrap_or(u32::MAX);
+            let waited = now.since(since).as_micros() / step;
+            let places = usize::try_from(waited + 1).unwrap_or(usize::MAX);
+            let slice_id = SliceId::new(service.clone(), slice);
 
-            (now.since(since) >= wait).then_some(slice)
+            ranks_within(&slice_id, node, targets, places).then_some(slice)
         };
 
         self.unowned.iter().filter_map(due).collect()
--- a/crates/assign/src/exchange.rs
+++ b/crates/assign/src/exchange.rs
@@ -24,11 +24,13 @@
         let to = self.choose_peer()?;
         self.reported = Some(now);
 
-        Some(self.send_load(now, to))
+        let wanted = self.lacking_load(now);
+
+        Some(self.send_load(now, to, wanted))
     }
 
     /// Draws two peers and returns the one whose load differs more from the own one.
-    pub(crate) fn choose_peer(&mut self) -> Option<NodeName> {
+    fn choose_peer(&mut self) -> Option<NodeName> {
         let able: Vec<NodeName> = self
             .able_members()
             .map(|target| target.node)
@@ -59,9 +61,7 @@
     }
 
     /// Makes the message for a peer and notes the load that it asks for.
-    pub(crate) fn send_load(&mut self, now: LocalMoment, to: NodeName) -> AssignAction {
-        let wanted = self.wanted_load(now);
-
+    fn send_load(&mut self, now: LocalMoment, to: NodeName, wanted: f64) -> AssignAction {
         if wanted > 0.0 {
             self.asked.push(AskedLoad {
                 at: now,
@@ -83,26 +83,50 @@
         AssignAction::SendLoad { to, message }
     }
 
-    /// Returns the load to ask of one peer: what is lacking, without what others were asked for.
-    pub(crate) fn wanted_load(&mut self, now: LocalMoment) -> f64 {
-        // A slice that was asked for arrives, and its rate is measured, within this time.
-        let pending = self.options.report_period * 2;
-        self.asked.retain(|asked| now.since(asked.at) < pending);
-
+    /// Returns the load that the target lacks and has not asked for, once it has lacked it for a
+    /// while.
+    fn lacking_load(&mut self, now: LocalMoment) -> f64 {
         let settled = self
             .low_since
             .is_some_and(|since| now.since(since) >= self.options.settle_time);
+        let shortage = self
+            .balance()
+            .map_or(0.0, |balance| balance.shortage(&self.options));
+
+        if settled && !self.is_draining() {
+            (shortage - self.asked_load(now)).max(0.0)
+        } else {
+            0.0
+        }
+    }
 
-        if !settled || self.is_draining() {
+    /// Returns the load that the target can take off a peer that is loaded far above the mean.
+    fn relieving_load(&mut self, now: LocalMoment, peer: &NodeName) -> f64 {
+        let weight = f64::from(self.own_weight().max(1));
+        let Some(balance) = self.balance() else {
             return 0.0;
+        };
+        let limit = balance.fair / weight * (1.0 + self.options.hot_margin);
+        let hot = self.peers.get(peer).is_some_and(|peer| {
+            let load = peer.load / f64::from(peer.weight.max(1));
+
+            load > limit
+        });
+
+        if hot && !self.is_draining() {
+            (balance.room(&self.options) - self.asked_load(now)).max(0.0)
+        } else {
+            0.0
         }
+    }
 
-        let asked: f64 = self.asked.iter().map(|asked| asked.rate).sum();
-        let shortage = self
-            .balance()
-            .map_or(0.0, |balance| balance.shortage(&self.options));
+    /// Returns the load that peers were asked for and that may still arrive.
+    fn asked_load(&mut self, now: LocalMoment) -> f64 {
+        // A slice that was asked for arrives, and its rate is measured, within this time.
+        let pending = self.options.report_period * 2;
+        self.asked.retain(|asked| now.since(asked.at) < pending);
 
-        (shortage - asked).max(0.0)
+        self.asked.iter().map(|asked| asked.rate).sum()
     }
 
     /// Takes the load of a peer, hands slices over when it asks, and answers when the own load is
@@ -129,20 +153,27 @@
         self.reply(now, sender).into_iter().collect()
     }
 
-    /// Answers a peer that can spare load, at most once a period.
-    pub(crate) fn reply(&mut self, now: LocalMoment, sender: NodeName) -> Option<AssignAction> {
+    /// Asks a peer that can spare load for some, at most once a period.
+    fn reply(&mut self, now: LocalMoment, sender: NodeName) -> Option<AssignAction> {
         let due = |at: LocalMoment| now.since(at) >= self.options.report_period;
+
+        if !self.replied.is_none_or(due) {
+            return None;
+        }
+
         let own = self.own_load() / f64::from(self.own_weight().max(1));
         let spare = self
             .peers
             .get(&sender)
             .is_some_and(|peer| peer.load / f64::from(peer.weight.max(1)) > own);
+        let lacking = if spare { self.lacking_load(now) } else { 0.0 };
+        let wanted = lacking.max(self.relieving_load(now, &sender));
 
-        if !spare || !self.replied.is_none_or(due) || self.wanted_load(now) <= 0.0 {
+        if wanted <= 0.0 {
             return None;
         }
         self.replied = Some(now);
 
-        Some(self.send_load(now, sender))
+        Some(self.send_load(now, sender, wanted))
     }
 }
--- a/crates/assign/src/lib.rs
+++ b/crates/assign/src/lib.rs
@@ -34,5 +34,5 @@
 pub use machine::AssignMachine;
 pub use options::AssignOptions;
 pub use peers::{LoadMessage, LoadReport};
-pub use placement::{PlacementTarget, place_slice, rank_targets};
+pub use placement::{PlacementTarget, place_slice, rank_targets, ranks_within};
 pub use spread::{MemberChoice, SpreadMember, choose_deputies, choose_members};
--- a/crates/assign/src/options.rs
+++ b/crates/assign/src/options.rs
@@ -15,6 +15,9 @@
     pub low_margin: f64,
     /// The fraction of the mean load above which a target hands slices over.
     pub high_margin: f64,
+    /// The fraction of the mean load above which a target is relieved by any that is not loaded
+    /// above the mean, however little that one lacks.
+    pub hot_margin: f64,
     /// The time that a load must stay low before the target asks for more.
     pub settle_time: Duration,
     /// The time constant of the measured rates; shorter ones carry more noise.
@@ -48,6 +51,7 @@
             report_age: Duration::from_secs(20),
             low_margin: 0.08,
             high_margin: 0.04,
+            hot_margin: 0.15,
             settle_time: Duration::from_secs(3),
             rate_window: Duration::from_secs(5),
             slice_base: 0.1,
--- a/crates/assign/src/placement.rs
+++ b/crates/assign/src/placement.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 use wagtail_core::{
-    ids::NodeName,
+    ids::{MAX_NAME_BYTES, NodeName},
     slice::{KeyHash, SliceId},
 };
 
@@ -45,6 +45,30 @@
     scored.into_iter().map(|(_, node)| node.clone()).collect()
 }
 
+/// Returns whether a target is among the first `places` in the order for a slice.
+pub fn ranks_within(
+    slice: &SliceId,
+    node: &NodeName,
+    targets: &[PlacementTarget],
+    places: usize,
+) -> bool {
+    let Some(own) = targets
+        .iter()
+        .find(|target| &target.node == node && target.weight > 0)
+    else {
+        return false;
+    };
+    let score = score_target(slice, own);
+    let ahead = |target: &&PlacementTarget| {
+        let other = score_target(slice, target);
+
+        target.weight > 0 && (other > score || (other >= score && target.node < own.node))
+    };
+
+    // The count ends at the first place that is out of reach, mostly after a few targets.
+    targets.iter().filter(ahead).take(places).count() < places
+}
+
 /// Returns the score of a target for a slice.
 ///
 /// With `u` uniform in (0, 1), `weight / -ln(u)` wins in proportion to the weight.
@@ -62,15 +86,19 @@
 pub(crate) fn draw_uniform(parts: &[&[u8]]) -> f64 {
     /// The count of distinct draws; it fits the precision of the result.
     const DRAWS: u32 = 1 << 31;
+    /// The room for two names and a number with their ends.
+    const BUFFER_BYTES: usize = 2 * MAX_NAME_BYTES + 16;
 
-    let mut bytes = Vec::new();
+    let mut bytes = [0xff; BUFFER_BYTES];
+    let mut used = 0;
     for part in parts {
-        bytes.extend_from_slice(part);
+        let end = (used + part.len()).min(BUFFER_BYTES);
+        bytes[used..end].copy_from_slice(&part[..end - used]);
         // A byte outside the alphabet of names keeps the parts apart.
-        bytes.push(0xff);
+        used = (end + 1).min(BUFFER_BYTES);
     }
 
-    let draw = KeyHash::new(&bytes).slice_index(DRAWS);
+    let draw = KeyHash::new(&bytes[..used]).slice_index(DRAWS);
 
     (f64::from(draw) + 0.5) / f64::from(DRAWS)
 }
--- /dev/null
+++ b/crates/bench/src/assign/naive.rs
@@ -0,0 +1,33 @@
+//! A naive assignment: slices by the remainder of their index, or all spread anew by load.
+
+use crate::assign::fleet::Fleet;
+
+/// Assigns each slice to the target at the remainder of its index by the count of targets.
+pub fn assign_by_remainder(fleet: &mut Fleet) {
+    let able = fleet.able_targets();
+
+    for slice in 0..fleet.slices() {
+        fleet.reassign(slice, able[slice % able.len()]);
+    }
+}
+
+/// Spreads all slices anew, the most loaded ones first, each to the least loaded target.
+pub fn assign_by_load(fleet: &mut Fleet) {
+    let able = fleet.able_targets();
+    let mut loads = vec![0.0; able.len()];
+    let mut slices: Vec<(f64, usize)> = (0..fleet.slices())
+        .map(|slice| (fleet.demand.rate(slice), slice))
+        .collect();
+    slices.sort_by(|left, right| right.0.total_cmp(&left.0));
+
+    for (rate, slice) in slices {
+        let least = loads
+            .iter()
+            .enumerate()
+            .min_by(|left, right| f64::total_cmp(left.1, right.1));
+        let index = least.map_or(0, |(index, _)| index);
+
+        loads[index] += rate;
+        fleet.reassign(slice, able[index]);
+    }
+}
