--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,5 +1,6 @@
 //! Measurements of the decisions in virtual time and of the daemons over loopback.
 
+mod assign;
 mod lease;
 mod requests;
 
@@ -11,11 +12,16 @@
     let matches = Command::new("wagtail-bench")
         .about("Measures the decisions in virtual time and the daemons over loopback")
         .subcommand_required(true)
+        .subcommand(assign::command())
         .subcommand(lease::storm_command())
         .subcommand(requests::report::command())
         .get_matches();
 
     let is_green = match matches.subcommand() {
+        Some(("assign", arguments)) => {
+            assign::run(arguments);
+            true
+        }
         Some(("lease-storm", arguments)) => lease::run_storms(arguments),
         Some(("requests", arguments)) => {
             requests::report::run(arguments);
