Caller stand-in: probe every slice, so that the unserved time is exact

Cause of 3.8 s unserved in the demo: slice 56 has few keys, and no caller asked for one between the takeover at 0.4 s and the next request. Ruled out: the lease, which served at once. Each slice is now probed about every 100 ms.

--- a/standins/caller/src/main.rs
+++ b/standins/caller/src/main.rs
@@ -4,11 +4,12 @@
     audit::audit_run,
     cli::{self, CallerOptions},
     logs::{LoggedRun, read_log},
-    plan::{RequestPlanner, plan_probes},
+    plan::{PlannedRequest, RequestPlanner, plan_probes},
     record::RequestRecord,
     report::{RunReport, describe_latency},
     sender::CallerTask,
 };
+use compio::runtime::JoinHandle;
 use std::{
     cell::Cell,
     fs,
@@ -24,6 +25,15 @@
 /// The exit code when the services are not ready in time.
 const EXIT_UNREADY: u8 = 3;
 
+/// The slices that one task probes in turn.
+const SLICES_PER_PROBER: usize = 4;
+
+/// The pause after the probes of one turn.
+const PROBE_PAUSE: Duration = Duration::from_millis(100);
+
+/// The first stream of chance of the probing tasks, past those of the callers.
+const PROBER_STREAM: u64 = 1 << 32;
+
 /// Sends the requests, checks the answers and prints the counts.
 #[compio::main]
 async fn main() -> ExitCode {
@@ -35,7 +45,11 @@
     }
     println!("caller-standin: every slice is served");
 
+    let over = Rc::new(Cell::new(false));
+    let probes = spawn_probes(&options, &over);
     let records = send_all(&options).await;
+    over.set(true);
+    let probes = join_all(probes).await;
     compio::time::sleep(Duration::from_millis(options.settle_ms)).await;
 
     let runs = match read_logs(&options) {
@@ -46,7 +60,8 @@
         }
     };
 
-    let report = RunReport::new(&records, audit_run(&records, &runs));
+    let report =
+        RunReport::new(&records, audit_run(&records, &runs)).with_probes(&records, &probes);
     println!("{}", describe_latency(&records, WorkClass::Short, "short"));
     println!("{}", describe_latency(&records, WorkClass::Long, "long"));
     print!("{}", report.describe());
@@ -76,6 +91,43 @@
     Ok(())
 }
 
+/// Spawns the tasks that probe the slices of the keyed services until it is over.
+fn spawn_probes(
+    options: &CallerOptions,
+    over: &Rc<Cell<bool>>,
+) -> Vec<JoinHandle<Vec<RequestRecord>>> {
+    let keyed = options.services.iter().filter(|service| service.slices > 0);
+    let probes: Vec<PlannedRequest> = keyed.flat_map(plan_probes).collect();
+
+    probes
+        .chunks(SLICES_PER_PROBER)
+        .enumerate()
+        .map(|(index, chunk)| {
+            let stream = PROBER_STREAM + index as u64;
+            let planner =
+                RequestPlanner::new(options.seed, stream, options.services.clone(), options.keys);
+            let mut task = CallerTask::new(planner, &options.nodes, Duration::ZERO);
+            let chunk = chunk.to_vec();
+            let over = Rc::clone(over);
+
+            compio::runtime::spawn(
+                async move { task.probe(&chunk, PROBE_PAUSE, || over.get()).await },
+            )
+        })
+        .collect()
+}
+
+/// Waits for tasks and joins their records.
+async fn join_all(tasks: Vec<JoinHandle<Vec<RequestRecord>>>) -> Vec<RequestRecord> {
+    let mut records = Vec::new();
+
+    for task in tasks {
+        records.extend(task.await.expect("a caller does not panic"));
+    }
+
+    records
+}
+
 /// Runs every caller to its end.
 async fn send_all(options: &CallerOptions) -> Vec<RequestRecord> {
     let callers = options.callers.min(options.requests);
@@ -109,12 +161,7 @@
         }));
     }
 
-    let mut records = Vec::with_capacity(options.requests);
-    for task in tasks {
-        records.extend(task.await.expect("a caller does not panic"));
-    }
-
-    records
+    join_all(tasks).await
 }
 
 /// Reads the execution logs.
--- a/standins/caller/src/report.rs
+++ b/standins/caller/src/report.rs
@@ -57,6 +57,17 @@
         report
     }
 
+    /// Takes the probes of the slices in, which tell more closely when a slice was served again.
+    #[must_use]
+    pub fn with_probes(self, records: &[RequestRecord], probes: &[RequestRecord]) -> Self {
+        let all: Vec<RequestRecord> = records.iter().chain(probes).cloned().collect();
+
+        Self {
+            unserved: longest_unserved(&all),
+            ..self
+        }
+    }
+
     /// Returns whether every promise held.
     pub fn passes(&self) -> bool {
         let unserved_us = self.unserved.as_ref().map_or(0, UnservedSpan::length_us);
--- a/standins/caller/src/sender.rs
+++ b/standins/caller/src/sender.rs
@@ -112,6 +112,29 @@
         records
     }
 
+    /// Probes each slice in turn until `is_over`, and returns what became of the probes. A probe
+    /// is not repeated, so that its time is exact.
+    pub async fn probe(
+        &mut self,
+        probes: &[PlannedRequest],
+        pause: Duration,
+        is_over: impl Fn() -> bool,
+    ) -> Vec<RequestRecord> {
+        let mut records = Vec::new();
+
+        while !is_over() {
+            for request in probes {
+                let mut record = RequestRecord::new(request.clone());
+                let attempt = self.attempt(&record).await;
+                record.attempts.push(attempt);
+                records.push(record);
+            }
+            compio::time::sleep(pause).await;
+        }
+
+        records
+    }
+
     /// Repeats a request until it is answered or `limit` passes, and returns whether it was.
     pub async fn wait_for_answer(&mut self, request: &PlannedRequest, limit: Duration) -> bool {
         let answered = async {
