--- a/crates/daemon/src/agent/answer.rs
+++ b/crates/daemon/src/agent/answer.rs
@@ -145,6 +145,7 @@
         AdmitRefusal::TargetShed => "the target sheds load",
         AdmitRefusal::TargetDraining => "the target is leaving",
         AdmitRefusal::TargetFailed => "the target gave no whole answer",
+        AdmitRefusal::QueueCut => "the queue was cut, as an overload lasts",
     }
 }
 
