Assignment drives claims, moves and drains; a refused retry keeps an earlier unknown

Ruled out: the lease and the target, whose refusals were right each for itself. The ownership task is split by job and drives the assignment machine; a target that takes no connection or falls silent loses its slices to the others.

--- a/crates/core/src/errors.rs
+++ b/crates/core/src/errors.rs
@@ -55,6 +55,12 @@
         /// Whether the request may have run.
         verdict: RunVerdict,
     },
+    /// A target refused an order before its start.
+    #[error("refused by the target: {reason}")]
+    Refused {
+        /// The reason that the target gave.
+        reason: Arc<str>,
+    },
     /// A conditional update met another version than the expected one.
     #[error("version conflict: expected {expected}, found {found}")]
     VersionConflict {
@@ -110,6 +116,7 @@
             | Self::InvalidRequest { .. }
             | Self::NotOwner { .. }
             | Self::Overloaded { .. }
+            | Self::Refused { .. }
             | Self::VersionConflict { .. }
             | Self::Malformed { .. } => RunVerdict::NotRun,
         }
@@ -124,6 +131,7 @@
             Self::Overloaded { .. } => "overloaded",
             Self::DeadlineExceeded { .. } => "deadline-exceeded",
             Self::Unavailable { .. } => "unavailable",
+            Self::Refused { .. } => "refused",
             Self::VersionConflict { .. } => "version-conflict",
             Self::Malformed { .. } => "malformed",
         }
--- a/crates/daemon/src/admin/server.rs
+++ b/crates/daemon/src/admin/server.rs
@@ -7,7 +7,7 @@
         view::fleet_view,
     },
     fleet::FleetCell,
-    ownership::{OwnershipView, record_key},
+    ownership::{OwnershipView, calls::record_key},
 };
 use bytes::Bytes;
 use compio::time::sleep;
--- a/crates/daemon/src/agent/answer.rs
+++ b/crates/daemon/src/agent/answer.rs
@@ -55,6 +55,18 @@
         Self { status, ..self }
     }
 
+    /// Makes the answer of a request that may have run and was not answered.
+    pub fn unknown(code: Arc<str>) -> Self {
+        Self {
+            status: STATUS_UNKNOWN,
+            code,
+            message: Arc::from("an attempt may have run and gave no whole answer"),
+            verdict: RunVerdict::Unknown,
+            owner: None,
+            retry_after: None,
+        }
+    }
+
     /// Makes the answer with its JSON body.
     pub fn into_answer(self, id: &RequestId, node: &NodeName) -> TargetAnswer {
         let body = serde_json::json!({
--- a/crates/daemon/src/agent/command.rs
+++ b/crates/daemon/src/agent/command.rs
@@ -90,6 +90,8 @@
         /// The index of the slice.
         slice: u32,
     },
+    /// The load of the slices is to be measured.
+    MeasureLoad,
     /// Grants go to a target that checks fencing.
     Grant(Vec<TargetGrant>),
     /// The configuration changed.
--- a/crates/daemon/src/agent/task.rs
+++ b/crates/daemon/src/agent/task.rs
@@ -28,6 +28,7 @@
     AdmitAction, AdmitEvent, AdmitMachine, AdmitOptions, AdmitRefusal, IdentifierAge,
     MemoryTransfer, WorkArrival, WorkOutcome, memory::issued_unix_ms,
 };
+use wagtail_assign::{AssignOptions, LoadMeter};
 use wagtail_core::{
     CoreError,
     ids::NodeName,
@@ -86,6 +87,7 @@
     kept: BTreeMap<u64, KeptAnswer>,
     served: Vec<u32>,
     stopping: bool,
+    meter: LoadMeter,
 }
 
 /// Spawns the agent task.
@@ -103,6 +105,7 @@
         kept: BTreeMap::new(),
         served: Vec::new(),
         stopping: false,
+        meter: LoadMeter::new(clock::now(), AssignOptions::default().rate_window),
     };
 
     compio::runtime::spawn(task.run()).detach();
@@ -152,6 +155,7 @@
             AgentCommand::SliceGained { slice, memory } => self.slice_gained(slice, memory),
             AgentCommand::SliceStopping { slice } => self.slice_stopping(slice),
             AgentCommand::SliceLost { slice } => self.slice_lost(slice),
+            AgentCommand::MeasureLoad => self.measure_load(),
             AgentCommand::Grant(grants) => self.grant(grants),
             AgentCommand::ConfigChanged => self.config_changed(),
             AgentCommand::Stop => self.stop(),
@@ -176,6 +180,7 @@
         let slice = spec.as_ref().and_then(|spec| slice_index(spec, &head));
         let arrival = arrival(ticket, &head, deadline, slice);
         let service = head.service.clone();
+        let key = head.key.clone();
         let work = AgentWork {
             head,
             body,
@@ -214,6 +219,9 @@
             return;
         }
 
+        if let (Some(slice), Some(key)) = (slice, key) {
+            self.meter.record(slice, &key);
+        }
         self.admit(AdmitEvent::Arrived(arrival));
     }
 
@@ -419,6 +427,7 @@
             }
             OrderEnd::Failed { error } => {
                 warn!(event = "order-failed", request_id = %work.head.id, %error);
+                notice_failure(&self.options.ownership, &error);
                 outcome_of(&error)
             }
             OrderEnd::Abandoned => WorkOutcome::Abandoned,
@@ -456,6 +465,10 @@
             return;
         };
 
+        self.options
+            .ownership
+            .tell(OwnershipCommand::TargetAnswers(true));
+
         match &mut self.target {
             Some(target) if target.notice.address == notice.address => {
                 let restarted = target.notice.started_ms != notice.started_ms;
@@ -499,12 +512,15 @@
     }
 
     /// Takes in that the target has gone silent. Its work ends by itself at the deadlines.
-    fn target_silent(&mut self) {
+    fn target_silent(&self) {
         if self.target.is_some() {
             warn!(
                 event = "target-silent",
                 advice = "look whether the target's process runs"
             );
+            self.options
+                .ownership
+                .tell(OwnershipCommand::TargetAnswers(false));
         }
     }
 
@@ -535,6 +551,7 @@
     /// Takes in that the lease of a slice has ended.
     fn slice_lost(&mut self, slice: u32) {
         self.served.retain(|&served| served != slice);
+        self.meter.forget(slice);
         self.admit(AdmitEvent::SliceLost { slice });
     }
 
@@ -551,6 +568,15 @@
             .tell(OwnershipCommand::SliceDrained { slice, memory });
     }
 
+    /// Tells the ownership task of the load of the slices.
+    fn measure_load(&mut self) {
+        let sample = self.meter.sample(clock::now());
+
+        self.options
+            .ownership
+            .tell(OwnershipCommand::LoadMeasured(sample));
+    }
+
     /// Renews the grants of a target that checks fencing.
     fn grant(&self, grants: Vec<TargetGrant>) {
         let Some(target) = &self.target else {
@@ -652,6 +678,19 @@
     Some(KeyHash::new(key.as_bytes()).slice_index(spec.slices))
 }
 
+/// Tells the ownership task of a target that takes no connection.
+fn notice_failure(ownership: &OwnershipHandle, error: &CoreError) {
+    if matches!(
+        error,
+        CoreError::Unavailable {
+            verdict: RunVerdict::NotRun,
+            ..
+        }
+    ) {
+        ownership.tell(OwnershipCommand::TargetAnswers(false));
+    }
+}
+
 /// Makes the error of a dispatch without a lease.
 fn not_owner(slice: &SliceId, leases: &dyn SliceLeases) -> CoreError {
     CoreError::NotOwner {
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -8,7 +8,8 @@
     net::SocketAddr,
 };
 use tracing::warn;
-use wagtail_core::ids::{NodeIdentity, NodeName};
+use wagtail_assign::LoadMessage;
+use wagtail_core::ids::{NodeIdentity, NodeName, ServiceName};
 use wagtail_lease::LeaseMessage;
 use wagtail_peer::{control::ControlSender, frame};
 
@@ -20,6 +21,13 @@
     Lease(LeaseMessage),
     /// What the former owner of a slice remembers of its requests.
     Memory(MemoryNotice),
+    /// The load of a target.
+    Load {
+        /// The service of the target.
+        service: ServiceName,
+        /// The load.
+        message: LoadMessage,
+    },
 }
 
 /// `ControlMessage` is a control message with its sender.
--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -82,6 +82,8 @@
     tried: Vec<NodeName>,
     redirections: usize,
     attempt: u32,
+    /// Whether the request may have run in the attempts so far.
+    verdict: RunVerdict,
 }
 
 impl RequestForwarder {
@@ -115,6 +117,7 @@
             tried: Vec::new(),
             redirections: 0,
             attempt: 1,
+            verdict: RunVerdict::NotRun,
         };
         self.retries
             .borrow_mut()
@@ -123,7 +126,7 @@
         loop {
             let Some(node) = self.next_node(head, &route) else {
                 self.refresh(&route);
-                return self.refuse(head, &no_owner(&route));
+                return self.give_up(head, route.verdict, Err(no_owner(&route)));
             };
 
             let outcome = self.attempt(head, &body, &node, &route).await;
@@ -339,6 +342,7 @@
             verdict = verdict.as_str(), reason = &*reason_of(&outcome)
         );
         route.tried.push(node);
+        route.verdict = verdict.after(route.verdict);
 
         if is_redirection(&outcome) && route.redirections < MAX_REDIRECTIONS {
             route.redirections += 1;
@@ -351,10 +355,25 @@
             return None;
         }
 
-        Some(match outcome {
-            Ok(answer) => answer,
-            Err(error) => self.refuse(head, &error),
-        })
+        Some(self.give_up(head, route.verdict, outcome))
+    }
+
+    /// Makes the final answer of a request that no attempt answered.
+    fn give_up(
+        &self,
+        head: &RequestHead,
+        verdict: RunVerdict,
+        outcome: Result<TargetAnswer>,
+    ) -> TargetAnswer {
+        let refusal = match outcome {
+            Ok(answer) if answer.head.verdict == verdict => return answer,
+            // An earlier attempt may have run, which the latest refusal does not know.
+            Ok(answer) => RefusalAnswer::unknown(answer.head.refusal.unwrap_or_default()),
+            Err(error) if error.verdict() == verdict => RefusalAnswer::from(&error),
+            Err(error) => RefusalAnswer::unknown(Arc::from(error.code())),
+        };
+
+        refusal.into_answer(&head.id, &self.options.node)
     }
 
     /// Returns whether the request may be sent once more.
@@ -396,11 +415,6 @@
                 .tell(OwnershipCommand::Refresh { slice });
         }
     }
-
-    /// Makes the final answer for an error.
-    fn refuse(&self, head: &RequestHead, error: &CoreError) -> TargetAnswer {
-        RefusalAnswer::from(error).into_answer(&head.id, &self.options.node)
-    }
 }
 
 /// Makes a link to a peer.
--- a/crates/daemon/src/inbound.rs
+++ b/crates/daemon/src/inbound.rs
@@ -55,6 +55,10 @@
                     message: body,
                 });
             }
+            ControlBody::Load { service, message } => {
+                self.ownership
+                    .tell(OwnershipCommand::LoadReceived { service, message });
+            }
             ControlBody::Memory(notice) => self.ownership.tell(OwnershipCommand::Memory(notice)),
         }
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! - [`run`]: starting, stopping and the order of both.
 //! - [`fleet`] and [`directory`]: the configuration and the nodes, followed in the platform.
-//! - [`ownership`] and [`memories`]: the leases, and what owners hand on.
+//! - [`ownership`]: the leases and the assignment of slices.
 //! - [`agent`]: the queue and the dispatch to the target beside the daemon.
 //! - [`ingress`], [`parse`] and [`forward`]: the way of a caller's request.
 //! - [`inbound`] and [`control`]: what the other daemons send, and what is sent to them.
@@ -25,7 +25,6 @@
 pub mod ingress;
 pub mod latency;
 pub mod local;
-pub mod memories;
 pub mod ownership;
 pub mod parse;
 pub mod run;
--- a/crates/daemon/src/local.rs
+++ b/crates/daemon/src/local.rs
@@ -6,19 +6,30 @@
     fleet::NodeEntry,
 };
 use bytes::Bytes;
+use compio::time::sleep;
 use http_body_util::{BodyExt, Limited};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use serde::Deserialize;
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
+    time::Duration,
+};
+use wagtail_core::{ids::ServiceName, ports::LocalFuture, units::LocalMoment};
+use wagtail_net::{
+    clock,
+    server::{HttpHandler, ServerBody, whole_body},
 };
-use wagtail_core::{ids::ServiceName, ports::LocalFuture};
-use wagtail_net::server::{HttpHandler, ServerBody, whole_body};
 
 /// The largest announcement in bytes.
 const MAX_ANNOUNCEMENT_BYTES: usize = 16 << 10;
 
+/// The silence after which a target counts as lost; it announces itself every second.
+const MAX_SILENCE: Duration = Duration::from_millis(2_200);
+
+/// The time between two looks at the silence.
+const WATCH_INTERVAL: Duration = Duration::from_millis(200);
+
 /// `AnnounceBody` is what a target says of itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Deserialize)]
@@ -47,6 +58,7 @@
     directory: DirectoryHandle,
     entry: RefCell<NodeEntry>,
     leaving: Cell<bool>,
+    announced: Cell<LocalMoment>,
 }
 
 impl LocalHandler {
@@ -57,6 +69,7 @@
             directory,
             entry: RefCell::new(entry),
             leaving: Cell::new(false),
+            announced: Cell::new(clock::now()),
         }
     }
 
@@ -67,6 +80,22 @@
         self.directory.publish(self.entry.borrow().clone());
     }
 
+    /// Tells the agent task when the target ceases to announce itself, for as long as the daemon
+    /// runs.
+    pub async fn watch(&self) {
+        let mut silent = false;
+
+        loop {
+            sleep(WATCH_INTERVAL).await;
+
+            let was_silent = silent;
+            silent = clock::now().since(self.announced.get()) > MAX_SILENCE;
+            if silent && !was_silent {
+                self.agent.tell(AgentCommand::TargetSilent);
+            }
+        }
+    }
+
     /// Takes one announcement in.
     async fn answer(&self, request: Request<Incoming>) -> Response<ServerBody> {
         if request.method() != Method::POST || request.uri().path() != "/v1/announce" {
@@ -92,6 +121,8 @@
 
     /// Tells the agent task and the fleet of an announcement.
     fn take(&self, announcement: AnnounceBody) {
+        self.announced.set(clock::now());
+
         let mut entry = self.entry.borrow().clone();
         entry.service = Some(announcement.service.clone());
         entry.fenced = announcement.fenced;
--- /dev/null
+++ b/crates/daemon/src/ownership/fleet.rs
@@ -0,0 +1,132 @@
+//! How the ownership task follows the configuration and the nodes.
+
+use crate::{
+    agent::AgentCommand,
+    fleet::{FleetState, NodeEntry},
+    ownership::{
+        calls::parse_record,
+        task::{OwnershipTask, ServiceRecords},
+    },
+};
+use tracing::{info, warn};
+use wagtail_assign::{AssignEvent, PlacementTarget};
+use wagtail_core::{ids::ServiceName, ports::StoredValue, slice::SliceId};
+use wagtail_lease::{LeaseEvent, MemberInfo};
+use wagtail_net::clock;
+use wagtail_route::RouteHint;
+
+impl OwnershipTask {
+    /// Tells the machines of the fleet, and reads the records of new services.
+    pub(super) fn fleet_changed(&mut self) {
+        let fleet = self.options.fleet.load();
+        let members = fleet.nodes.values().map(|entry| member_info(&fleet, entry));
+
+        self.drive(LeaseEvent::MembersChanged(members.collect()));
+        self.tell_fencing(&fleet);
+        self.tell_gone(&fleet);
+
+        let actions = self.placing.take_fleet(clock::now(), &fleet);
+        self.assign(actions);
+
+        self.options.agent.tell(AgentCommand::ConfigChanged);
+        self.read_services();
+    }
+
+    /// Tells the lease machine which targets check fencing.
+    fn tell_fencing(&mut self, fleet: &FleetState) {
+        for spec in &fleet.config.services {
+            let service = spec.name.clone();
+
+            self.drive(LeaseEvent::ServiceFencing {
+                service,
+                fenced: spec.fenced,
+            });
+        }
+    }
+
+    /// Tells the lease machine once of each node that the operator declared lost.
+    fn tell_gone(&mut self, fleet: &FleetState) {
+        for gone in &fleet.config.gone {
+            if self.gone.insert(gone.clone()) {
+                self.drive(LeaseEvent::NodeGone {
+                    name: gone.name.clone(),
+                });
+            }
+        }
+    }
+
+    /// Reads the records of the keyed services that were not read yet.
+    pub(super) fn read_services(&mut self) {
+        let fleet = self.options.fleet.load();
+
+        for spec in fleet.config.services.iter().filter(|spec| spec.keyed) {
+            if !self.records.contains_key(&spec.name) {
+                self.records
+                    .insert(spec.name.clone(), ServiceRecords::Reading);
+                self.calls.list(spec.name.clone());
+            }
+        }
+    }
+
+    /// Takes the records of a service in.
+    pub(super) fn listed(&mut self, service: ServiceName, records: &[StoredValue]) {
+        info!(event = "leases-listed", %service, records = records.len());
+
+        let mut versioned = Vec::new();
+        for stored in records {
+            if let Some(record) = parse_record(stored) {
+                versioned.push(record);
+            } else {
+                warn!(event = "lease-unreadable", key = %stored.key);
+            }
+        }
+
+        for stored in &versioned {
+            self.options.view.learn(RouteHint::from(&stored.record));
+        }
+        self.drive(LeaseEvent::RecordsListed(versioned));
+        self.records.insert(service, ServiceRecords::Known);
+    }
+
+    /// Tells the assignment of the slices without a known owner.
+    pub(super) fn tell_unowned(&mut self) {
+        let fleet = self.options.fleet.load();
+        let Some(service) = self.placing.service().cloned() else {
+            return;
+        };
+        let known = self.records.get(&service) == Some(&ServiceRecords::Known);
+        let Some(spec) = fleet.config.service(&service).filter(|_| known) else {
+            return;
+        };
+
+        let slices = (0..spec.slices).filter(|&index| {
+            self.options
+                .view
+                .is_unowned(&SliceId::new(service.clone(), index))
+        });
+        let event = AssignEvent::SlicesUnowned {
+            slices: slices.collect(),
+        };
+        let actions = self.placing.handle(clock::now(), event);
+        self.assign(actions);
+    }
+}
+
+/// Returns the targets that may claim slices of a service.
+pub fn claim_targets(fleet: &FleetState, service: &ServiceName) -> Vec<PlacementTarget> {
+    fleet
+        .targets(service)
+        .filter(|entry| !fleet.is_leaving(entry))
+        .map(|entry| PlacementTarget::new(entry.identity.name.clone(), 1))
+        .collect()
+}
+
+/// Describes a node to the lease machine.
+fn member_info(fleet: &FleetState, entry: &NodeEntry) -> MemberInfo {
+    MemberInfo {
+        identity: entry.identity.clone(),
+        zone: entry.zone.clone(),
+        service: entry.service.clone(),
+        draining: fleet.is_leaving(entry),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/ownership/placing.rs
@@ -0,0 +1,137 @@
+//! The assignment of this node's slices, driven inside the ownership task.
+
+use crate::fleet::{FleetState, NodeEntry};
+use std::collections::BTreeMap;
+use wagtail_assign::{
+    AssignAction, AssignEvent, AssignMachine, LoadMessage, LoadSample, TargetMember,
+};
+use wagtail_core::{
+    ids::{NodeName, ServiceName},
+    units::LocalMoment,
+};
+
+/// `PlacingState` holds the assignment machine of the service that this node's target serves.
+#[derive(Debug)]
+pub struct PlacingState {
+    node: NodeName,
+    seed: u64,
+    service: Option<ServiceName>,
+    machine: Option<AssignMachine>,
+    moving: BTreeMap<u32, NodeName>,
+    target_up: bool,
+}
+
+impl PlacingState {
+    /// Makes the state of a node whose target has not announced itself.
+    pub fn new(node: NodeName, seed: u64) -> Self {
+        Self {
+            node,
+            seed,
+            service: None,
+            machine: None,
+            moving: BTreeMap::new(),
+            target_up: true,
+        }
+    }
+
+    /// Returns the keyed service that this node's target serves.
+    pub fn service(&self) -> Option<&ServiceName> {
+        self.service.as_ref()
+    }
+
+    /// Takes in whether the target answers. A node whose target does not is drained.
+    pub fn set_target(&mut self, up: bool) -> bool {
+        let changed = self.target_up != up;
+        self.target_up = up;
+
+        changed
+    }
+
+    /// Takes the fleet in: the service of this node's target and the targets of that service.
+    pub fn take_fleet(&mut self, now: LocalMoment, fleet: &FleetState) -> Vec<AssignAction> {
+        let own = fleet.nodes.get(&self.node);
+        let service = own.and_then(|entry| entry.service.clone());
+        let keyed =
+            service.filter(|name| fleet.config.service(name).is_some_and(|spec| spec.keyed));
+        let Some(service) = keyed else {
+            return Vec::new();
+        };
+
+        if self.machine.is_none() {
+            let machine = AssignMachine::new(now, self.node.clone(), service.clone(), self.seed);
+            self.machine = Some(machine);
+        }
+        let members = self.members(fleet, &service);
+        self.service = Some(service);
+
+        self.handle(now, AssignEvent::MembersChanged { members })
+    }
+
+    /// Returns the targets of a service.
+    fn members(&self, fleet: &FleetState, service: &ServiceName) -> Vec<TargetMember> {
+        let member = |entry: &NodeEntry| {
+            let node = entry.identity.name.clone();
+            let down = node == self.node && !self.target_up;
+
+            TargetMember {
+                node,
+                weight: 1,
+                draining: down || fleet.is_leaving(entry),
+            }
+        };
+
+        fleet.targets(service).map(member).collect()
+    }
+
+    /// Gives the machine an event.
+    pub fn handle(&mut self, now: LocalMoment, event: AssignEvent) -> Vec<AssignAction> {
+        self.machine
+            .as_mut()
+            .map_or_else(Vec::new, |machine| machine.handle(now, event))
+    }
+
+    /// Takes in the measured load and lets the time pass.
+    pub fn measure(&mut self, now: LocalMoment, sample: LoadSample) -> Vec<AssignAction> {
+        let mut actions = self.handle(now, AssignEvent::LoadMeasured { sample });
+        actions.extend(self.handle(now, AssignEvent::Tick));
+
+        actions
+    }
+
+    /// Takes in a peer's load.
+    pub fn receive(&mut self, now: LocalMoment, message: LoadMessage) -> Vec<AssignAction> {
+        self.handle(now, AssignEvent::LoadReceived { message })
+    }
+
+    /// Notes a move that begins.
+    pub fn begin_move(&mut self, slice: u32, to: NodeName) {
+        self.moving.insert(slice, to);
+    }
+
+    /// Takes in that this node serves a slice, which ends a move of it without success.
+    pub fn serve(&mut self, now: LocalMoment, slice: u32) -> Vec<AssignAction> {
+        if self.moving.remove(&slice).is_some() {
+            return self.handle(now, AssignEvent::MoveFailed { slice });
+        }
+
+        self.handle(now, AssignEvent::SliceTaken { slice })
+    }
+
+    /// Takes in that this node serves a slice no longer.
+    pub fn stop(&mut self, now: LocalMoment, slice: u32) -> Vec<AssignAction> {
+        let event = if self.moving.remove(&slice).is_some() {
+            AssignEvent::MoveFinished { slice }
+        } else {
+            AssignEvent::SliceLost { slice }
+        };
+
+        self.handle(now, event)
+    }
+
+    /// Takes in that a move did not begin.
+    pub fn refuse_move(&mut self, now: LocalMoment, slice: u32) -> Vec<AssignAction> {
+        self.moving.remove(&slice);
+
+        self.handle(now, AssignEvent::MoveFailed { slice })
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/ownership/slices.rs
@@ -0,0 +1,207 @@
+//! Serving, draining and moving slices.
+
+use crate::{
+    agent::AgentCommand,
+    control::ControlBody,
+    ownership::{command::MemoryNotice, task::OwnershipTask, view::SliceLeases},
+};
+use tracing::{info, warn};
+use wagtail_admit::MemoryTransfer;
+use wagtail_assign::{AssignAction, LoadMessage, LoadSample};
+use wagtail_core::{
+    ids::{LeaseEpoch, NodeName, ServiceName},
+    ports::TargetGrant,
+    slice::SliceId,
+    units::LocalMoment,
+};
+use wagtail_lease::{LeaseEvent, LeaseProblem};
+use wagtail_net::clock;
+
+impl OwnershipTask {
+    /// Begins to serve a slice.
+    pub(super) fn serve(&mut self, slice: SliceId, epoch: LeaseEpoch) {
+        info!(event = "slice-served", %slice, epoch = epoch.0);
+        let now = clock::now();
+        let index = slice.index;
+
+        self.options.view.clear_problem(&slice);
+        self.options.view.routes().borrow_mut().learn_answer(
+            &slice,
+            &self.options.identity.name,
+            Some(epoch),
+        );
+
+        // A node that served the slice until now remembers its requests itself.
+        let memory = if self.epochs.contains_key(&slice) {
+            None
+        } else {
+            Some(self.memories.take(now, &slice, epoch))
+        };
+        self.epochs.insert(slice, epoch);
+        self.renew_grants(now);
+        self.options.agent.tell(AgentCommand::SliceGained {
+            slice: index,
+            memory,
+        });
+
+        let actions = self.placing.serve(now, index);
+        self.assign(actions);
+    }
+
+    /// Ends the service of a slice.
+    pub(super) fn stop_serving(&mut self, slice: &SliceId, epoch: LeaseEpoch) {
+        info!(event = "slice-stopped", %slice, epoch = epoch.0);
+
+        self.epochs.remove(slice);
+        let revoked = TargetGrant {
+            slice: slice.index,
+            epoch,
+            valid_ms: 0,
+        };
+        self.options.agent.tell(AgentCommand::Grant(vec![revoked]));
+        self.options
+            .agent
+            .tell(AgentCommand::SliceLost { slice: slice.index });
+
+        let actions = self.placing.stop(clock::now(), slice.index);
+        self.assign(actions);
+    }
+
+    /// Tells the lease machine that nothing of a slice is at the target any more.
+    pub(super) fn slice_drained(&mut self, index: u32, memory: MemoryTransfer) {
+        let drained = self.epochs.iter().find(|(slice, _)| slice.index == index);
+        let Some((slice, &epoch)) = drained else {
+            return;
+        };
+        let slice = slice.clone();
+
+        // The memory goes ahead of the hand-over, on the same connection.
+        if let Some(to) = self.memories.send_to(clock::now(), &slice) {
+            let notice = MemoryNotice {
+                slice: slice.clone(),
+                epoch,
+                memory,
+            };
+            self.options.outbox.send(&to, ControlBody::Memory(notice));
+        }
+
+        self.drive(LeaseEvent::Drained { slice, epoch });
+    }
+
+    /// Does what the assignment asks for.
+    pub(super) fn assign(&mut self, actions: Vec<AssignAction>) {
+        let Some(service) = self.placing.service().cloned() else {
+            return;
+        };
+
+        for action in actions {
+            match action {
+                AssignAction::Claim { slice } => self.claim(SliceId::new(service.clone(), slice)),
+                AssignAction::Move { slice, to, reason } => {
+                    info!(event = "slice-move", %service, slice, to = %to, ?reason);
+                    self.move_slice(SliceId::new(service.clone(), slice), to);
+                }
+                AssignAction::SendLoad { to, message } => {
+                    let service = service.clone();
+                    self.options
+                        .outbox
+                        .send(&to, ControlBody::Load { service, message });
+                }
+                AssignAction::SplitKey { slice, key } => {
+                    info!(event = "hot-key", %service, slice, key = &*key);
+                }
+            }
+        }
+    }
+
+    /// Claims a slice that has no record.
+    fn claim(&mut self, slice: SliceId) {
+        self.memories.expect_first(&slice);
+        self.drive(LeaseEvent::Claim { slice });
+    }
+
+    /// Begins the move of a slice to another node.
+    fn move_slice(&mut self, slice: SliceId, to: NodeName) {
+        let now = clock::now();
+        let index = slice.index;
+
+        if self.memories.begin_move(now, &slice, &to) {
+            self.placing.begin_move(index, to.clone());
+            self.drive(LeaseEvent::Move { slice, to });
+        } else {
+            let actions = self.placing.refuse_move(now, index);
+            self.assign(actions);
+        }
+    }
+
+    /// Takes the measured load in.
+    pub(super) fn load_measured(&mut self, sample: LoadSample) {
+        let actions = self.placing.measure(clock::now(), sample);
+
+        self.assign(actions);
+    }
+
+    /// Takes the load of a peer's target in.
+    pub(super) fn load_received(&mut self, service: &ServiceName, message: LoadMessage) {
+        if self.placing.service() == Some(service) {
+            let actions = self.placing.receive(clock::now(), message);
+            self.assign(actions);
+        }
+    }
+
+    /// Takes in whether the target answers; the slices of one that does not move away.
+    pub(super) fn target_answers(&mut self, answers: bool) {
+        if !self.placing.set_target(answers) {
+            return;
+        }
+
+        if answers {
+            info!(event = "target-answers");
+        } else {
+            warn!(
+                event = "target-lost",
+                advice = "restart the target; its slices move away"
+            );
+        }
+
+        let fleet = self.options.fleet.load();
+        let actions = self.placing.take_fleet(clock::now(), &fleet);
+        self.assign(actions);
+    }
+
+    /// Renews the grants of a target that checks fencing, until the leases end.
+    pub(super) fn renew_grants(&self, now: LocalMoment) {
+        let grants = self.epochs.keys().filter_map(|slice| {
+            let grant = self.options.view.may_serve(now, slice)?;
+            let valid_ms = u64::try_from(grant.until.since(now).as_millis()).unwrap_or(0);
+
+            Some(TargetGrant {
+                slice: slice.index,
+                epoch: grant.epoch,
+                valid_ms,
+            })
+        });
+
+        self.options
+            .agent
+            .tell(AgentCommand::Grant(grants.collect()));
+    }
+
+    /// Logs a problem and keeps it for the status.
+    pub(super) fn report(&mut self, slice: Option<SliceId>, problem: LeaseProblem) {
+        let subject = slice.as_ref().map(ToString::to_string).unwrap_or_default();
+        warn!(
+            event = "lease-problem",
+            slice = subject,
+            ?problem,
+            advice = problem.advice()
+        );
+
+        if let (LeaseProblem::MoveRefused { .. }, Some(slice)) = (&problem, &slice) {
+            let actions = self.placing.refuse_move(clock::now(), slice.index);
+            self.assign(actions);
+        }
+
+        self.options.view.keep_problem(slice, problem);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/ownership/task.rs
@@ -0,0 +1,254 @@
+//! The task that owns the lease machine and the assignment.
+
+use crate::{
+    agent::{AgentCommand, AgentHandle},
+    control::{ControlBody, ControlOutbox},
+    fleet::FleetCell,
+    ownership::{
+        calls::{RecordCalls, parse_record},
+        command::{OwnershipCommand, OwnershipHandle},
+        memories::MemoryBook,
+        placing::PlacingState,
+        view::OwnershipView,
+    },
+    timer,
+};
+use futures_channel::mpsc::UnboundedReceiver;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::Duration,
+};
+use tracing::{info, warn};
+use wagtail_core::{
+    Result,
+    ids::{LeaseEpoch, NodeIdentity, ServiceName},
+    ports::{PlatformStore, StoredValue},
+    slice::SliceId,
+    units::LocalMoment,
+};
+use wagtail_lease::{LeaseAction, LeaseEvent};
+use wagtail_net::clock;
+use wagtail_route::RouteHint;
+
+/// The time between two renewals of the grants at a target that checks fencing.
+const GRANT_INTERVAL: Duration = Duration::from_millis(200);
+
+/// The time between two measurements of the load.
+const MEASURE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The time between two reads of the same record for its owner.
+const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The identifier of a read that the machine did not ask for.
+const REFRESH: u64 = 0;
+
+/// `OwnershipOptions` are the collaborators of the ownership task.
+#[derive(Debug)]
+pub struct OwnershipOptions {
+    /// The present start of this daemon.
+    pub identity: NodeIdentity,
+    /// The platform.
+    pub store: Rc<dyn PlatformStore>,
+    /// The shared state of the fleet.
+    pub fleet: FleetCell,
+    /// The leases.
+    pub view: OwnershipView,
+    /// The agent task.
+    pub agent: AgentHandle,
+    /// The control connections.
+    pub outbox: Rc<ControlOutbox>,
+    /// The seed of the assignment.
+    pub seed: u64,
+}
+
+/// `ServiceRecords` is how far the records of a service are known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ServiceRecords {
+    /// They are being read.
+    Reading,
+    /// They were read.
+    Known,
+}
+
+/// `OwnershipTask` owns the lease machine, the assignment and the calls of the platform.
+#[derive(Debug)]
+pub(super) struct OwnershipTask {
+    pub(super) options: OwnershipOptions,
+    pub(super) calls: RecordCalls,
+    pub(super) placing: PlacingState,
+    pub(super) memories: MemoryBook,
+    /// How far the records of each keyed service are known.
+    pub(super) records: BTreeMap<ServiceName, ServiceRecords>,
+    /// The epochs of the slices that this node serves.
+    pub(super) epochs: BTreeMap<SliceId, LeaseEpoch>,
+    /// The nodes of which the lease machine knows that they are gone for good.
+    pub(super) gone: BTreeSet<NodeIdentity>,
+    commands: UnboundedReceiver<OwnershipCommand>,
+    refreshed: BTreeMap<SliceId, LocalMoment>,
+    grant_at: LocalMoment,
+    measure_at: LocalMoment,
+}
+
+/// Spawns the ownership task.
+pub fn spawn(
+    handle: OwnershipHandle,
+    commands: UnboundedReceiver<OwnershipCommand>,
+    options: OwnershipOptions,
+) {
+    let task = OwnershipTask {
+        calls: RecordCalls::new(Rc::clone(&options.store), handle),
+        placing: PlacingState::new(options.identity.name.clone(), options.seed),
+        memories: MemoryBook::default(),
+        records: BTreeMap::new(),
+        epochs: BTreeMap::new(),
+        gone: BTreeSet::new(),
+        commands,
+        refreshed: BTreeMap::new(),
+        grant_at: LocalMoment::ZERO,
+        measure_at: LocalMoment::ZERO,
+        options,
+    };
+
+    compio::runtime::spawn(task.run()).detach();
+}
+
+impl OwnershipTask {
+    /// Takes commands and due times in for as long as the daemon runs.
+    async fn run(mut self) {
+        loop {
+            let due = self.next_due();
+
+            match timer::next_until(&mut self.commands, Some(due)).await {
+                timer::Waited::Item(command) => self.take(command),
+                timer::Waited::Due => self.tick(),
+                timer::Waited::Closed => return,
+            }
+        }
+    }
+
+    /// Returns when the task has something to do by itself.
+    fn next_due(&self) -> LocalMoment {
+        let lease = self.options.view.next_wakeup();
+
+        lease.min(self.grant_at).min(self.measure_at)
+    }
+
+    /// Does what is due.
+    fn tick(&mut self) {
+        let now = clock::now();
+
+        self.drive(LeaseEvent::Tick);
+
+        if self.grant_at <= now {
+            self.grant_at = now + GRANT_INTERVAL;
+            self.renew_grants(now);
+        }
+        if self.measure_at <= now {
+            self.measure_at = now + MEASURE_INTERVAL;
+            self.tell_unowned();
+            self.options.agent.tell(AgentCommand::MeasureLoad);
+        }
+    }
+
+    /// Takes one command in.
+    fn take(&mut self, command: OwnershipCommand) {
+        match command {
+            OwnershipCommand::FleetChanged => self.fleet_changed(),
+            OwnershipCommand::Received { from, message } => {
+                self.drive(LeaseEvent::Received { from, message });
+            }
+            OwnershipCommand::Listed { service, records } => self.listed(service, &records),
+            OwnershipCommand::ListFailed { service } => {
+                self.records.remove(&service);
+                self.read_services();
+            }
+            OwnershipCommand::Read {
+                slice,
+                read_id,
+                outcome,
+            } => {
+                self.record_read(slice, read_id, outcome);
+            }
+            OwnershipCommand::Written { write_id, outcome } => {
+                self.drive(LeaseEvent::WriteFinished { write_id, outcome });
+            }
+            OwnershipCommand::SliceDrained { slice, memory } => self.slice_drained(slice, memory),
+            OwnershipCommand::Memory(notice) => self.memories.receive(clock::now(), notice),
+            OwnershipCommand::Refresh { slice } => self.refresh(slice),
+            OwnershipCommand::LoadMeasured(sample) => self.load_measured(sample),
+            OwnershipCommand::LoadReceived { service, message } => {
+                self.load_received(&service, message);
+            }
+            OwnershipCommand::TargetAnswers(answers) => self.target_answers(answers),
+        }
+    }
+
+    /// Gives the lease machine an event and does what it asks for.
+    pub(super) fn drive(&mut self, event: LeaseEvent) {
+        for action in self.options.view.handle(event) {
+            self.act(action);
+        }
+    }
+
+    /// Does one thing that the lease machine asks for.
+    fn act(&mut self, action: LeaseAction) {
+        match action {
+            LeaseAction::Send { to, message } => {
+                self.options.outbox.send(&to, ControlBody::Lease(message));
+            }
+            LeaseAction::ReadRecord { slice, read_id } => self.calls.read(slice, read_id),
+            LeaseAction::WriteRecord {
+                record,
+                expected_version,
+            } => {
+                self.calls.write(record, expected_version);
+            }
+            LeaseAction::Serve { slice, epoch } => self.serve(slice, epoch),
+            LeaseAction::Drain { slice, epoch } => {
+                info!(event = "slice-draining", %slice, epoch = epoch.0);
+                self.options
+                    .agent
+                    .tell(AgentCommand::SliceStopping { slice: slice.index });
+            }
+            LeaseAction::Stop { slice, epoch } => self.stop_serving(&slice, epoch),
+            LeaseAction::Learned { record } => self.options.view.learn(RouteHint::from(&record)),
+            LeaseAction::Report { slice, problem } => self.report(slice, problem),
+        }
+    }
+
+    /// Reads the record of a slice whose owner is not known, at most once in a while.
+    fn refresh(&mut self, slice: SliceId) {
+        let now = clock::now();
+        self.refreshed
+            .retain(|_, at| now.since(*at) < REFRESH_INTERVAL);
+
+        if !self.refreshed.contains_key(&slice) {
+            self.refreshed.insert(slice.clone(), now);
+            self.calls.read(slice, REFRESH);
+        }
+    }
+
+    /// Takes a record in, or the failure to read it.
+    fn record_read(&mut self, slice: SliceId, read_id: u64, outcome: Result<Option<StoredValue>>) {
+        let event = match outcome {
+            Ok(stored) => {
+                let stored = stored.as_ref().and_then(parse_record);
+                if let Some(versioned) = &stored {
+                    self.options.view.learn(RouteHint::from(&versioned.record));
+                }
+                LeaseEvent::RecordRead {
+                    slice,
+                    read_id,
+                    stored,
+                }
+            }
+            Err(error) => {
+                warn!(event = "platform-failed", call = "get-lease", %slice, %error);
+                LeaseEvent::ReadFailed { slice, read_id }
+            }
+        };
+
+        self.drive(event);
+    }
+}
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -211,6 +211,7 @@
         view: view.clone(),
         agent: agent.clone(),
         outbox: Rc::new(ControlOutbox::new(identity.clone(), fleet.clone())),
+        seed,
     };
     ownership::spawn(ownership.clone(), ownership_commands, ownership_options);
 
@@ -275,6 +276,9 @@
     let handler = Rc::<LocalHandler>::clone(&local);
     serve_http(listeners.local, handler, LOCAL_HEADER_BYTES, &peers_stop).detach();
 
+    let watched = Rc::<LocalHandler>::clone(&local);
+    compio::runtime::spawn(async move { watched.watch().await }).detach();
+
     let parts = DaemonParts {
         agent: base.agent.clone(),
         agent_done: base.agent_done.clone(),
--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -14,7 +14,10 @@
     request::{AnswerHead, HeaderField},
     verdict::RunVerdict,
 };
-use wagtail_net::client::{HttpPool, PooledAnswer};
+use wagtail_net::{
+    client::{HttpPool, PooledAnswer},
+    clock,
+};
 
 /// The largest answer in bytes to a renewal of grants.
 const MAX_GRANT_ANSWER_BYTES: usize = 64 << 10;
@@ -27,6 +30,8 @@
 struct GrantBody {
     /// The renewed and revoked grants.
     grants: Vec<TargetGrant>,
+    /// The moment of sending on the clock that the daemon and the target share, in microseconds.
+    sent_us: u64,
 }
 
 /// `HttpTarget` is the target beside the daemon.
@@ -66,6 +71,7 @@
             .header(headers::REQUEST_ID, head.id.as_str())
             .header(headers::TENANT, head.tenant.as_str())
             .header(headers::OPERATION, head.operation.as_str())
+            .header(headers::SENT, clock::now().as_micros())
             .header(
                 headers::TIME_LEFT,
                 u64::try_from(order.time_left.as_millis()).unwrap_or(0),
@@ -130,8 +136,11 @@
 
     fn grant(&self, grants: Vec<TargetGrant>) -> LocalFuture<'_, Result<()>> {
         Box::pin(async move {
-            let body = serde_json::to_vec(&GrantBody { grants })
-                .map_err(|error| CoreError::malformed(error.to_string()))?;
+            let body = serde_json::to_vec(&GrantBody {
+                grants,
+                sent_us: clock::now().as_micros(),
+            })
+            .map_err(|error| CoreError::malformed(error.to_string()))?;
             let request = Request::builder()
                 .method(Method::POST)
                 .uri("/wagtail/grants")
@@ -166,10 +175,9 @@
         "deadline" => CoreError::DeadlineExceeded {
             verdict: RunVerdict::NotRun,
         },
-        other => CoreError::unavailable(
-            format!("the target refused the order: {other}"),
-            RunVerdict::NotRun,
-        ),
+        other => CoreError::Refused {
+            reason: Arc::from(other),
+        },
     }
 }
 
--- a/crates/target/src/headers.rs
+++ b/crates/target/src/headers.rs
@@ -21,6 +21,9 @@
 /// The time in milliseconds until the deadline or the end of the lease.
 pub const TIME_LEFT: &str = "wagtail-time-left-ms";
 
+/// The moment of sending on the clock that the daemon and the target share, in microseconds.
+pub const SENT: &str = "wagtail-sent-us";
+
 /// The reason of a refusal before the start of an order.
 pub const REFUSED: &str = "wagtail-refused";
 
