--- a/crates/lease/src/machine.rs
+++ b/crates/lease/src/machine.rs
@@ -312,6 +312,7 @@
             } => self.witnesses.release(now, from, sequence, &slice, epoch),
             LeaseMessage::HandOver { record, drained } => self.handed_over(now, record, drained),
             LeaseMessage::Suspect { entries } => self.suspected(now, &from.name, entries),
+            LeaseMessage::Inquire { records } => self.inquired(now, &from.name, &records),
             LeaseMessage::Recall { records } => {
                 let answer = self.witnesses.answer_recall(&self.identity, &records);
                 self.send(from.name.clone(), answer);
--- a/crates/lease/src/message.rs
+++ b/crates/lease/src/message.rs
@@ -51,6 +51,12 @@
         /// The slices.
         entries: Vec<SilentSlice>,
     },
+    /// A candidate that was called by too few members asks the others whether they hear the holders.
+    /// One that does not answers with a call.
+    Inquire {
+        /// The newest records that the candidate knows.
+        records: Vec<LeaseRecord>,
+    },
     /// A restarted member asks what the others remember.
     Recall {
         /// The newest records that it knows.
--- a/crates/lease/src/recording.rs
+++ b/crates/lease/src/recording.rs
@@ -175,7 +175,7 @@
 
         self.learn(record);
         self.witnesses
-            .note_stored(now, &self.identity, stored, &self.options);
+            .note_record(now, &self.identity, record, &self.options);
 
         let Some(holder) = self.holders.get_mut(&record.slice) else {
             return;
--- a/crates/lease/src/takeover.rs
+++ b/crates/lease/src/takeover.rs
@@ -30,6 +30,9 @@
 /// The most such times added.
 const ROUND_PAUSES: u32 = 4;
 
+/// The time between two inquiries of a candidate that too few members called.
+const INQUIRE_INTERVAL: Duration = Duration::from_millis(150);
+
 /// The time for which a call of a witness counts. It covers a round and its pause, as the witnesses
 /// of one slice don't start their rounds together after restarts.
 const CALL_WINDOW: Duration = Duration::from_millis(1_800);
@@ -43,6 +46,8 @@
     last: LocalMoment,
     /// The last call of each witness.
     calls: BTreeMap<NodeName, (LocalMoment, SilentSlice)>,
+    /// When the other members are asked next.
+    inquire_at: LocalMoment,
     /// Whether the operator was told that the calls don't suffice.
     is_reported: bool,
 }
@@ -102,6 +107,8 @@
         from: &NodeName,
         entries: Vec<SilentSlice>,
     ) {
+        let mut inquiries: BTreeMap<NodeName, Vec<LeaseRecord>> = BTreeMap::new();
+
         for entry in entries {
             let slice = entry.record.slice.clone();
 
@@ -116,6 +123,22 @@
 
             ballot.call(now, from, entry);
             self.count_calls(now, &slice);
+            self.list_inquiries(now, &slice, &mut inquiries);
+        }
+
+        for (to, records) in inquiries {
+            self.send(to, LeaseMessage::Inquire { records });
+        }
+    }
+
+    /// Answers a candidate that asks whether the holders of slices are heard.
+    pub(crate) fn inquired(&mut self, now: LocalMoment, from: &NodeName, records: &[LeaseRecord]) {
+        let entries = self
+            .witnesses
+            .answer_inquiry(now, &self.identity, records, &self.options);
+
+        if !entries.is_empty() {
+            self.send(from.clone(), LeaseMessage::Suspect { entries });
         }
     }
 
@@ -246,6 +269,43 @@
         self.is_relisted = true;
     }
 
+    /// Lists the members that have not called for a slice although others did a while ago.
+    fn list_inquiries(
+        &mut self,
+        now: LocalMoment,
+        slice: &SliceId,
+        inquiries: &mut BTreeMap<NodeName, Vec<LeaseRecord>>,
+    ) {
+        let me = self.identity.clone();
+        let Some(ballot) = self.ballots.get_mut(slice) else {
+            return;
+        };
+
+        let Some(newest) = ballot.newest().cloned() else {
+            return;
+        };
+
+        if now < ballot.inquire_at {
+            return;
+        }
+
+        ballot.inquire_at = now + INQUIRE_INTERVAL;
+
+        for name in everyone(&newest) {
+            if !ballot.calls.contains_key(&name) && name != me.name {
+                inquiries.entry(name).or_default().push(newest.clone());
+            }
+        }
+
+        let own = self
+            .witnesses
+            .answer_inquiry(now, &me, &[newest], &self.options);
+
+        for entry in own {
+            ballot.call(now, &me.name, entry);
+        }
+    }
+
     /// Bids for a slice when a majority of its members has called.
     fn count_calls(&mut self, now: LocalMoment, slice: &SliceId) {
         let Some(ballot) = self.ballots.get_mut(slice) else {
@@ -321,6 +381,7 @@
             since: now,
             last: now,
             calls: BTreeMap::new(),
+            inquire_at: now + INQUIRE_INTERVAL,
             is_reported: false,
         }
     }
--- a/crates/lease/src/witness.rs
+++ b/crates/lease/src/witness.rs
@@ -146,6 +146,11 @@
         holder.name == start.name && holder.incarnation < start.incarnation
     }
 
+    /// Returns whether the holder has not been heard for the time of suspicion.
+    pub(crate) fn is_holder_silent(&self, now: LocalMoment) -> bool {
+        self.calls > 0 || self.call_at <= now
+    }
+
     /// Returns what a deputy is told of the silent holder.
     pub(crate) fn silent_slice(&self) -> SilentSlice {
         SilentSlice {
--- a/crates/lease/src/witnesses.rs
+++ b/crates/lease/src/witnesses.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     event::VersionedRecord,
-    message::{GrantRefusal, HolderChange, LeaseMessage, RefusalReason, SliceMemory},
+    message::{GrantRefusal, HolderChange, LeaseMessage, RefusalReason, SilentSlice, SliceMemory},
     options::LeaseOptions,
     quorum::{everyone, is_member},
     witness::{GrantWitness, has_forgotten, refuse},
@@ -144,15 +144,14 @@
         }
     }
 
-    /// Takes up a stored record.
-    pub(crate) fn note_stored(
+    /// Takes up a record that is known to be stored or held.
+    pub(crate) fn note_record(
         &mut self,
         now: LocalMoment,
         me: &NodeIdentity,
-        stored: &VersionedRecord,
+        record: &LeaseRecord,
         options: &LeaseOptions,
     ) {
-        let record = &stored.record;
         let known = self.slices.contains_key(&record.slice);
 
         if !known && !is_member(record, &me.name) {
@@ -167,6 +166,31 @@
         witness.note(record, me);
     }
 
+    /// Returns the slices of an inquiry whose holders are silent. A member that did not know of a
+    /// record waits for its holder from now on.
+    pub(crate) fn answer_inquiry(
+        &mut self,
+        now: LocalMoment,
+        me: &NodeIdentity,
+        records: &[LeaseRecord],
+        options: &LeaseOptions,
+    ) -> Vec<SilentSlice> {
+        let mut silent = Vec::new();
+
+        for record in records {
+            self.note_record(now, me, record, options);
+
+            let witness = self.slices.get(&record.slice);
+            silent.extend(
+                witness
+                    .filter(|witness| witness.is_holder_silent(now))
+                    .map(GrantWitness::silent_slice),
+            );
+        }
+
+        silent
+    }
+
     /// Takes up a stored record that was read on purpose after the quiet term, in place of the
     /// forgotten promises.
     pub(crate) fn recall_stored(&mut self, me: &NodeIdentity, stored: &VersionedRecord) {
--- a/crates/lease/tests/lease/driver/storm.rs
+++ b/crates/lease/tests/lease/driver/storm.rs
@@ -2,7 +2,8 @@
 
 use super::{MS, SECOND, World, WorldOptions};
 use rand::Rng;
-use wagtail_lease::LeaseEvent;
+use std::time::Duration;
+use wagtail_lease::{LeaseEvent, LeaseOptions};
 
 /// The time after the last fault in which everything must be served and recorded again.
 const QUIET: u64 = 40 * SECOND;
@@ -31,7 +32,13 @@
 
 /// Returns the shape of the storm of a seed.
 pub fn storm_options(seed: u64) -> WorldOptions {
+    let lease = LeaseOptions {
+        replace_after: Duration::from_secs([1, 3, 10][(seed / 2 % 3) as usize]),
+        ..LeaseOptions::default()
+    };
+
     WorldOptions {
+        lease,
         seed,
         nodes: [3, 4, 5, 6, 7, 8, 9, 12][(seed % 8) as usize],
         loss: [0.0, 0.02, 0.1][(seed % 3) as usize],
