--- a/crates/admit/src/estimate.rs
+++ b/crates/admit/src/estimate.rs
@@ -8,6 +8,12 @@
 /// The weight of a new measurement in a moving average.
 const GAIN: f64 = 0.05;
 
+/// The least running median in seconds, from which it can grow again.
+const MIN_MEDIAN: f64 = 0.000_01;
+
+/// The step of the running median, as a part of it.
+const MEDIAN_STEP: f64 = 0.05;
+
 /// The measurements before an operation's own average is trusted.
 const TRUSTED_COUNT: u32 = 5;
 
@@ -44,6 +50,9 @@
 pub struct WorkEstimates {
     /// The averages of the operations.
     operations: BTreeMap<OperationName, DurationAverage>,
+    /// The running median of what is declared as short, in seconds. Unlike the mean it stays
+    /// with the short work when some of the declarations are wrong.
+    median: f64,
     /// The average of what is treated as short.
     short: DurationAverage,
     /// The average of what is treated as long.
@@ -52,7 +61,7 @@
     initial_short: Duration,
     /// The assumed duration of long work before any measurement.
     initial_long: Duration,
-    /// The multiple of the short mean from which an operation is long.
+    /// The multiple of the median from which an operation is long.
     long_factor: f64,
 }
 
@@ -61,6 +70,7 @@
     pub fn new(options: &AdmitOptions) -> Self {
         Self {
             operations: BTreeMap::new(),
+            median: options.initial_short.as_secs_f64(),
             short: DurationAverage::default(),
             long: DurationAverage::default(),
             initial_short: options.initial_short,
@@ -72,6 +82,11 @@
     /// Takes in the duration of an order that was answered.
     pub fn record(&mut self, operation: &OperationName, class: WorkClass, took: Duration) {
         let seconds = took.as_secs_f64();
+
+        if class == WorkClass::Short {
+            self.record_median(seconds);
+        }
+
         let treated = self.treated_as(operation, class);
 
         self.operations
@@ -85,13 +100,24 @@
         }
     }
 
+    /// Moves the running median a step towards a measurement.
+    fn record_median(&mut self, seconds: f64) {
+        if seconds > self.median {
+            self.median *= 1.0 + MEDIAN_STEP;
+        } else {
+            self.median *= 1.0 - MEDIAN_STEP;
+        }
+
+        self.median = self.median.max(MIN_MEDIAN);
+    }
+
     /// Returns the class that an operation is treated as: the declared one, or long when it
     /// was measured to be.
     pub fn treated_as(&self, operation: &OperationName, declared: WorkClass) -> WorkClass {
         let Some(average) = self.operations.get(operation) else {
             return declared;
         };
-        let border = self.short_mean().as_secs_f64() * self.long_factor;
+        let border = self.median * self.long_factor;
 
         if average.count >= TRUSTED_COUNT && average.mean > border {
             WorkClass::Long
--- /dev/null
+++ b/crates/route/tests/route.rs
@@ -0,0 +1,448 @@
+//! Choices, retries and the table of owners.
+
+use assert_matches::assert_matches;
+use std::time::Duration;
+use wagtail_core::{
+    ids::{LeaseEpoch, NodeName, RequestId, ServiceName, TenantName},
+    slice::SliceId,
+    units::LocalMoment,
+    verdict::RunVerdict,
+};
+use wagtail_route::{
+    AttemptResult, BudgetOptions, ChoiceAction, ChoiceEvent, ChoiceMachine, ChoiceOptions,
+    HomeChoice, HomeOptions, HomeTable, RetryDecision, RetryPolicy, RetryQuestion, RetryRefusal,
+    RouteHint, RouteTable, combined_verdict, mint_identifier, named_home,
+};
+
+/// A moment some milliseconds after the origin.
+fn at(millis: u64) -> LocalMoment {
+    LocalMoment::from_millis(millis)
+}
+
+/// Makes a node's name.
+fn node(name: &str) -> NodeName {
+    NodeName::new(name).expect("allowed")
+}
+
+/// Makes an identifier.
+fn id(text: &str) -> RequestId {
+    RequestId::new(text).expect("allowed")
+}
+
+/// A machine that knows some warm targets.
+fn choice(names: &[&str]) -> ChoiceMachine {
+    let mut machine = ChoiceMachine::new(ChoiceOptions::default(), 3);
+
+    for name in names {
+        let event = ChoiceEvent::Joined {
+            node: node(name),
+            cold: false,
+        };
+
+        machine.handle(at(0), event);
+    }
+
+    machine
+}
+
+/// Reports the end of an attempt.
+fn end(machine: &mut ChoiceMachine, now: u64, name: &str, result: AttemptResult) {
+    let event = ChoiceEvent::Ended {
+        node: node(name),
+        result,
+        took: Duration::from_millis(10),
+        hint: None,
+    };
+
+    machine.handle(at(now), event);
+}
+
+/// A failure that may have run.
+const FAILED: AttemptResult = AttemptResult::Failed {
+    verdict: RunVerdict::Unknown,
+};
+
+#[test]
+fn the_less_loaded_target_is_chosen() {
+    let mut machine = choice(&["a", "b"]);
+    let mut counts = [0, 0];
+
+    for _ in 0..10 {
+        let chosen = machine.choose(at(0), &[]).expect("both are open");
+
+        counts[usize::from(chosen == node("b"))] += 1;
+    }
+
+    assert_eq!(counts, [5, 5]);
+}
+
+#[test]
+fn no_target_is_chosen_twice_for_a_request() {
+    let mut machine = choice(&["a"]);
+    let wanted = ChoiceEvent::Wanted {
+        attempt: 9,
+        tried: vec![node("a")],
+    };
+
+    assert_eq!(
+        machine.handle(at(0), wanted),
+        [ChoiceAction::NoTarget { attempt: 9 }]
+    );
+}
+
+#[test]
+fn a_failing_target_is_left_and_gets_one_trial() {
+    let mut machine = choice(&["a"]);
+
+    for now in 0..3 {
+        assert!(machine.choose(at(now), &[]).is_some());
+        end(&mut machine, now, "a", FAILED);
+    }
+
+    assert_eq!(machine.choose(at(400), &[]), None);
+    assert_eq!(machine.choose(at(600), &[]), Some(node("a")));
+    assert_eq!(machine.choose(at(600), &[]), None);
+
+    // The failed trial doubles the time, an answer ends it.
+    end(&mut machine, 610, "a", FAILED);
+    assert_eq!(machine.choose(at(1_500), &[]), None);
+    assert_eq!(machine.choose(at(1_700), &[]), Some(node("a")));
+    end(&mut machine, 1_710, "a", AttemptResult::Answered);
+    assert!(machine.choose(at(1_711), &[]).is_some());
+    assert!(machine.choose(at(1_711), &[]).is_some());
+}
+
+#[test]
+fn a_bad_word_of_the_health_endpoint_alone_closes_nothing() {
+    let mut machine = choice(&["a"]);
+    let event = ChoiceEvent::Health {
+        node: node("a"),
+        healthy: false,
+    };
+
+    machine.handle(at(0), event);
+
+    assert_eq!(machine.choose(at(1), &[]), Some(node("a")));
+}
+
+#[test]
+fn a_good_word_of_the_health_endpoint_alone_opens_nothing() {
+    let mut machine = choice(&["a"]);
+
+    for now in 0..3 {
+        machine.choose(at(now), &[]);
+        end(&mut machine, now, "a", FAILED);
+    }
+
+    let event = ChoiceEvent::Health {
+        node: node("a"),
+        healthy: true,
+    };
+
+    machine.handle(at(4), event);
+    assert_eq!(machine.choose(at(5), &[]), None);
+}
+
+#[test]
+fn silent_and_cold_targets_get_less() {
+    let mut machine = choice(&["warm", "silent"]);
+
+    for name in ["warm", "silent"] {
+        end(&mut machine, 0, name, AttemptResult::Answered);
+    }
+
+    // Two attempts are under way, one to each; only one target replies.
+    machine.choose(at(0), &[node("warm")]);
+    machine.choose(at(0), &[node("silent")]);
+    end(&mut machine, 10, "warm", AttemptResult::Answered);
+
+    for _ in 0..5 {
+        assert_eq!(machine.choose(at(200), &[]), Some(node("warm")));
+    }
+
+    let mut machine = choice(&["warm"]);
+    let event = ChoiceEvent::Joined {
+        node: node("cold"),
+        cold: true,
+    };
+
+    machine.handle(at(0), event);
+
+    let chosen = (0..9).filter(|_| machine.choose(at(0), &[]) == Some(node("cold")));
+
+    assert_eq!(chosen.count(), 1);
+}
+
+/// A question about an idempotent first attempt that did not run.
+fn question() -> RetryQuestion {
+    RetryQuestion {
+        service: ServiceName::new("service").expect("allowed"),
+        tenant: TenantName::new("tenant").expect("allowed"),
+        idempotent: true,
+        verdict: RunVerdict::NotRun,
+        attempt: 1,
+        forwarded: false,
+        elsewhere: true,
+        deadline: at(1_000),
+        expected: Duration::from_millis(10),
+    }
+}
+
+#[test]
+fn retries_follow_the_verdict_first() {
+    let mut policy = RetryPolicy::new(BudgetOptions::default());
+    let unknown = RetryQuestion {
+        verdict: RunVerdict::Unknown,
+        ..question()
+    };
+    let unrepeatable = RetryQuestion {
+        idempotent: false,
+        ..unknown.clone()
+    };
+
+    assert_matches!(
+        policy.decide(at(0), &question()),
+        RetryDecision::Retry { attempt: 2 }
+    );
+    assert_matches!(policy.decide(at(0), &unknown), RetryDecision::Retry { .. });
+    assert_matches!(
+        policy.decide(at(0), &unrepeatable),
+        RetryDecision::GiveUp {
+            refusal: RetryRefusal::MayHaveRun
+        }
+    );
+}
+
+#[test]
+fn each_limit_on_retries_holds() {
+    let cases = [
+        (
+            RetryQuestion {
+                forwarded: true,
+                ..question()
+            },
+            RetryRefusal::NotFirstNode,
+        ),
+        (
+            RetryQuestion {
+                deadline: at(5),
+                ..question()
+            },
+            RetryRefusal::DeadlinePassed,
+        ),
+        (
+            RetryQuestion {
+                elsewhere: false,
+                ..question()
+            },
+            RetryRefusal::NowhereElse,
+        ),
+        (
+            RetryQuestion {
+                attempt: 3,
+                ..question()
+            },
+            RetryRefusal::AttemptsUsed,
+        ),
+    ];
+
+    for (question, refusal) in cases {
+        let mut policy = RetryPolicy::new(BudgetOptions::default());
+
+        assert_eq!(
+            policy.decide(at(0), &question),
+            RetryDecision::GiveUp { refusal }
+        );
+    }
+}
+
+#[test]
+fn retries_stay_a_tenth_of_the_first_attempts() {
+    let mut policy = RetryPolicy::new(BudgetOptions::default());
+    let asked = question();
+    let mut retries = 0;
+
+    for _ in 0..1_000 {
+        policy.record_first(&asked.service, &asked.tenant);
+
+        if matches!(policy.decide(at(0), &asked), RetryDecision::Retry { .. }) {
+            retries += 1;
+        }
+    }
+
+    assert!((1..=100).contains(&retries));
+
+    // Another tenant has its own budget.
+    let other = RetryQuestion {
+        tenant: TenantName::new("other").expect("allowed"),
+        ..asked
+    };
+
+    assert_matches!(policy.decide(at(0), &other), RetryDecision::Retry { .. });
+}
+
+#[test]
+fn not_run_holds_for_all_attempts_or_not_at_all() {
+    let not_run = RunVerdict::NotRun;
+    let unknown = RunVerdict::Unknown;
+
+    assert_eq!(combined_verdict(None, not_run), not_run);
+    assert_eq!(combined_verdict(Some(not_run), not_run), not_run);
+    assert_eq!(combined_verdict(Some(unknown), not_run), unknown);
+    assert_eq!(combined_verdict(Some(not_run), unknown), unknown);
+    assert_eq!(
+        combined_verdict(Some(unknown), RunVerdict::Done),
+        RunVerdict::Done
+    );
+}
+
+/// A hint of a slice's owner.
+fn hint(owner: &str, epoch: u64) -> RouteHint {
+    RouteHint {
+        slice: slice(),
+        owner: node(owner),
+        epoch: LeaseEpoch(epoch),
+        deputies: vec![node("d1"), node("d2")],
+    }
+}
+
+/// The slice of the hints.
+fn slice() -> SliceId {
+    SliceId::new(ServiceName::new("service").expect("allowed"), 4)
+}
+
+#[test]
+fn the_table_never_goes_back_to_an_older_epoch() {
+    let mut table = RouteTable::new();
+
+    assert!(table.learn(hint("new", 7)));
+    assert!(!table.learn(hint("old", 6)));
+    table.learn_refusal(
+        &slice(),
+        &node("d1"),
+        Some(&node("old")),
+        Some(LeaseEpoch(6)),
+    );
+    table.learn_answer(&slice(), &node("old"), Some(LeaseEpoch(5)));
+
+    assert_eq!(table.next(&slice(), &[]), Some(node("new")));
+}
+
+#[test]
+fn refusals_and_answers_teach_the_owner() {
+    let mut table = RouteTable::new();
+
+    table.learn(hint("first", 1));
+    table.learn_refusal(&slice(), &node("first"), Some(&node("second")), None);
+    assert_eq!(table.next(&slice(), &[node("first")]), Some(node("second")));
+
+    table.learn_answer(&slice(), &node("second"), Some(LeaseEpoch(3)));
+    assert_eq!(
+        table.hint(&slice()).map(|hint| hint.epoch),
+        Some(LeaseEpoch(3))
+    );
+
+    // A named node that refuses too is not tried first again.
+    table.learn_refusal(&slice(), &node("second"), Some(&node("third")), None);
+    table.learn_refusal(&slice(), &node("third"), None, None);
+    assert_eq!(table.next(&slice(), &[]), Some(node("second")));
+}
+
+#[test]
+fn deputies_are_tried_in_order() {
+    let mut table = RouteTable::new();
+
+    table.learn(hint("owner", 1));
+
+    let tried = |names: &[&str]| names.iter().map(|name| node(name)).collect::<Vec<_>>();
+
+    assert_eq!(table.next(&slice(), &tried(&["owner"])), Some(node("d1")));
+    assert_eq!(
+        table.next(&slice(), &tried(&["owner", "d1"])),
+        Some(node("d2"))
+    );
+    assert_eq!(table.next(&slice(), &tried(&["owner", "d1", "d2"])), None);
+}
+
+/// A table of targets that joined at the given milliseconds.
+fn homes(joins: &[(&str, u64)]) -> HomeTable {
+    let mut table = HomeTable::new(HomeOptions::default());
+
+    for (name, joined) in joins {
+        table.join(node(name), at(*joined));
+    }
+
+    table
+}
+
+#[test]
+fn all_ingresses_compute_the_same_home() {
+    let one = homes(&[("a", 0), ("b", 10), ("c", 20)]);
+    let other = homes(&[("c", 20), ("a", 0), ("b", 10)]);
+    let mut used = std::collections::BTreeSet::new();
+
+    for number in 0..100 {
+        let id = id(&format!("order-{number}"));
+        let home = one.home(at(500_000), &id, None);
+
+        assert_eq!(home, other.home(at(500_000), &id, None));
+        used.insert(format!("{home:?}"));
+    }
+
+    assert_eq!(used.len(), 3);
+}
+
+#[test]
+fn a_home_never_moves_while_its_runs_matter() {
+    let mut table = homes(&[("a", 0), ("b", 10), ("c", 20)]);
+    let now = at(500_000);
+    let ids: Vec<RequestId> = (0..200)
+        .map(|number| id(&format!("order-{number}")))
+        .collect();
+    let before: Vec<HomeChoice> = ids.iter().map(|id| table.home(now, id, None)).collect();
+
+    table.join(node("d"), now);
+    table.leave(&node("a"), now);
+
+    let mut refused = 0;
+
+    for later in [500_001, 503_000, 560_000, 619_000] {
+        for (id, before) in ids.iter().zip(&before) {
+            let after = table.home(at(later), id, None);
+            let dated = table.home(at(later), id, Some(now));
+
+            refused += usize::from(after == HomeChoice::Refused);
+            assert!(after == *before || after == HomeChoice::Refused);
+            assert!(dated == *before || dated == HomeChoice::Refused);
+        }
+    }
+
+    assert!(refused > 0);
+
+    // What was issued after the change goes to the targets that are there.
+    for id in &ids {
+        let home = table.home(at(510_000), id, Some(at(505_000)));
+
+        assert_matches!(home, HomeChoice::Only(home) if home != node("a"));
+        assert_matches!(table.home(at(700_000), id, None), HomeChoice::Only(_));
+    }
+}
+
+#[test]
+fn an_identifier_made_here_names_its_home() {
+    let mut table = homes(&[("a", 0), ("b", 10)]);
+    let made = mint_identifier(&node("b"), "017f").expect("allowed");
+
+    assert_eq!(named_home(&made), Some(node("b")));
+    assert_eq!(
+        table.home(at(20_000), &made, Some(at(15_000))),
+        HomeChoice::Only(node("b"))
+    );
+
+    // After a restart the node has forgotten what was issued before.
+    table.join(node("b"), at(30_000));
+    assert_eq!(
+        table.home(at(31_000), &made, Some(at(15_000))),
+        HomeChoice::Refused
+    );
+}
