--- a/crates/intent/src/confirm.rs
+++ b/crates/intent/src/confirm.rs
@@ -1,7 +1,7 @@
 //! The decisions of a confirmation.
 
 use crate::{
-    change::diff_documents,
+    diff::diff_documents,
     errors::{ConfirmConflict, IntentError},
     events::{IntentReply, WriteOutcome},
     plan::PlanDocument,
--- a/crates/intent/src/lib.rs
+++ b/crates/intent/src/lib.rs
@@ -7,7 +7,8 @@
 //!
 //! - [`document`]: what an operator writes.
 //! - [`check`]: the whole check of an intent, with a path for each fault.
-//! - [`change`]: the differences between two configurations.
+//! - [`change`]: the kinds of changes that a plan lists.
+//! - [`diff`]: the differences between two configurations.
 //! - [`plan`]: the plan for an intent.
 //! - [`promise`]: the refusal of changes that would break a promise.
 //! - [`view`]: the nodes and slice owners that a plan is made for.
@@ -19,6 +20,7 @@
 
 pub mod change;
 pub mod check;
+pub mod diff;
 pub mod document;
 pub mod errors;
 pub mod events;
@@ -32,10 +34,13 @@
 mod collector;
 mod confirm;
 mod forecast;
+mod service_check;
 mod steps;
+mod warnings;
 
-pub use change::{PlannedChange, RequestChange, RequestTraits, diff_documents, diff_requests};
+pub use change::{PlannedChange, RequestChange, RequestTraits};
 pub use check::parse_intent;
+pub use diff::{diff_documents, diff_requests};
 pub use document::IntentDocument;
 pub use errors::{ConfirmConflict, DocumentFault, IntentError, IntentRefusal, Result};
 pub use events::{
--- a/crates/intent/src/plan.rs
+++ b/crates/intent/src/plan.rs
@@ -1,12 +1,14 @@
 //! The plan for an intent.
 
 use crate::{
-    change::{PlannedChange, RequestChange, diff_documents, diff_requests},
+    change::{PlannedChange, RequestChange},
+    diff::{diff_documents, diff_requests},
     document::IntentDocument,
     errors::{IntentError, Result},
-    forecast::forecast_moves,
-    promise::{check_intent, check_promises, list_warnings},
+    forecast::{estimate_unavailable, forecast_moves},
+    promise::{check_intent, check_promises},
     view::FleetView,
+    warnings::list_warnings,
 };
 use serde::{Deserialize, Serialize};
 use wagtail_core::{
@@ -100,7 +102,7 @@
 
     let moves = forecast_moves(base, &document, view);
     let requests = diff_requests(base, &document);
-    let unavailable = crate::forecast::estimate_unavailable(&moves);
+    let unavailable = estimate_unavailable(&moves);
     let warnings = list_warnings(base, &document, view, &requests);
 
     Ok(PlanDocument {
--- a/crates/intent/src/promise.rs
+++ b/crates/intent/src/promise.rs
@@ -1,7 +1,6 @@
 //! The refusal of changes that would break a promise.
 
 use crate::{
-    change::RequestChange,
     document::IntentDocument,
     errors::IntentRefusal,
     view::{FleetView, NodeView},
@@ -11,8 +10,6 @@
     service::{ConfigDocument, ServiceSpec},
 };
 
-/// The fewest nodes that spread a lease over five members.
-const FULL_SET: usize = 5;
 /// The largest configuration in bytes; the platform holds values of a megabyte, and a plan holds
 /// two configurations.
 const MAX_DOCUMENT_BYTES: usize = 400_000;
@@ -214,65 +211,8 @@
     }
 }
 
-/// Lists what an operator should weigh before confirming a permitted change.
-pub fn list_warnings(
-    before: &ConfigDocument,
-    after: &ConfigDocument,
-    view: &FleetView,
-    requests: &[RequestChange],
-) -> Vec<String> {
-    let mut warnings: Vec<String> = requests.iter().filter_map(warn_request).collect();
-
-    for service in &after.services {
-        let before_any = !serving_nodes(&service.name, before, view).is_empty();
-        let after_any = !serving_nodes(&service.name, after, view).is_empty();
-
-        if before_any && !after_any {
-            warnings.push(format!("{}: no target is left", service.name));
-        }
-    }
-
-    for identity in after.gone.iter().filter(|gone| !before.gone.contains(gone)) {
-        warnings.push(format!(
-            "{identity} is taken for dead on your word: if it still runs, its keys get a second \
-             owner"
-        ));
-    }
-
-    let shrinks =
-        after.draining.len() + after.gone.len() > before.draining.len() + before.gone.len();
-    let left = view
-        .nodes
-        .iter()
-        .filter(|node| node.reachable && after.takes_work(&node.identity))
-        .count();
-    if shrinks && left < FULL_SET {
-        warnings.push(format!(
-            "{left} VMs are left; with fewer than {FULL_SET} a lease tolerates the loss of fewer VMs"
-        ));
-    }
-
-    warnings
-}
-
-/// Returns the warning for a change of how requests are treated.
-fn warn_request(change: &RequestChange) -> Option<String> {
-    let subject = format!("{} {} {}", change.service, change.method, change.path);
-
-    if change.makes_idempotent() {
-        return Some(format!(
-            "{subject}: becomes idempotent, so it may run more than once after an unknown outcome"
-        ));
-    }
-
-    change
-        .after
-        .is_none()
-        .then(|| format!("{subject}: callers will be refused, no operation matches"))
-}
-
 /// Returns the nodes whose targets take work for a service under a configuration.
-fn serving_nodes<'a>(
+pub(crate) fn serving_nodes<'a>(
     service: &'a ServiceName,
     document: &ConfigDocument,
     view: &'a FleetView,
