--- a/crates/intent/tests/plan.rs
+++ b/crates/intent/tests/plan.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use assert_matches::assert_matches;
-use support::{fleet_view, service_spec};
+use support::fixtures::{fleet_view, service_spec};
 use wagtail_core::{
     ids::{NodeName, ServiceName},
     service::{ConfigDocument, OperationSpec, TenantSpec, WorkClass},
--- /dev/null
+++ b/crates/intent/tests/support/operators.rs
@@ -0,0 +1,159 @@
+//! The operators of a run, and the checks of what they are answered.
+
+use super::{NODES, Operator, RaceRun, fixtures::service_spec};
+use rand::Rng;
+use std::time::Duration;
+use wagtail_intent::{CallId, IntentDocument, IntentError, IntentEvent, IntentReply, PlanDocument};
+
+impl RaceRun {
+    /// Takes an answer to an operator and checks it against what is in force.
+    pub(super) fn answer(&mut self, call: CallId, reply: IntentReply) -> Result<(), String> {
+        let waiting = |operator: &Operator| operator.call.is_some_and(|(open, _)| open == call);
+        let Some(index) = self.operators.iter().position(waiting) else {
+            return Ok(());
+        };
+        self.operators[index].call = None;
+        let Some(plan) = self.operators[index].plan.clone() else {
+            if let IntentReply::Planned { plan } = reply {
+                self.operators[index].plan = Some(*plan);
+            }
+
+            return Ok(());
+        };
+
+        match reply {
+            IntentReply::Confirmed { version } => self.note_confirmed(index, &plan, version),
+            IntentReply::Failed {
+                error: IntentError::Unavailable,
+            } if self.sent.contains(&call) => Err(format!(
+                "{} may be in force and was called not run",
+                plan.id
+            )),
+            IntentReply::Failed {
+                error: IntentError::OutcomeUnknown { .. } | IntentError::Unavailable,
+            } => {
+                self.counts.unknown += 1;
+
+                Ok(())
+            }
+            IntentReply::Failed { error } => {
+                self.operators[index].plan = None;
+
+                self.note_refused(&plan, &error)
+            }
+            IntentReply::Planned { .. } => Err("a confirmation was answered by a plan".into()),
+        }
+    }
+
+    pub(super) fn note_confirmed(
+        &mut self,
+        operator: usize,
+        plan: &PlanDocument,
+        version: u64,
+    ) -> Result<(), String> {
+        let in_force = usize::try_from(version)
+            .ok()
+            .and_then(|version| self.history.get(version))
+            .is_some_and(|document| document.plan == plan.id);
+
+        if !in_force || version != plan.base_version + 1 {
+            return Err(format!("{} did not make version {version}", plan.id));
+        }
+
+        let earlier = self.confirmed.insert(plan.id.clone(), version);
+        if earlier.is_some_and(|earlier| earlier != version) {
+            return Err(format!("{} was confirmed under two versions", plan.id));
+        }
+        self.counts.confirmed += 1;
+        self.counts.repeated += u64::from(earlier.is_some());
+
+        // Some operators confirm a second time, as from another window.
+        if self.random.random_bool(0.7) {
+            self.operators[operator].plan = None;
+        }
+
+        Ok(())
+    }
+
+    pub(super) fn note_refused(
+        &mut self,
+        plan: &PlanDocument,
+        error: &IntentError,
+    ) -> Result<(), String> {
+        let in_force = self.history.iter().any(|document| document.plan == plan.id);
+
+        if in_force && !matches!(error, IntentError::ExpiredPlan { .. }) {
+            return Err(format!("{} is in force and was refused: {error}", plan.id));
+        }
+        if !matches!(error, IntentError::ExpiredPlan { .. }) {
+            self.refused.insert(plan.id.clone());
+            self.counts.refused += 1;
+        }
+
+        Ok(())
+    }
+
+    /// Lets an operator plan, confirm, or give up a call that its node forgot.
+    pub(super) fn operator_turn(&mut self, index: usize) -> Result<(), String> {
+        if let Some((_, until)) = self.operators[index].call {
+            if self.now >= until {
+                self.operators[index].call = None;
+            }
+
+            return Ok(());
+        }
+
+        self.sequence += 1;
+        let call = CallId(self.sequence);
+        let node = self.random.random_range(0..NODES);
+        let plan = self.operators[index].plan.clone();
+        self.operators[index].call = Some((call, self.now + Duration::from_secs(15)));
+
+        let event = match plan {
+            None => IntentEvent::PlanRequested {
+                call,
+                intent: self.draw_intent(),
+                view: self.view.clone(),
+                nonce: self.random.random(),
+            },
+            Some(plan) => IntentEvent::ConfirmRequested {
+                call,
+                plan: plan.id,
+                base_version: plan.base_version,
+                view: self.view.clone(),
+                held: self.nodes[node].keeper.document().version,
+            },
+        };
+        let actions = self.nodes[node].machine.handle(self.now, event);
+
+        self.act(node, actions)
+    }
+
+    pub(super) fn draw_intent(&mut self) -> IntentDocument {
+        let slots = self.random.random_range(1..100);
+
+        IntentDocument {
+            services: vec![service_spec("agenda", slots)],
+            ..IntentDocument::default()
+        }
+    }
+
+    /// Checks all answers once more against the whole history.
+    pub(super) fn check_answers(&self) -> Result<(), String> {
+        for (plan, version) in &self.confirmed {
+            let index = usize::try_from(*version).map_err(|error| error.to_string())?;
+            if &self.history[index].plan != plan {
+                return Err(format!("{plan} was confirmed and is lost"));
+            }
+        }
+
+        let lost = self
+            .history
+            .iter()
+            .find(|document| self.refused.contains(&document.plan));
+
+        lost.map_or(Ok(()), |document| {
+            Err(format!("{} was refused and was in force", document.plan))
+        })
+    }
+}
