--- a/crates/admit/src/limit.rs
+++ b/crates/admit/src/limit.rs
@@ -45,6 +45,16 @@
         }
     }
 
+    /// Changes the slots of the target.
+    pub fn set_most(&mut self, most: u32) {
+        let was_full = self.parts >= self.most * PARTS;
+
+        self.most = most;
+        if was_full || self.parts > most * PARTS {
+            self.parts = most * PARTS;
+        }
+    }
+
     /// Returns the orders that may be at the target now.
     pub fn current(&self) -> u32 {
         (self.parts / PARTS).clamp(1, self.most)
--- a/crates/admit/src/machine.rs
+++ b/crates/admit/src/machine.rs
@@ -4,6 +4,7 @@
 mod dispatch;
 mod expire;
 mod finish;
+mod settings;
 mod slices;
 
 use crate::{
--- a/crates/daemon/src/agent/task.rs
+++ b/crates/daemon/src/agent/task.rs
@@ -8,6 +8,7 @@
         work::AgentWork,
     },
     fleet::FleetCell,
+    identifier::issued_moment,
     latency::LatencyHandle,
     ownership::{OwnershipCommand, OwnershipHandle, SliceLeases},
     timer,
@@ -17,16 +18,11 @@
     mpsc::{self, UnboundedReceiver},
     oneshot::Sender,
 };
-use std::{
-    collections::BTreeMap,
-    rc::Rc,
-    sync::Arc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
-};
+use std::{collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
 use tracing::{debug, info, warn};
 use wagtail_admit::{
     AdmitAction, AdmitEvent, AdmitMachine, AdmitOptions, AdmitRefusal, IdentifierAge,
-    MemoryTransfer, WorkArrival, WorkOutcome, memory::issued_unix_ms,
+    MemoryTransfer, WorkArrival, WorkOutcome,
 };
 use wagtail_assign::{AssignOptions, LoadMeter};
 use wagtail_core::{
@@ -571,6 +567,8 @@
     /// Tells the ownership task of the load of the slices.
     fn measure_load(&mut self) {
         let sample = self.meter.sample(clock::now());
+        // Settings that had to wait for running orders are tried again.
+        self.config_changed();
 
         self.options
             .ownership
@@ -604,8 +602,9 @@
         };
 
         if let Some(spec) = fleet.config.service(&target.notice.service) {
-            // TODO
-            let _ = (target, spec);
+            target
+                .admission
+                .set_options(AdmitOptions::for_service(spec));
         }
     }
 
@@ -659,16 +658,8 @@
     if head.id_made {
         return IdentifierAge::Made;
     }
-    let Some(issued) = issued_unix_ms(&head.id) else {
-        return IdentifierAge::Unknown;
-    };
-
-    let unix_now = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    let age = unix_now.saturating_sub(Duration::from_millis(issued));
 
-    IdentifierAge::Issued(clock::now() - age)
+    issued_moment(clock::now(), &head.id).map_or(IdentifierAge::Unknown, IdentifierAge::Issued)
 }
 
 /// Returns the slice of a request's key.
--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -3,6 +3,8 @@
 use crate::{
     agent::{AgentHandle, answer::RefusalAnswer},
     fleet::FleetCell,
+    homes::HomeBook,
+    identifier::unique_text,
     ownership::{OwnershipCommand, OwnershipHandle, OwnershipView, claim_targets},
 };
 use bytes::Bytes;
@@ -30,8 +32,8 @@
 use wagtail_net::clock;
 use wagtail_peer::link::PeerLink;
 use wagtail_route::{
-    AttemptResult, BudgetOptions, ChoiceEvent, ChoiceMachine, ChoiceOptions, RetryDecision,
-    RetryPolicy, RetryQuestion,
+    AttemptResult, BudgetOptions, ChoiceEvent, ChoiceMachine, ChoiceOptions, HomeChoice,
+    RetryDecision, RetryPolicy, RetryQuestion, mint_identifier,
 };
 
 /// The longest time that one attempt at idempotent short work may take, so that a frozen node
@@ -70,6 +72,7 @@
     options: ForwardOptions,
     links: RefCell<BTreeMap<NodeName, Rc<PeerLink>>>,
     choices: RefCell<BTreeMap<ServiceName, ChoiceMachine>>,
+    homes: RefCell<HomeBook>,
     retries: RefCell<RetryPolicy>,
     attempts: Cell<u64>,
 }
@@ -81,6 +84,8 @@
     deadline: LocalMoment,
     tried: Vec<NodeName>,
     redirections: usize,
+    /// Where alone the request may run.
+    home: Option<HomeChoice>,
     attempt: u32,
     /// Whether the request may have run in the attempts so far.
     verdict: RunVerdict,
@@ -93,6 +98,7 @@
             options,
             links: RefCell::default(),
             choices: RefCell::default(),
+            homes: RefCell::default(),
             retries: RefCell::new(RetryPolicy::new(BudgetOptions::default())),
             attempts: Cell::new(0),
         }
@@ -111,8 +117,10 @@
         body: Bytes,
         deadline: LocalMoment,
     ) -> TargetAnswer {
+        let slice = self.slice_of(head);
         let mut route = RequestRoute {
-            slice: self.slice_of(head),
+            home: self.home_of(head, slice.as_ref()),
+            slice,
             deadline,
             tried: Vec::new(),
             redirections: 0,
@@ -126,7 +134,7 @@
         loop {
             let Some(node) = self.next_node(head, &route) else {
                 self.refresh(&route);
-                return self.give_up(head, route.verdict, Err(no_owner(&route)));
+                return self.refuse_route(head, &route);
             };
 
             let outcome = self.attempt(head, &body, &node, &route).await;
@@ -151,8 +159,29 @@
         Some(SliceId::new(spec.name.clone(), index))
     }
 
+    /// Returns where alone a caller's identifier of non-idempotent work may run, so that a repeat
+    /// through another ingress meets the memory of the first. Keyed work has its owner, and an
+    /// identifier made here is not known to any caller yet.
+    fn home_of(&self, head: &RequestHead, slice: Option<&SliceId>) -> Option<HomeChoice> {
+        if slice.is_some() || head.idempotent || head.id_made {
+            return None;
+        }
+        let fleet = self.options.fleet.load();
+        let mut homes = self.homes.borrow_mut();
+
+        Some(homes.home(clock::now(), &fleet, &head.service, &head.id))
+    }
+
     /// Returns the node to try next.
     fn next_node(&self, head: &RequestHead, route: &RequestRoute) -> Option<NodeName> {
+        match &route.home {
+            Some(HomeChoice::Only(node)) => {
+                return (!route.tried.contains(node)).then(|| node.clone());
+            }
+            Some(HomeChoice::Refused) => return None,
+            None => {}
+        }
+
         match &route.slice {
             Some(slice) => self.next_owner(slice, &route.tried),
             None => self.choose(&head.service, &route.tried),
@@ -237,6 +266,7 @@
         let mut head = head.clone();
         head.attempt = route.attempt;
         head.time_left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        name_home(&mut head, node);
         debug!(event = "request-attempt", request_id = %head.id, to = %node, attempt = head.attempt);
 
         let limit = attempt_limit(&head, left);
@@ -288,7 +318,8 @@
     ) {
         match &route.slice {
             Some(slice) => self.learn_owner(slice, node, outcome),
-            None => self.learn_standing(head, node, outcome),
+            None if route.home.is_none() => self.learn_standing(head, node, outcome),
+            None => {}
         }
     }
 
@@ -358,6 +389,17 @@
         Some(self.give_up(head, route.verdict, outcome))
     }
 
+    /// Makes the final answer of a request that no node is left for.
+    fn refuse_route(&self, head: &RequestHead, route: &RequestRoute) -> TargetAnswer {
+        if route.home == Some(HomeChoice::Refused) {
+            // The target that may have run the identifier is gone with its memory.
+            let refusal = RefusalAnswer::unknown(Arc::from("identifier-too-old"));
+            return refusal.into_answer(&head.id, &self.options.node);
+        }
+
+        self.give_up(head, route.verdict, Err(no_owner(route)))
+    }
+
     /// Makes the final answer of a request that no attempt answered.
     fn give_up(
         &self,
@@ -396,6 +438,10 @@
 
     /// Returns whether a node that was not tried may serve the request.
     fn has_other(&self, head: &RequestHead, route: &RequestRoute) -> bool {
+        if route.home.is_some() {
+            return false;
+        }
+
         match &route.slice {
             Some(slice) => self.next_owner(slice, &route.tried).is_some(),
             None => self
@@ -417,6 +463,19 @@
     }
 }
 
+/// Lets an identifier made here name the node that will remember it, so that a repeat by the
+/// caller finds it.
+fn name_home(head: &mut RequestHead, node: &NodeName) {
+    if !head.id_made || head.idempotent || head.key.is_some() {
+        return;
+    }
+
+    if let Ok(id) = mint_identifier(node, &unique_text()) {
+        debug!(event = "identifier-made", request_id = %head.id, named = %id);
+        head.id = id;
+    }
+}
+
 /// Makes a link to a peer.
 fn new_link(address: SocketAddr) -> Rc<PeerLink> {
     Rc::new(PeerLink::new(address))
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`ownership`]: the leases and the assignment of slices.
 //! - [`agent`]: the queue and the dispatch to the target beside the daemon.
 //! - [`ingress`], [`parse`] and [`forward`]: the way of a caller's request.
+//! - [`homes`] and [`identifier`]: where a non-idempotent request may run, and its age.
 //! - [`inbound`] and [`control`]: what the other daemons send, and what is sent to them.
 //! - [`admin`]: the administration API.
 //! - [`local`]: the announcements of the target.
@@ -21,6 +22,8 @@
 pub mod directory;
 pub mod fleet;
 pub mod forward;
+pub mod homes;
+pub mod identifier;
 pub mod inbound;
 pub mod ingress;
 pub mod latency;
--- a/crates/daemon/src/parse.rs
+++ b/crates/daemon/src/parse.rs
@@ -1,10 +1,9 @@
 //! Reading a caller's HTTP request into a request of the system.
 
-use crate::fleet::FleetState;
+use crate::{fleet::FleetState, identifier::unique_text};
 use bytes::Bytes;
 use hyper::{HeaderMap, Uri, http::request::Parts};
 use std::{sync::Arc, time::Duration};
-use uuid::Uuid;
 use wagtail_core::{
     CoreError, Result,
     ids::{RequestId, ServiceName, TenantName},
@@ -112,9 +111,7 @@
 
 /// Makes an identifier that carries its time of issue.
 pub fn make_id() -> RequestId {
-    let text = Uuid::now_v7().to_string();
-
-    RequestId::new(text).unwrap_or_else(|_| unreachable!("a UUID is printable ASCII"))
+    RequestId::new(unique_text()).unwrap_or_else(|_| unreachable!("a UUID is printable ASCII"))
 }
 
 /// Returns the caller's identifier or a new one, and whether it is new.
