--- a/crates/lease/src/event.rs
+++ b/crates/lease/src/event.rs
@@ -118,7 +118,8 @@
         /// The epoch under which the work ran.
         epoch: LeaseEpoch,
     },
-    /// A confirmed intent says that a VM is gone for good.
+    /// A confirmed intent says that a VM is gone for good. When every member of a set is gone, only
+    /// a node that was given its record by [`RecordsListed`](Self::RecordsListed) can replace it.
     NodeGone {
         /// The VM.
         name: NodeName,
--- a/crates/lease/src/members.rs
+++ b/crates/lease/src/members.rs
@@ -51,7 +51,7 @@
     }
 
     /// Chooses the set of a node: itself and witnesses spread over the zones, those of `current`
-    /// first, none that is not `usable`.
+    /// first. Those that are not `usable` come last, so that silence never makes a set smaller.
     pub(crate) fn choose_set(
         &self,
         me: &NodeIdentity,
@@ -64,21 +64,24 @@
             .nodes
             .values()
             .filter(|member| member.identity.name != me.name && !member.draining)
-            .filter(|member| usable(&member.identity.name))
             .collect();
 
         others.sort_by_cached_key(|member| {
             let name = &member.identity.name;
             let is_new = !current.iter().any(|identity| &identity.name == name);
 
-            (is_new, score(me.name.as_str(), name))
+            (!usable(name), is_new, score(me.name.as_str(), name))
         });
 
         let size = set_size(others.len() + 1, options);
         let mut set = vec![me.clone()];
 
         // The first pass spreads the set over the zones; the second fills up what is left.
-        pick_spread(&others, zone, size, &mut set);
+        let usable_count = others
+            .iter()
+            .filter(|member| usable(&member.identity.name))
+            .count();
+        pick_spread(&others[..usable_count], zone, size, &mut set);
         pick_any(&others, size, &mut set);
 
         set
--- a/crates/lease/src/recording.rs
+++ b/crates/lease/src/recording.rs
@@ -107,8 +107,8 @@
             self.witnesses.recall_stored(&self.identity, &stored);
         }
 
-        self.rescue(now, &stored);
         self.take_up_stored(now, &stored);
+        self.rescue(now, &stored);
     }
 
     /// Takes in that a read failed.
--- a/crates/lease/src/takeover.rs
+++ b/crates/lease/src/takeover.rs
@@ -30,6 +30,9 @@
 /// The most such times added.
 const ROUND_PAUSES: u32 = 4;
 
+/// The time between two looks at a slice that this node witnesses no more.
+const RETIRED_CHECK: Duration = Duration::from_secs(1);
+
 /// The time between two inquiries of a candidate that too few members called.
 const INQUIRE_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -76,7 +79,7 @@
             }
 
             if !is_member(&witness.record, &self.identity.name) {
-                witness.call_at = LocalMoment::from_micros(u64::MAX);
+                witness.call_at = now + RETIRED_CHECK;
                 continue;
             }
 
@@ -111,6 +114,7 @@
 
         for entry in entries {
             let slice = entry.record.slice.clone();
+            self.learn(&entry.record);
 
             if self.holders.contains_key(&slice) || !self.can_own(&slice) {
                 continue;
--- a/crates/lease/tests/lease/driver/mod.rs
+++ b/crates/lease/tests/lease/driver/mod.rs
@@ -23,8 +23,6 @@
 pub const MS: u64 = 1_000;
 /// Microseconds of a second.
 pub const SECOND: u64 = 1_000_000;
-/// The time between two probes of every slice.
-pub const PROBE: u64 = 10 * MS;
 
 /// `WorldOptions` is the shape of a run.
 #[derive(Debug, Clone)]
@@ -36,6 +34,8 @@
     pub loss: f64,
     pub duplicates: f64,
     pub longest_delay: u64,
+    /// The time between two probes of every slice.
+    pub probe: u64,
     pub lease: LeaseOptions,
     pub fenced: bool,
     /// A fault: the clock stops while the node is suspended.
@@ -58,6 +58,7 @@
             loss: 0.0,
             duplicates: 0.0,
             longest_delay: 2 * MS,
+            probe: 10 * MS,
             lease: LeaseOptions::default(),
             fenced: false,
             clock_ignores_pauses: false,
@@ -150,6 +151,8 @@
     pub nodes: Vec<Node>,
     pub store: BTreeMap<SliceId, VersionedRecord>,
     pub outage: bool,
+    /// The nodes that can't reach the platform.
+    pub cut_off: BTreeSet<usize>,
     pub lost_answers: f64,
     pub platform_delay: u64,
     pub counts: WorldCounts,
@@ -178,6 +181,7 @@
             nodes: Vec::new(),
             store: BTreeMap::new(),
             outage: false,
+            cut_off: BTreeSet::new(),
             lost_answers: 0.0,
             platform_delay: 5 * MS,
             counts: WorldCounts::default(),
@@ -206,7 +210,8 @@
         }
 
         world.announce_members();
-        world.plan(PROBE, Step::Probe);
+        let probe = world.options.probe;
+        world.plan(probe, Step::Probe);
         world
     }
 
@@ -323,6 +328,13 @@
         NodeIdentity::new(node.name.clone(), NodeIncarnation(node.start))
     }
 
+    /// Returns the node of a name.
+    pub fn node(&self, name: &NodeName) -> usize {
+        let place = self.nodes.iter().position(|node| &node.name == name);
+
+        place.expect("the node exists")
+    }
+
     pub fn is_running(&self, node: usize) -> bool {
         self.nodes[node].machine.is_some() && self.nodes[node].paused_until <= self.now
     }
@@ -466,7 +478,7 @@
         let start = self.nodes[node].start;
 
         match action {
-            LeaseAction::Send { to, message } => self.send(node, &to, message),
+            LeaseAction::Send { to, message } => self.send(node, &to, &message),
             LeaseAction::ReadRecord { slice, read_id } => {
                 let delay = self.call_delay();
                 self.plan(
@@ -521,14 +533,14 @@
         }
     }
 
-    fn send(&mut self, node: usize, to: &NodeName, message: LeaseMessage) {
+    fn send(&mut self, node: usize, to: &NodeName, message: &LeaseMessage) {
         self.counts.messages += 1;
 
         if let Some(measure) = self.options.measure {
-            self.counts.bytes += measure(&message) as u64;
+            self.counts.bytes += measure(message) as u64;
         }
 
-        let to = self.nodes.iter().position(|node| &node.name == to).unwrap();
+        let to = self.node(to);
         let is_cut = self
             .cuts
             .get(&(node, to))
@@ -559,6 +571,10 @@
         }
     }
 
+    fn is_platform_out(&self, node: usize) -> bool {
+        self.outage || self.cut_off.contains(&node)
+    }
+
     fn call_delay(&mut self) -> u64 {
         self.rng.random_range(MS..=self.platform_delay)
     }
@@ -577,7 +593,7 @@
         *second += 1;
         self.counts.most_writes_a_second = self.counts.most_writes_a_second.max(*second);
 
-        let outcome = if self.outage {
+        let outcome = if self.is_platform_out(node) {
             WriteOutcome::Refused
         } else {
             self.store_record(record, expected)
@@ -634,7 +650,7 @@
 
     fn read(&mut self, node: usize, start: u64, slice: SliceId, read_id: u64) {
         self.counts.reads += 1;
-        let event = if self.outage {
+        let event = if self.is_platform_out(node) {
             LeaseEvent::ReadFailed { slice, read_id }
         } else {
             let stored = self.store.get(&slice).cloned();
@@ -661,7 +677,7 @@
             return;
         }
 
-        if self.outage {
+        if self.is_platform_out(node) {
             self.plan(500 * MS, Step::List { node, start });
             return;
         }
@@ -735,7 +751,7 @@
             }
         }
 
-        self.plan(PROBE, Step::Probe);
+        self.plan(self.options.probe, Step::Probe);
     }
 
     fn note_served(&mut self, slice: &SliceId, is_served: bool) {
@@ -745,7 +761,7 @@
         }
 
         let since = *self.unserved_since.entry(slice.clone()).or_insert(self.now);
-        let gap = self.now - since + PROBE;
+        let gap = self.now - since + self.options.probe;
         let longest = self.longest_gap.entry(slice.clone()).or_default();
         *longest = (*longest).max(gap);
     }
--- a/crates/lease/tests/lease/driver/storm.rs
+++ b/crates/lease/tests/lease/driver/storm.rs
@@ -189,11 +189,7 @@
     };
 
     for name in record.members.iter().take(2) {
-        let node = world
-            .nodes
-            .iter()
-            .position(|node| &node.name == name)
-            .unwrap();
+        let node = world.node(name);
         lose(world, timers, node, time);
     }
 }
