--- a/crates/admit/src/fair.rs
+++ b/crates/admit/src/fair.rs
@@ -43,6 +43,8 @@
     /// The virtual finish times of tenants without waiting arrivals, while they are ahead of
     /// the virtual time.
     finished: BTreeMap<TenantName, u64>,
+    /// The same by time, to forget the passed ones without a search.
+    finish_order: BTreeSet<(u64, TenantName)>,
     /// The virtual start of the item that was served last.
     virtual_time: u64,
     /// The count of waiting arrivals.
@@ -176,6 +178,9 @@
         }
 
         let finish = self.finished.remove(tenant).unwrap_or(0);
+
+        self.finish_order.remove(&(finish, tenant.clone()));
+
         let queue = TenantQueue {
             weight,
             start: finish.max(self.virtual_time),
@@ -192,6 +197,7 @@
     fn put_back(&mut self, tenant: TenantName, queue: TenantQueue) {
         if queue.items.is_empty() {
             self.weights -= u64::from(queue.weight);
+            self.finish_order.insert((queue.start, tenant.clone()));
             self.finished.insert(tenant, queue.start);
 
             return;
@@ -203,14 +209,19 @@
 
     /// Forgets the finish times that the virtual time has passed.
     fn forget_finished(&mut self) {
-        let virtual_time = self.virtual_time;
-
         // Nothing waits: whoever comes next is even with all others.
         if self.len == 0 {
             self.finished.clear();
+            self.finish_order.clear();
         }
 
-        self.finished.retain(|_, finish| *finish > virtual_time);
+        while let Some((finish, _)) = self.finish_order.first()
+            && *finish <= self.virtual_time
+        {
+            if let Some((_, tenant)) = self.finish_order.pop_first() {
+                self.finished.remove(&tenant);
+            }
+        }
     }
 
     /// Counts an item in.
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`estimate`]: learned durations of the operations.
 //! - [`fair`]: the queue that divides slots between tenants.
 //! - [`limit`]: the concurrency limit that adapts to the target.
+//! - [`slowdown`]: the search for fewer concurrent orders.
 //! - [`pressure`]: bursts and overloads.
 //! - [`memory`]: the identifiers and answers of non-idempotent requests.
 //! - [`summary`]: the state for the status page.
@@ -22,6 +23,7 @@
 pub mod messages;
 pub mod options;
 pub mod pressure;
+pub mod slowdown;
 pub mod summary;
 mod work;
 
--- a/crates/admit/src/limit.rs
+++ b/crates/admit/src/limit.rs
@@ -1,6 +1,6 @@
 //! The concurrency limit that adapts to the target.
 
-use crate::options::AdmitOptions;
+use crate::{options::AdmitOptions, slowdown::SlowdownSearch};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 use wagtail_core::units::LocalMoment;
@@ -31,6 +31,8 @@
     changed: LocalMoment,
     /// Whether the target counts as stalled.
     stalled: bool,
+    /// The search for fewer orders when the target slows.
+    slowdown: SlowdownSearch,
 }
 
 impl SlotLimit {
@@ -42,12 +44,15 @@
             step: options.ramp_step,
             changed: LocalMoment::ZERO,
             stalled: false,
+            slowdown: SlowdownSearch::new(options.max_running()),
         }
     }
 
     /// Returns the orders that may be at the target now.
     pub fn current(&self) -> u32 {
-        (self.parts / PARTS).clamp(1, self.most)
+        let ramped = self.parts / PARTS;
+
+        ramped.min(self.slowdown.cap()).clamp(1, self.most)
     }
 
     /// Returns whether the target counts as stalled.
@@ -86,6 +91,13 @@
         }
     }
 
+    /// Takes in the duration of a short order that was answered.
+    pub fn record_duration(&mut self, now: LocalMoment, took: Duration, waiting: bool) {
+        if !self.stalled && self.parts >= self.most * PARTS {
+            self.slowdown.record(now, took, waiting);
+        }
+    }
+
     /// Closes the target to all but trials.
     pub fn record_stall(&mut self, now: LocalMoment) {
         self.stalled = true;
--- a/crates/admit/src/machine/finish.rs
+++ b/crates/admit/src/machine/finish.rs
@@ -6,7 +6,7 @@
     work::{WorkEntry, WorkState},
 };
 use std::time::Duration;
-use wagtail_core::{units::LocalMoment, verdict::RunVerdict};
+use wagtail_core::{service::WorkClass, units::LocalMoment, verdict::RunVerdict};
 
 /// The times that the target may shed one arrival before it is refused.
 const MAX_SHEDS: u32 = 1;
@@ -56,6 +56,12 @@
         self.estimates
             .record(&work.arrival.operation, work.arrival.class, took);
 
+        if work.class == WorkClass::Short {
+            let waiting = !self.short.is_empty();
+
+            self.limit.record_duration(now, took, waiting);
+        }
+
         if !work.closed {
             self.counters.answered += 1;
         }
--- a/crates/bench/src/requests/faults.rs
+++ b/crates/bench/src/requests/faults.rs
@@ -1,5 +1,6 @@
 //! What goes wrong in a run.
 
+use crate::requests::score;
 use std::time::Duration;
 use wagtail_core::units::LocalMoment;
 
@@ -33,6 +34,9 @@
     pub frozen: Vec<FaultSpan>,
     /// The stretches in which a target takes five times as long.
     pub slow: Vec<FaultSpan>,
+    /// The stretches in which a target slows with the square of the orders that it runs beyond
+    /// two.
+    pub strained: Vec<FaultSpan>,
     /// The stretches after a restart; the target takes five times as long at first.
     pub cold: Vec<FaultSpan>,
     /// The part of the orders that a target sheds.
@@ -45,6 +49,9 @@
     pub duplicate: f64,
 }
 
+/// The orders that a strained target runs without slowing.
+const STRAIN_ORDERS: usize = 2;
+
 /// The factor on the duration of work at a slow or cold target.
 const SLOW_FACTOR: f64 = 5.0;
 
@@ -58,7 +65,15 @@
     }
 
     /// Returns the time for which work holds a slot when it starts now, without freezes.
-    pub fn work(&self, node: usize, now: LocalMoment, work: Duration) -> Duration {
+    pub fn work(&self, node: usize, now: LocalMoment, work: Duration, running: usize) -> Duration {
+        let strained = self.strained.iter().any(|span| span.covers(node, now));
+
+        if strained {
+            let strain = (score::ratio(running, STRAIN_ORDERS)).max(1.0);
+
+            return work.mul_f64(strain * strain);
+        }
+
         let slow = self.slow.iter().any(|span| span.covers(node, now));
         let cold = self.cold.iter().find(|span| span.covers(node, now));
 
@@ -75,8 +90,14 @@
     }
 
     /// Returns the end of work that starts now and pauses while the target is frozen.
-    pub fn end(&self, node: usize, now: LocalMoment, work: Duration) -> LocalMoment {
-        let end = now + self.work(node, now, work);
+    pub fn end(
+        &self,
+        node: usize,
+        now: LocalMoment,
+        work: Duration,
+        running: usize,
+    ) -> LocalMoment {
+        let end = now + self.work(node, now, work, running);
         let pause = self
             .frozen
             .iter()
--- a/crates/bench/src/requests/report.rs
+++ b/crates/bench/src/requests/report.rs
@@ -14,8 +14,9 @@
 type ScenarioRun = fn(&ScenarioSetup) -> ScenarioResult;
 
 /// The measured situations by name.
-const SCENARIOS: [(&str, ScenarioRun); 8] = [
+const SCENARIOS: [(&str, ScenarioRun); 10] = [
     ("crest", scenarios::crest),
+    ("crest-mixed", scenarios::crest_mixed),
     ("pulses", scenarios::pulses),
     ("head-of-line", scenarios::head_of_line),
     (
@@ -23,6 +24,7 @@
         scenarios::head_of_line_undeclared,
     ),
     ("hurt", scenarios::hurt),
+    ("strained", scenarios::strained),
     ("fairness", scenarios::fairness),
     ("waste", scenarios::waste),
     ("storm", scenarios::storm),
--- a/crates/bench/src/requests/scenarios.rs
+++ b/crates/bench/src/requests/scenarios.rs
@@ -121,9 +121,23 @@
 
 /// Measures a load that steps from 0.5 to 2 to 0.5 times what the slots can do.
 pub fn crest(setup: &ScenarioSetup) -> ScenarioResult {
-    let mix = WorkMix::default();
-    let calls = setup.calls(&mix, &[phase(3, 0.5), phase(5, 2.0), phase(5, 0.5)]);
-    let result = setup.run(&mix, FaultPlan::default(), calls);
+    crest_of(setup, &WorkMix::default())
+}
+
+/// Measures the same with one in a hundred calls that takes fifty times as long.
+pub fn crest_mixed(setup: &ScenarioSetup) -> ScenarioResult {
+    let mix = WorkMix {
+        long_part: 0.01,
+        ..WorkMix::default()
+    };
+
+    crest_of(setup, &mix)
+}
+
+/// Measures a crest of a mix.
+fn crest_of(setup: &ScenarioSetup, mix: &WorkMix) -> ScenarioResult {
+    let calls = setup.calls(mix, &[phase(3, 0.5), phase(5, 2.0), phase(5, 0.5)]);
+    let result = setup.run(mix, FaultPlan::default(), calls);
     let shares = (0..13)
         .map(|second| score::useful_share(&result, &setup.size, seconds(second, second + 1)));
     let shares: Vec<f64> = shares.collect();
@@ -266,6 +280,33 @@
         .with("hurt_cold", shares[2])
 }
 
+/// Measures targets that slow with the orders that they run, at a load of 0.3.
+pub fn strained(setup: &ScenarioSetup) -> ScenarioResult {
+    let mix = WorkMix::default();
+    let service = 1;
+    let first = setup.size.first_node(service);
+    let nodes = first..first + setup.size.services[service].targets;
+    let span = |node| {
+        FaultSpan::new(
+            node,
+            LocalMoment::from_millis(3_000),
+            LocalMoment::from_millis(20_000),
+        )
+    };
+    let faults = FaultPlan {
+        strained: nodes.map(span).collect(),
+        ..FaultPlan::default()
+    };
+    let calls = setup.calls(&mix, &[phase(20, 0.3)]);
+    let result = setup.run(&mix, faults, calls);
+    let unanswered =
+        |from, to| score::hurt_share(&result, service, seconds(from, to), mix.short_patience);
+
+    ScenarioResult::new(result.checks.clone())
+        .with("unanswered_first_5s", unanswered(3, 8))
+        .with("unanswered_later", unanswered(8, 20))
+}
+
 /// Measures the shares of tenants at three times what the slots can do.
 pub fn fairness(setup: &ScenarioSetup) -> ScenarioResult {
     let tenant = |name, weight, part| TenantLoad { name, weight, part };
@@ -332,6 +373,7 @@
             span(6, 1_500, 1_900),
         ],
         slow: vec![span(1, 500, 2_000), span(8, 0, 1_500)],
+        strained: vec![span(9, 0, 2_500)],
         cold: vec![span(2, 1_000, 2_000), span(11, 500, 2_500)],
         shed: 0.02,
         truncate: 0.02,
--- a/crates/bench/src/requests/world/agent.rs
+++ b/crates/bench/src/requests/world/agent.rs
@@ -152,7 +152,7 @@
         let call = self.attempts[attempt].call;
         let plan = &self.calls[call].plan;
         let in_use = self.agents[node].target.start(attempt);
-        let end = self.options.faults.end(node, self.now, plan.work);
+        let end = self.options.faults.end(node, self.now, plan.work, in_use);
 
         if !plan.idempotent {
             *self.identifier_runs.entry(plan.identifier).or_default() += 1;
