--- a/standins/caller/src/audit.rs
+++ b/standins/caller/src/audit.rs
@@ -19,7 +19,10 @@
 }
 
 /// Compares the records with the executions of all targets.
-pub fn audit_run(records: &[RequestRecord], runs: &[LoggedRun]) -> AuditReport {
+pub fn audit_run<'a>(
+    records: impl IntoIterator<Item = &'a RequestRecord>,
+    runs: &[LoggedRun],
+) -> AuditReport {
     let mut report = AuditReport::default();
     let mut by_id: HashMap<&str, Vec<&LoggedRun>> = HashMap::new();
     for run in runs {
--- a/standins/caller/src/main.rs
+++ b/standins/caller/src/main.rs
@@ -60,8 +60,8 @@
         }
     };
 
-    let report =
-        RunReport::new(&records, audit_run(&records, &runs)).with_probes(&records, &probes);
+    let audit = audit_run(records.iter().chain(&probes), &runs);
+    let report = RunReport::new(&records, &probes, audit);
     println!("{}", describe_latency(&records, WorkClass::Short, "short"));
     println!("{}", describe_latency(&records, WorkClass::Long, "long"));
     print!("{}", report.describe());
--- a/standins/caller/src/report.rs
+++ b/standins/caller/src/report.rs
@@ -36,12 +36,12 @@
 }
 
 impl RunReport {
-    /// Counts the records.
-    pub fn new(records: &[RequestRecord], audit: AuditReport) -> Self {
+    /// Counts the records. The probes count for the unserved time alone, which they make exact.
+    pub fn new(records: &[RequestRecord], probes: &[RequestRecord], audit: AuditReport) -> Self {
         let mut report = Self {
             sent: records.len(),
             audit,
-            unserved: longest_unserved(records),
+            unserved: longest_unserved(records.iter().chain(probes)),
             ..Self::default()
         };
 
@@ -57,17 +57,6 @@
         report
     }
 
-    /// Takes the probes of the slices in, which tell more closely when a slice was served again.
-    #[must_use]
-    pub fn with_probes(self, records: &[RequestRecord], probes: &[RequestRecord]) -> Self {
-        let all: Vec<RequestRecord> = records.iter().chain(probes).cloned().collect();
-
-        Self {
-            unserved: longest_unserved(&all),
-            ..self
-        }
-    }
-
     /// Returns whether every promise held.
     pub fn passes(&self) -> bool {
         let unserved_us = self.unserved.as_ref().map_or(0, UnservedSpan::length_us);
--- a/standins/caller/src/sender.rs
+++ b/standins/caller/src/sender.rs
@@ -13,7 +13,7 @@
     client::{ClientConnection, WholeAnswer},
     clock::monotonic_us,
 };
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 /// The longest wait for a connection.
 const CONNECT_WAIT: Duration = Duration::from_millis(500);
@@ -123,8 +123,11 @@
         let mut records = Vec::new();
 
         while !is_over() {
-            for request in probes {
-                let mut record = RequestRecord::new(request.clone());
+            for probe in probes {
+                // An identifier of its own keeps a probe from being taken for a repeat.
+                let mut request = probe.clone();
+                request.id = Arc::from(format!("{}-{}", probe.id, records.len()));
+                let mut record = RequestRecord::new(request);
                 let attempt = self.attempt(&record).await;
                 record.attempts.push(attempt);
                 records.push(record);
--- a/standins/caller/src/unserved.rs
+++ b/standins/caller/src/unserved.rs
@@ -33,7 +33,9 @@
 
 /// Returns the longest time from the sending of a failed attempt on a slice to the next whole
 /// answer on the same slice, or nothing when no attempt failed.
-pub fn longest_unserved(records: &[RequestRecord]) -> Option<UnservedSpan> {
+pub fn longest_unserved<'a>(
+    records: impl IntoIterator<Item = &'a RequestRecord>,
+) -> Option<UnservedSpan> {
     let mut by_slice: BTreeMap<SliceId, SliceTimes> = BTreeMap::new();
     let mut end_us = 0;
 
--- a/standins/caller/tests/checks.rs
+++ b/standins/caller/tests/checks.rs
@@ -281,7 +281,7 @@
         ),
     ];
 
-    let report = RunReport::new(&records, AuditReport::default());
+    let report = RunReport::new(&records, &[], AuditReport::default());
 
     assert_eq!(report.unserved.as_ref().unwrap().length_us(), 4_999_100);
     assert!(!report.passes());
