Caller stand-in: the tests name their attempts themselves

Cause of four failing checks: attempts got UUIDs, while the tests still looked for ID.1 in their logs. Ruled out: the checks, which are unchanged.

--- a/standins/caller/tests/checks.rs
+++ b/standins/caller/tests/checks.rs
@@ -36,9 +36,9 @@
 /// Makes the record of a request whose attempts lasted 100 us each.
 fn record(id: &str, kind: RequestKind, attempts: &[(u64, AttemptOutcome)]) -> RequestRecord {
     let mut record = RequestRecord::new(request(id, "k", kind));
-    for (sent_us, outcome) in attempts {
+    for (index, (sent_us, outcome)) in attempts.iter().enumerate() {
         let attempt = AttemptRecord {
-            id: record.next_id(),
+            id: Arc::from(format!("{id}.{}", index + 1)),
             sent_us: *sent_us,
             ended_us: sent_us + 100,
             outcome: outcome.clone(),
@@ -130,6 +130,13 @@
     );
 }
 
+#[test]
+fn each_attempt_has_an_identifier_of_its_own() {
+    let record = record("a", RequestKind::List, &[]);
+
+    assert_ne!(record.next_id(), record.next_id());
+}
+
 #[test]
 fn an_honest_run_has_no_findings() {
     let records = [
