--- /dev/null
+++ b/crates/bench/src/capacity/admit.rs
@@ -0,0 +1,200 @@
+//! Processor time and memory of the admission beside one target.
+
+use super::{
+    fit::{LineFit, float, float_of},
+    process::{resident_kib, thread_nanos},
+};
+use std::{collections::VecDeque, time::Duration};
+use wagtail_admit::{
+    AdmitAction, AdmitEvent, AdmitMachine, AdmitOptions, IdentifierAge, WorkArrival, WorkOutcome,
+};
+use wagtail_core::{
+    ids::{OperationName, RequestId, TenantName},
+    service::WorkClass,
+    units::LocalMoment,
+};
+
+/// The requests that are timed at each size.
+const TIMED: u64 = 20_000;
+/// The requests that arrive at a node in a second.
+const AIMED_RATE: f64 = 2_742.0;
+/// The slots of the target.
+const SLOTS: u32 = 6;
+/// The time for which an order ran.
+const TOOK: Duration = Duration::from_millis(1);
+/// The bytes of an answer.
+const ANSWER_BYTES: u64 = 200;
+/// The count of tenants.
+const TENANTS: [usize; 5] = [1, 10, 100, 500, 1_000];
+/// The count of remembered identifiers.
+const IDENTIFIERS: [usize; 5] = [0, 20_000, 40_000, 60_000, 80_000];
+/// The count of waiting requests.
+const QUEUED: [usize; 5] = [0, 250, 500, 1_000, 2_000];
+
+/// `AdmitRun` drives one machine at one moment.
+#[derive(Debug)]
+struct AdmitRun {
+    /// The machine.
+    machine: AdmitMachine,
+    /// The present moment.
+    now: LocalMoment,
+    /// The last ticket.
+    ticket: u64,
+    /// The count of tenants.
+    tenants: usize,
+    /// Whether the requests are idempotent.
+    idempotent: bool,
+    /// The tickets at the target.
+    running: VecDeque<u64>,
+    /// The refused requests.
+    refused: u64,
+}
+
+impl AdmitRun {
+    /// Makes a run with an idle target.
+    fn new(tenants: usize, idempotent: bool) -> Self {
+        let options = AdmitOptions {
+            slots: SLOTS,
+            memory_entries: 200_000,
+            ..AdmitOptions::default()
+        };
+
+        Self {
+            machine: AdmitMachine::new(options, 1),
+            now: LocalMoment::from_millis(1_000),
+            ticket: 0,
+            tenants,
+            idempotent,
+            running: VecDeque::new(),
+            refused: 0,
+        }
+    }
+
+    /// Takes an event in and follows its actions.
+    fn handle(&mut self, event: AdmitEvent) {
+        for action in self.machine.handle(self.now, event) {
+            match action {
+                AdmitAction::Dispatch { ticket } => self.running.push_back(ticket),
+                AdmitAction::Refuse { .. } => self.refused += 1,
+                _ => {}
+            }
+        }
+    }
+
+    /// Lets one request arrive.
+    fn arrive(&mut self) {
+        self.ticket += 1;
+        let tenant = usize::try_from(self.ticket).unwrap_or(0) % self.tenants;
+        let arrival = WorkArrival {
+            ticket: self.ticket,
+            id: RequestId::new(format!("0198a1b2-c3d4-7e5f-8a9b-{:012x}", self.ticket))
+                .expect("the identifier is valid"),
+            tenant: TenantName::new(format!("tenant-{tenant}")).expect("the name is valid"),
+            operation: OperationName::new("create").expect("the name is valid"),
+            class: WorkClass::Short,
+            idempotent: self.idempotent,
+            deadline: self.now + Duration::from_secs(30),
+            slice: Some(7),
+            age: IdentifierAge::Made,
+        };
+
+        self.handle(AdmitEvent::Arrived(arrival));
+    }
+
+    /// Ends the oldest order at the target.
+    fn finish(&mut self) {
+        if let Some(ticket) = self.running.pop_front() {
+            self.handle(AdmitEvent::Finished {
+                ticket,
+                outcome: WorkOutcome::Answered {
+                    bytes: ANSWER_BYTES,
+                },
+                took: TOOK,
+            });
+        }
+    }
+
+    /// Lets requests arrive and end, and returns the microseconds of each.
+    fn time_requests(&mut self) -> f64 {
+        let refused = self.refused;
+        let started = thread_nanos();
+        for _ in 0..TIMED {
+            self.arrive();
+            self.finish();
+        }
+        let nanos = thread_nanos() - started;
+
+        assert!(self.refused == refused, "requests were refused");
+
+        float_of(nanos) / float_of(TIMED) / 1_000.0
+    }
+}
+
+/// Prints the time of an idempotent request by the count of tenants.
+pub fn by_tenants() {
+    println!("tenants,us/request");
+    let mut points = Vec::new();
+
+    for tenants in TENANTS {
+        let mut run = AdmitRun::new(tenants, true);
+        let micros = run.time_requests();
+        println!("{tenants},{micros:.2}");
+        points.push((float(tenants), micros));
+    }
+
+    let fit = LineFit::new(&points);
+    fit.print("request", "us", "tenant", 100.0);
+    print_core(fit.intercept + 100.0 * fit.slope);
+}
+
+/// Prints the memory, and the time of a non-idempotent request, by the count of remembered
+/// identifiers.
+pub fn by_identifiers() {
+    println!("remembered,memory KiB,us/request");
+    let mut run = AdmitRun::new(10, false);
+    let before = resident_kib();
+    let (mut memory, mut times) = (Vec::new(), Vec::new());
+
+    for remembered in IDENTIFIERS {
+        while run.machine.summary().remembered < remembered {
+            run.arrive();
+            run.finish();
+        }
+
+        let kib = float_of(resident_kib().saturating_sub(before));
+        let micros = run.time_requests();
+        println!("{remembered},{kib:.0},{micros:.2}");
+        memory.push((float(remembered), kib));
+        // The timed requests are remembered too; the middle of them is the size.
+        times.push((float(remembered) + float_of(TIMED) / 2.0, micros));
+    }
+
+    LineFit::new(&memory).print("memory", "KiB", "identifier", 100_000.0);
+    LineFit::new(&times).print("request", "us", "identifier", 100_000.0);
+}
+
+/// Prints the time of a request by the count of waiting ones.
+pub fn by_queue() {
+    println!("waiting,us/request");
+    let mut points = Vec::new();
+
+    for waiting in QUEUED {
+        let mut run = AdmitRun::new(10, true);
+        for _ in 0..waiting {
+            run.arrive();
+        }
+        let micros = run.time_requests();
+        println!("{waiting},{micros:.2}");
+        points.push((float(waiting), micros));
+    }
+
+    LineFit::new(&points).print("request", "us", "waiting request", 100.0);
+}
+
+/// Prints the part of a core that the requests of one node take.
+fn print_core(micros: f64) {
+    println!(
+        "at {AIMED_RATE} requests/s and 100 tenants: {:.2} % of a core",
+        micros * AIMED_RATE / 10_000.0
+    );
+}
--- /dev/null
+++ b/crates/bench/src/capacity/losses.rs
@@ -0,0 +1,97 @@
+//! The platform's calls and the unserved time when nodes are lost, in virtual time.
+
+use super::fit::{LineFit, float, float_of};
+use crate::lease::driver::{SECOND, World, WorldOptions};
+use std::time::Duration;
+use wagtail_lease::LeaseOptions;
+
+/// The nodes of the fleet.
+const NODES: usize = 620;
+/// The availability zones.
+const ZONES: usize = 5;
+/// The slices of each node.
+const SLICES_PER_NODE: usize = 2;
+/// The aimed count of slices of each node.
+const AIMED_SLICES: f64 = 40.0;
+/// The count of nodes that are lost at once: one VM, some, a rack, more, and a zone.
+const LOST: [usize; 5] = [1, 5, 20, 60, 124];
+/// The time after the loss in virtual seconds.
+const WATCHED_SECONDS: u64 = 60;
+/// The writes a second by which slices are claimed.
+const CLAIMS_PER_SECOND: usize = 250;
+/// The renewal interval that the settings of a daemon default to.
+const RENEW_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Prints the calls by the count of lost nodes.
+pub fn run() {
+    println!("lost,slices lost,reads,writes,most calls/s,last call after s,longest unserved ms");
+    let mut reads = Vec::new();
+    let mut writes = Vec::new();
+
+    for lost in LOST {
+        let (read, written) = lose(lost);
+        let slices = float(lost * SLICES_PER_NODE);
+        reads.push((slices, read));
+        writes.push((slices, written));
+    }
+
+    let aimed = 124.0 * AIMED_SLICES;
+    LineFit::new(&reads).print("reads", "calls", "lost slice", aimed);
+    LineFit::new(&writes).print("writes", "calls", "lost slice", aimed);
+}
+
+/// Loses nodes of one zone and returns the reads and writes that followed.
+fn lose(lost: usize) -> (f64, f64) {
+    let mut world = make_world();
+    for node in 0..lost {
+        world.kill(node * ZONES % NODES);
+    }
+    world.reset_gaps();
+
+    let before = world.counts.clone();
+    let mut calls = before.reads + before.writes;
+    let (mut most, mut last_call) = (0, 0);
+    for second in 1..=WATCHED_SECONDS {
+        world.run_for(SECOND);
+        let now = world.counts.reads + world.counts.writes;
+        most = most.max(now - calls);
+        if now > calls {
+            last_call = second;
+        }
+        calls = now;
+    }
+
+    let reads = world.counts.reads - before.reads;
+    let writes = world.counts.writes - before.writes;
+    let gap = world.longest_gap.values().max().copied().unwrap_or(0);
+    println!(
+        "{lost},{},{reads},{writes},{most},{last_call},{}",
+        lost * SLICES_PER_NODE,
+        gap / 1_000
+    );
+
+    (float_of(reads), float_of(writes))
+}
+
+/// Makes the fleet with every slice served.
+fn make_world() -> World {
+    let total = NODES * SLICES_PER_NODE;
+    let mut world = World::new(WorldOptions {
+        nodes: NODES,
+        zones: ZONES,
+        slices: u32::try_from(total).unwrap_or(u32::MAX),
+        fenced: true,
+        lease: LeaseOptions {
+            renew_interval: RENEW_INTERVAL,
+            ..LeaseOptions::default()
+        },
+        ..WorldOptions::default()
+    });
+
+    world.run_for(SECOND);
+    world.claim_all();
+    let settle = u64::try_from(total / CLAIMS_PER_SECOND + 15).unwrap_or(u64::MAX);
+    world.run_for(settle * SECOND);
+
+    world
+}
--- a/crates/bench/src/lease.rs
+++ b/crates/bench/src/lease.rs
@@ -2,10 +2,10 @@
 
 #[path = "../../lease/tests/lease/driver/mod.rs"]
 #[expect(
-    dead_code,
-    reason = "the tests use more of the driver than the measurements"
+    clippy::needless_pass_by_value,
+    reason = "the driver belongs to the tests of the leases"
 )]
-mod driver;
+pub(crate) mod driver;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 use driver::{
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,6 +1,7 @@
 //! Measurements of the decisions in virtual time and of the daemons over loopback.
 
 mod assign;
+mod capacity;
 mod lease;
 mod requests;
 
@@ -13,6 +14,7 @@
         .about("Measures the decisions in virtual time and the daemons over loopback")
         .subcommand_required(true)
         .subcommand(assign::command())
+        .subcommand(capacity::command())
         .subcommand(lease::storm_command())
         .subcommand(requests::report::command())
         .get_matches();
@@ -22,6 +24,10 @@
             assign::run(arguments);
             true
         }
+        Some(("capacity", arguments)) => {
+            capacity::run(arguments);
+            true
+        }
         Some(("lease-storm", arguments)) => lease::run_storms(arguments),
         Some(("requests", arguments)) => {
             requests::report::run(arguments);
