--- a/crates/bench/src/capacity/mod.rs
+++ b/crates/bench/src/capacity/mod.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod lease;
 mod losses;
+pub mod path;
 mod process;
 mod records;
 
--- a/crates/bench/src/capacity/process.rs
+++ b/crates/bench/src/capacity/process.rs
@@ -5,6 +5,12 @@
 
 /// The calls of the clock by which its own cost is measured.
 const CLOCK_CALLS: u32 = 20_000;
+/// The place of the user time after the name in `/proc/PID/stat`.
+const USER_FIELD: usize = 11;
+/// The place of the system time after the name in `/proc/PID/stat`.
+const SYSTEM_FIELD: usize = 12;
+/// The unit of both times; Linux shows hundredths of a second to programs.
+const TICKS_PER_SECOND: f64 = 100.0;
 
 /// Returns the processor time of this thread in nanoseconds.
 pub fn thread_nanos() -> u64 {
@@ -36,3 +42,48 @@
         .and_then(|number| number.parse().ok())
         .unwrap_or(0)
 }
+
+/// `ProcessTime` is the processor time of a process in seconds.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct ProcessTime {
+    /// The time in the program.
+    pub user: f64,
+    /// The time in the system.
+    pub system: f64,
+}
+
+impl ProcessTime {
+    /// Returns the time since an earlier reading.
+    pub fn since(self, earlier: Self) -> Self {
+        Self {
+            user: self.user - earlier.user,
+            system: self.system - earlier.system,
+        }
+    }
+
+    /// Returns the sum of two times.
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            user: self.user + other.user,
+            system: self.system + other.system,
+        }
+    }
+}
+
+/// Reads the processor time of a process; zero when it is gone.
+pub fn process_time(pid: u32) -> ProcessTime {
+    let text = fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    // The name, in parentheses, may hold spaces.
+    let (_, rest) = text.rsplit_once(')').unwrap_or_default();
+    let ticks = |place: usize| -> f64 {
+        rest.split_whitespace()
+            .nth(place)
+            .and_then(|number| number.parse::<f64>().ok())
+            .unwrap_or(0.0)
+    };
+
+    ProcessTime {
+        user: ticks(USER_FIELD) / TICKS_PER_SECOND,
+        system: ticks(SYSTEM_FIELD) / TICKS_PER_SECOND,
+    }
+}
--- a/crates/bench/src/capacity/records.rs
+++ b/crates/bench/src/capacity/records.rs
@@ -4,7 +4,7 @@
     fit::{LineFit, float, float_of},
     process::{resident_kib, thread_nanos},
 };
-use std::hint::black_box;
+use std::{collections::BTreeSet, hint::black_box};
 use wagtail_core::{
     ids::{LeaseEpoch, NodeIdentity, NodeIncarnation, NodeName, ServiceName, ZoneName},
     lease::LeaseRecord,
@@ -31,71 +31,117 @@
 /// The lookups that are timed.
 const LOOKUPS: u32 = 100_000;
 
-/// Prints memory, JSON and lookup time by the count of slices.
+/// `RecordCost` is what all records together take.
+#[derive(Debug, Clone, Copy)]
+struct RecordCost {
+    /// The memory in KiB of the lease machine and the route table.
+    memory: f64,
+    /// The stored texts in KiB.
+    json: f64,
+}
+
+/// Prints memory, JSON and lookup time by the count of slices: as the daemon does it, where
+/// each record brings names of its own, and with one copy of each name.
 pub fn run() {
+    for shared in [false, true] {
+        println!("names shared: {shared}");
+        println!("slices,memory KiB,json KiB,parse us/record,lookup ns");
+        let rows = measure(shared);
+
+        let points = |field: fn(&RecordCost) -> f64| -> Vec<(f64, f64)> {
+            rows.iter().map(|(x, cost)| (*x, field(cost))).collect()
+        };
+        LineFit::new(&points(|cost| cost.memory)).print("memory", "KiB", "slice", AIMED);
+        LineFit::new(&points(|cost| cost.json)).print("json", "KiB", "slice", AIMED);
+    }
+}
+
+/// Measures one way by the count of slices.
+fn measure(shared: bool) -> Vec<(f64, RecordCost)> {
     let name = NodeName::new("vm-0").expect("the name is valid");
     let identity = NodeIdentity::new(name, NodeIncarnation(INCARNATION));
     let zone = ZoneName::new("zone-1").expect("the name is valid");
     let mut machine = LeaseMachine::new(identity, zone, LeaseOptions::default(), 1);
     let mut routes = RouteTable::new();
-    let mut machine_kib = 0;
-    let mut routes_kib = 0;
-    let mut rows: Vec<(f64, f64, f64, f64)> = Vec::new();
+    let mut names = SharedNames::default();
+    let mut rows = Vec::new();
+    let (mut base, mut nanos, mut bytes) = (0, 0, 0);
 
-    println!("slices,machine KiB,routes KiB,json KiB,parse us/record,lookup ns");
-    let mut json_bytes = 0;
-    let mut parse_nanos = 0;
-
-    for step in 0..STEPS {
+    // The first step fills the allocator's free lists; the memory is counted from its end on.
+    for step in 0..=STEPS {
         let texts: Vec<String> = (step * STEP..(step + 1) * STEP).map(record_text).collect();
-        json_bytes += texts.iter().map(String::len).sum::<usize>();
-
-        // Each record is parsed by itself, as the daemon does, so that no names are shared.
-        let before = resident_kib();
         let started = thread_nanos();
-        let records: Vec<VersionedRecord> = texts.iter().map(|text| parse(text)).collect();
-        parse_nanos += thread_nanos() - started;
-        machine.handle(
-            LocalMoment::from_millis(u64::from(step) + 1),
-            LeaseEvent::RecordsListed(records.clone()),
-        );
-        machine_kib += resident_kib() - before;
+        // Each record is parsed by itself, as the daemon does.
+        let mut records: Vec<VersionedRecord> = texts.iter().map(|text| parse(text)).collect();
+        nanos += thread_nanos() - started;
+        if shared {
+            for record in &mut records {
+                names.share(record);
+            }
+        }
 
-        // The hints share the names of the records until those are dropped.
-        let before = resident_kib();
         for record in &records {
             routes.learn(RouteHint::from(&record.record));
         }
-        routes_kib += resident_kib() - before;
-
-        let slices = (step + 1) * STEP;
-        let lookup = lookup_nanos(&routes, slices);
+        let now = LocalMoment::from_millis(u64::from(step) + 1);
+        machine.handle(now, LeaseEvent::RecordsListed(records));
+        let length = texts.iter().map(String::len).sum::<usize>();
+        drop(texts);
+
+        if step == 0 {
+            base = resident_kib();
+            nanos = 0;
+            continue;
+        }
+        bytes += length;
+        let slices = step * STEP;
+        let cost = RecordCost {
+            memory: float_of(resident_kib().saturating_sub(base)),
+            json: float(bytes) / 1_024.0,
+        };
         println!(
-            "{slices},{machine_kib},{routes_kib},{},{:.2},{lookup}",
-            json_bytes / 1_024,
-            float_of(parse_nanos) / f64::from(slices) / 1_000.0,
+            "{slices},{:.0},{:.0},{:.2},{}",
+            cost.memory,
+            cost.json,
+            float_of(nanos) / f64::from(slices) / 1_000.0,
+            lookup_nanos(&routes, slices),
         );
-        rows.push((
-            f64::from(slices),
-            float_of(machine_kib),
-            float_of(routes_kib),
-            float(json_bytes) / 1_024.0,
-        ));
+        rows.push((f64::from(slices), cost));
     }
 
-    print_fits(&rows);
+    // What the next measurement takes must not come from what this one frees.
+    std::mem::forget((machine, routes));
+    rows
 }
 
-/// Prints the lines through the measured sizes.
-fn print_fits(rows: &[(f64, f64, f64, f64)]) {
-    let points = |field: fn(&(f64, f64, f64, f64)) -> f64| -> Vec<(f64, f64)> {
-        rows.iter().map(|row| (row.0, field(row))).collect()
-    };
+/// `SharedNames` keeps one copy of each name.
+#[derive(Debug, Default)]
+struct SharedNames {
+    nodes: BTreeSet<NodeName>,
+    services: BTreeSet<ServiceName>,
+}
+
+impl SharedNames {
+    /// Replaces the names of a record by the kept copies.
+    fn share(&mut self, record: &mut VersionedRecord) {
+        let record = &mut record.record;
+        let names = record.members.iter_mut().chain(&mut record.deputies);
+
+        for name in names.chain([&mut record.owner.name]) {
+            *name = keep(&mut self.nodes, name);
+        }
+        record.slice.service = keep(&mut self.services, &record.slice.service);
+    }
+}
+
+/// Returns the kept copy of a name.
+fn keep<T: Clone + Ord>(kept: &mut BTreeSet<T>, name: &T) -> T {
+    if let Some(known) = kept.get(name) {
+        return known.clone();
+    }
 
-    LineFit::new(&points(|row| row.1)).print("machine", "KiB", "slice", AIMED);
-    LineFit::new(&points(|row| row.2)).print("routes", "KiB", "slice", AIMED);
-    LineFit::new(&points(|row| row.1 + row.2)).print("both", "KiB", "slice", AIMED);
-    LineFit::new(&points(|row| row.3)).print("json", "KiB", "slice", AIMED);
+    kept.insert(name.clone());
+    name.clone()
 }
 
 /// Returns the nanoseconds of one lookup.
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -15,6 +15,7 @@
         .subcommand_required(true)
         .subcommand(assign::command())
         .subcommand(capacity::command())
+        .subcommand(capacity::path::command())
         .subcommand(lease::storm_command())
         .subcommand(requests::report::command())
         .get_matches();
@@ -28,6 +29,10 @@
             capacity::run(arguments);
             true
         }
+        Some(("capacity-path", arguments)) => {
+            capacity::path::run(arguments);
+            true
+        }
         Some(("lease-storm", arguments)) => lease::run_storms(arguments),
         Some(("requests", arguments)) => {
             requests::report::run(arguments);
--- a/standins/fleet.sh
+++ b/standins/fleet.sh
@@ -2,12 +2,12 @@
 # caller of these functions sets -euo pipefail and runs at the root of the repository.
 # shellcheck shell=bash
 
-readonly KEYED_NODES=5
-readonly UNKEYED_NODES=3
+readonly KEYED_NODES=${FLEET_KEYED_NODES:-5}
+readonly UNKEYED_NODES=${FLEET_UNKEYED_NODES:-3}
 readonly NODES=$((KEYED_NODES + UNKEYED_NODES))
 readonly ZONES=(zone-a zone-b zone-c)
-readonly SLICES=64
-readonly SLOTS=6
+readonly SLICES=${FLEET_SLICES:-64}
+readonly SLOTS=${FLEET_SLOTS:-6}
 readonly PORTS_PER_NODE=5
 readonly PROFILE=${DEMO_PROFILE:-release}
 readonly SEED=${DEMO_SEED:-1}
