--- a/crates/daemon/src/ownership/memories.rs
+++ b/crates/daemon/src/ownership/memories.rs
@@ -29,6 +29,8 @@
 struct StartedMove {
     at: LocalMoment,
     to: NodeName,
+    /// Whether the memory was sent ahead.
+    sent: bool,
 }
 
 /// `MemoryBook` keeps the memories that this node received and the moves that it began.
@@ -80,25 +82,31 @@
         self.moves
             .retain(|_, started| now.since(started.at) < NOTICE_LIFE * 2);
 
-        if self.moves.contains_key(slice) {
+        // Without a memory under way an earlier attempt has left nothing behind.
+        if self.moves.get(slice).is_some_and(|started| started.sent) {
             return false;
         }
-        self.moves.insert(
-            slice.clone(),
-            StartedMove {
-                at: now,
-                to: to.clone(),
-            },
-        );
+        let started = StartedMove {
+            at: now,
+            to: to.clone(),
+            sent: false,
+        };
+        self.moves.insert(slice.clone(), started);
 
         true
     }
 
-    /// Returns the node that a drained slice moves to.
-    pub fn send_to(&self, now: LocalMoment, slice: &SliceId) -> Option<NodeName> {
-        self.moves
-            .get(slice)
-            .filter(|started| now.since(started.at) < NOTICE_LIFE * 2)
-            .map(|started| started.to.clone())
+    /// Returns the node that a drained slice moves to, and notes that its memory is sent there.
+    pub fn send_to(&mut self, now: LocalMoment, slice: &SliceId) -> Option<NodeName> {
+        let started = self.moves.get_mut(slice)?;
+
+        if now.since(started.at) >= NOTICE_LIFE * 2 {
+            return None;
+        }
+        // The time of the memory counts from here, however long the drain took.
+        started.at = now;
+        started.sent = true;
+
+        Some(started.to.clone())
     }
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -32,6 +32,7 @@
 };
 use thiserror::Error;
 use tracing::{info, warn};
+use wagtail_assign::AssignOptions;
 use wagtail_core::{
     ids::{NodeIdentity, NodeIncarnation},
     ports::PlatformStore,
@@ -427,6 +428,8 @@
         renew_interval: Duration::from_millis(settings.lease.renew_ms),
         suspicion: Duration::from_millis(settings.lease.suspicion_ms),
         deputy_step: Duration::from_millis(settings.lease.stagger_ms),
+        // A node that drains moves as many slices at a time as its assignment starts.
+        moves_in_flight: AssignOptions::default().max_drain_moves,
         ..LeaseOptions::default()
     }
 }
