--- a/crates/bench/src/lease.rs
+++ b/crates/bench/src/lease.rs
@@ -1,7 +1,7 @@
 //! Storms and measurements of the lease machines in virtual time.
 
 #[path = "../../lease/tests/lease/driver/mod.rs"]
-#[expect(
+#[allow(
     dead_code,
     reason = "the tests use more of the driver than the measurements"
 )]
@@ -9,9 +9,21 @@
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 use driver::{
-    SECOND,
+    MS, SECOND, World, WorldCounts, WorldOptions,
     storm::{run_storm, storm_options},
 };
+use std::{fs, sync::LazyLock, time::Instant};
+use wagtail_core::slice::SliceId;
+use wagtail_lease::{LeaseEvent, LeaseMessage};
+
+/// The slices of one node in the measurements.
+const SLICES_A_NODE: u32 = 16;
+
+/// The headers of IP and TCP in bytes, with the timestamps option, and those of an h2 data frame.
+const HEADER_BYTES: u64 = 20 + 32 + 9;
+
+/// The origin of the stopwatch.
+static ORIGIN: LazyLock<Instant> = LazyLock::new(Instant::now);
 
 /// Returns the command that runs random faults.
 pub fn storm_command() -> Command {
@@ -26,10 +38,24 @@
         ))
 }
 
+/// Returns the command that measures.
+pub fn measure_command() -> Command {
+    Command::new("lease-measure")
+        .about("Measures unavailable time, control cost and platform calls of the lease machines")
+        .arg(number("runs", "100", "the runs of each failure"))
+        .arg(number(
+            "nodes",
+            "0",
+            "one fleet size in place of 14, 50, 150 and 620",
+        ))
+        .arg(number("only-gaps", "0", "1 leaves the control cost out"))
+}
+
 /// Runs random faults and returns whether every run was green.
 pub fn run_storms(arguments: &ArgMatches) -> bool {
-    let get = |name: &str| *arguments.get_one::<u64>(name).unwrap_or(&0);
-    let (seeds, first, seconds) = (get("seeds"), get("first"), get("seconds"));
+    let seeds = get(arguments, "seeds");
+    let first = get(arguments, "first");
+    let seconds = get(arguments, "seconds");
 
     let mut failed = 0;
     let mut checked = 0;
@@ -58,6 +84,328 @@
     failed == 0 && checked > 0
 }
 
+/// Measures and prints; returns whether no invariant broke on the way.
+pub fn run_measurements(arguments: &ArgMatches) -> bool {
+    let runs = get(arguments, "runs");
+    let nodes = get(arguments, "nodes");
+    let mut is_green = measure_gaps(runs);
+
+    if get(arguments, "only-gaps") == 1 {
+        return is_green;
+    }
+
+    let sizes = if nodes == 0 {
+        vec![14, 50, 150, 620]
+    } else {
+        vec![nodes]
+    };
+
+    for size in sizes {
+        let size = usize::try_from(size).unwrap_or(14);
+        is_green &= measure_cost(size);
+    }
+
+    is_green
+}
+
+/// `GapCase` is one failure whose unavailable time is measured.
+struct GapCase {
+    /// What fails.
+    name: &'static str,
+    /// Brings the failure about, to the slice that is measured.
+    strike: fn(&mut World, &SliceId, &[usize]),
+    /// Whether the targets check fencing tokens.
+    fenced: bool,
+}
+
+/// Measures the unavailable time of a key for each failure.
+fn measure_gaps(runs: u64) -> bool {
+    let lose = |world: &mut World, _: &SliceId, set: &[usize]| world.kill(set[0]);
+    let lose_two = |world: &mut World, _: &SliceId, set: &[usize]| {
+        world.kill(set[0]);
+        world.kill(set[1]);
+    };
+
+    let cases = [
+        GapCase {
+            name: "owner lost",
+            strike: lose,
+            fenced: false,
+        },
+        GapCase {
+            name: "owner lost, fenced targets",
+            strike: lose,
+            fenced: true,
+        },
+        GapCase {
+            name: "owner and witness lost",
+            strike: lose_two,
+            fenced: false,
+        },
+        GapCase {
+            name: "owner and first deputy lost",
+            strike: lose_owner_and_deputy,
+            fenced: false,
+        },
+        GapCase {
+            name: "owner lost in an outage",
+            strike: |world, slice, set| {
+                world.outage = true;
+                world.run_for(2 * SECOND);
+                lose_one(world, slice, set);
+            },
+            fenced: false,
+        },
+        GapCase {
+            name: "owner and witness lost in an outage",
+            strike: |world, _, set| {
+                world.outage = true;
+                world.run_for(2 * SECOND);
+                world.kill(set[0]);
+                world.kill(set[1]);
+            },
+            fenced: false,
+        },
+        GapCase {
+            name: "zone lost",
+            strike: lose_zone,
+            fenced: false,
+        },
+        GapCase {
+            name: "owner frozen 5 s",
+            strike: |world, _, set| world.pause(set[0], 5 * SECOND),
+            fenced: false,
+        },
+        GapCase {
+            name: "owner restarted after 300 ms",
+            strike: |world, _, set| {
+                world.kill(set[0]);
+                world.run_for(300 * MS);
+                world.restart(set[0]);
+            },
+            fenced: false,
+        },
+        GapCase {
+            name: "planned move, drain up to 300 ms",
+            strike: move_on,
+            fenced: false,
+        },
+    ];
+
+    let mut is_green = true;
+
+    for case in cases {
+        is_green &= measure_gap(&case, runs);
+    }
+
+    is_green
+}
+
+/// Measures one failure.
+fn measure_gap(case: &GapCase, runs: u64) -> bool {
+    let mut gaps = Vec::new();
+    let mut broken = 0;
+
+    for seed in 0..runs {
+        let mut world = World::new(WorldOptions {
+            nodes: 15,
+            slices: 15,
+            seed,
+            loss: 0.01,
+            fenced: case.fenced,
+            ..WorldOptions::default()
+        });
+
+        world.run_for(SECOND);
+        world.claim_all();
+        world.run_for(6 * SECOND);
+
+        // The failure meets the renewals at any phase.
+        world.run_for(seed * 7 % 250 * MS);
+
+        let slice = world.slice(u32::try_from(seed % 15).unwrap_or(0));
+        let record = &world.store[&slice].record;
+        let mut set: Vec<usize> = record.members.iter().map(|name| world.node(name)).collect();
+        let owner = world.node(&record.owner.name);
+        set.sort_by_key(|node| *node != owner);
+
+        world.reset_gaps();
+        (case.strike)(&mut world, &slice, &set);
+        world.run_for(10 * SECOND);
+
+        gaps.push(world.longest_gap.get(&slice).copied().unwrap_or(0) / MS);
+        broken += world.violations.len();
+    }
+
+    gaps.sort_unstable();
+    println!(
+        "unavailable case={:?} runs={runs} p50_ms={} p99_ms={} worst_ms={} violations={broken}",
+        case.name,
+        gaps[gaps.len() / 2],
+        gaps[gaps.len() * 99 / 100],
+        gaps[gaps.len() - 1],
+    );
+
+    broken == 0
+}
+
+/// Loses the owner.
+fn lose_one(world: &mut World, _: &SliceId, set: &[usize]) {
+    world.kill(set[0]);
+}
+
+/// Loses the owner and the node that is called first.
+fn lose_owner_and_deputy(world: &mut World, slice: &SliceId, set: &[usize]) {
+    let deputy = world.node(&world.store[slice].record.deputies[0]);
+
+    world.kill(set[0]);
+    world.kill(deputy);
+}
+
+/// Loses the zone of the owner.
+fn lose_zone(world: &mut World, _: &SliceId, set: &[usize]) {
+    let zone = set[0] % world.options.zones;
+
+    for node in (zone..world.nodes.len()).step_by(world.options.zones) {
+        world.kill(node);
+    }
+}
+
+/// Moves the slice to the next node.
+fn move_on(world: &mut World, slice: &SliceId, set: &[usize]) {
+    let to = (set[0] + 1) % world.nodes.len();
+    let to = world.nodes[to].name.clone();
+    let slice = slice.clone();
+
+    world.tell(set[0], LeaseEvent::Move { slice, to });
+}
+
+/// Measures the control cost of a fleet, and the platform's calls when a part of it is lost.
+fn measure_cost(nodes: usize) -> bool {
+    let resident = resident_kilobytes();
+    let mut world = served_fleet(nodes);
+    let resident = resident_kilobytes().saturating_sub(resident);
+
+    world.counts = WorldCounts::default();
+    world.run_for(10 * SECOND);
+    print_cost(nodes, &world, resident);
+
+    let zone: Vec<usize> = (0..nodes).step_by(world.options.zones).collect();
+    let is_green = world.violations.is_empty();
+    let parts = [("vm", 1), ("rack", 20), ("zone", zone.len())];
+
+    parts.iter().all(|(name, count)| {
+        let lost = &zone[..zone.len().min(*count)];
+
+        measure_loss(&mut served_fleet(nodes), name, lost)
+    }) && is_green
+}
+
+/// Makes a fleet whose slices are all served and recorded.
+fn served_fleet(nodes: usize) -> World {
+    let count = u32::try_from(nodes).unwrap_or(u32::MAX);
+    let mut world = World::new(WorldOptions {
+        nodes,
+        zones: if nodes >= 150 { 5 } else { 3 },
+        slices: count * SLICES_A_NODE,
+        probe: if nodes >= 150 { 50 * MS } else { 10 * MS },
+        measure: Some(encoded),
+        stopwatch: Some(stopwatch),
+        ..WorldOptions::default()
+    });
+
+    world.run_for(SECOND);
+    world.claim_all();
+
+    // Claims share the platform's rate: 300 a second.
+    world.run_for(15 * SECOND + u64::from(count * SLICES_A_NODE) * SECOND / 200);
+
+    world
+}
+
+/// Prints the steady control cost of a node.
+fn print_cost(nodes: usize, world: &World, resident: u64) {
+    let counts = &world.counts;
+    let shared = nodes as u64 * 10;
+    let headers = counts.messages * HEADER_BYTES;
+    let unserved = world
+        .slices()
+        .iter()
+        .filter(|slice| world.owner(slice).is_none())
+        .count();
+
+    println!(
+        "cost nodes={nodes} slices={} unserved={unserved} sent_messages_s={} sent_payload_bytes_s={} \
+         sent_and_received_bytes_s={} handled_s={} ns_a_handle={} core_permille={:.2} \
+         resident_kb_a_machine={}",
+        world.options.slices,
+        counts.messages / shared,
+        counts.bytes / shared,
+        (counts.bytes + headers) * 2 / shared,
+        counts.handled / shared,
+        counts.handled_ns / counts.handled.max(1),
+        counts.handled_ns as f64 / shared as f64 / 1e6,
+        resident / nodes as u64,
+    );
+}
+
+/// Measures the calls of the platform when nodes are lost at once.
+fn measure_loss(world: &mut World, name: &str, lost: &[usize]) -> bool {
+    let nodes = world.nodes.len();
+
+    world.counts = WorldCounts::default();
+    world.reset_gaps();
+
+    for node in lost {
+        world.kill(*node);
+    }
+
+    world.run_for(30 * SECOND);
+
+    let worst = world.longest_gap.values().copied().max().unwrap_or(0) / MS;
+    let counts = &world.counts;
+    let over = world
+        .longest_gap
+        .values()
+        .filter(|gap| **gap > 3 * SECOND)
+        .count();
+
+    println!(
+        "loss nodes={nodes} lost={name} count={} slices={} reads={} writes={} most_writes_s={} \
+         worst_gap_ms={worst} gaps_over_3s={over} sent_bytes_s_a_node={} violations={}",
+        lost.len(),
+        world.longest_gap.len(),
+        counts.reads,
+        counts.writes,
+        counts.most_writes_a_second,
+        (counts.bytes + counts.messages * HEADER_BYTES) / 30 / nodes as u64,
+        world.violations.len(),
+    );
+
+    world.violations.is_empty()
+}
+
+/// Returns the encoded size of a message.
+fn encoded(message: &LeaseMessage) -> usize {
+    bincode::serde::encode_to_vec(message, bincode::config::standard())
+        .map_or(0, |bytes| bytes.len())
+}
+
+/// Returns the nanoseconds since the first reading.
+fn stopwatch() -> u64 {
+    u64::try_from(ORIGIN.elapsed().as_nanos()).unwrap_or(u64::MAX)
+}
+
+/// Returns the resident memory of this process in kilobytes.
+fn resident_kilobytes() -> u64 {
+    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS"));
+
+    line.and_then(|line| line.split_whitespace().nth(1))
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0)
+}
+
 /// Prints the first few lines of a list.
 fn print_first(lines: &[String]) {
     for line in lines.iter().take(3) {
@@ -65,6 +413,11 @@
     }
 }
 
+/// Returns the value of a numeric argument.
+fn get(arguments: &ArgMatches, name: &str) -> u64 {
+    arguments.get_one::<u64>(name).copied().unwrap_or(0)
+}
+
 /// Returns a numeric argument.
 fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
     Arg::new(name)
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -11,10 +11,12 @@
         .about("Measures the decisions in virtual time and the daemons over loopback")
         .subcommand_required(true)
         .subcommand(lease::storm_command())
+        .subcommand(lease::measure_command())
         .get_matches();
 
     let is_green = match matches.subcommand() {
         Some(("lease-storm", arguments)) => lease::run_storms(arguments),
+        Some(("lease-measure", arguments)) => lease::run_measurements(arguments),
         _ => false,
     };
 
--- a/crates/lease/src/holder.rs
+++ b/crates/lease/src/holder.rs
@@ -94,6 +94,8 @@
     pub(crate) took_over: Option<NodeName>,
     /// When the epoch was last raised.
     pub(crate) raised_at: LocalMoment,
+    /// Whether something happened since the holder was looked at.
+    pub(crate) is_touched: bool,
 }
 
 impl LeaseHolder {
@@ -123,9 +125,19 @@
             in_call: false,
             took_over: None,
             raised_at: now,
+            is_touched: true,
         }
     }
 
+    /// Returns whether nothing but time has passed, and not enough to matter.
+    pub(crate) fn is_steady(&self, now: LocalMoment) -> bool {
+        let is_served = self
+            .serving
+            .is_some_and(|grant| grant.epoch == self.record.epoch && grant.until > now);
+
+        !self.is_touched && is_served && self.refusals.is_empty()
+    }
+
     /// Returns whether members are asked.
     pub(crate) fn is_asking(&self) -> bool {
         self.phase != HolderPhase::Claiming
@@ -164,6 +176,8 @@
             self.followed.insert(from.clone(), followed);
         }
 
+        self.is_touched = true;
+
         let moment = self.grants.entry(from.clone()).or_insert(asked);
         *moment = (*moment).max(asked);
 
@@ -182,6 +196,8 @@
             return;
         }
 
+        self.is_touched = true;
+
         match reason {
             RefusalReason::Superseded { promised, newest } => {
                 let since = self.refusals.get(from).map_or(now, |refusal| refusal.since);
--- a/crates/lease/src/pairs.rs
+++ b/crates/lease/src/pairs.rs
@@ -1,7 +1,7 @@
 //! The renewals from one holder to its witnesses.
 
 use crate::message::LeaseMessage;
-use std::{collections::VecDeque, sync::Arc};
+use std::{collections::VecDeque, mem, sync::Arc, time::Duration};
 use wagtail_core::{
     ids::{LeaseEpoch, NodeName},
     lease::LeaseRecord,
@@ -121,7 +121,8 @@
             self.unanswered.pop_front();
         }
 
-        let bundle = self.send_bundle.then(|| self.records.clone());
+        // A list that got lost is asked for; one that is never answered is not sent again and again.
+        let bundle = mem::take(&mut self.send_bundle).then(|| self.records.clone());
 
         LeaseMessage::Renew {
             sequence,
@@ -144,11 +145,6 @@
 
         self.answered = Some(now);
 
-        // The witness knows the list when the answer is to a renewal of the present one.
-        if Arc::ptr_eq(&renewal.asked, &self.asked) {
-            self.send_bundle = false;
-        }
-
         Some((renewal.sent, renewal.asked))
     }
 
@@ -168,13 +164,13 @@
     }
 
     /// Returns whether the witness answered within a time.
-    pub(crate) fn is_answering(&self, now: LocalMoment, within: std::time::Duration) -> bool {
+    pub(crate) fn is_answering(&self, now: LocalMoment, within: Duration) -> bool {
         self.answered
             .is_some_and(|answered| now.since(answered) <= within)
     }
 
     /// Returns whether the witness has been silent for a time.
-    pub(crate) fn is_silent(&self, now: LocalMoment, time: std::time::Duration) -> bool {
+    pub(crate) fn is_silent(&self, now: LocalMoment, time: Duration) -> bool {
         now.since(self.answered.unwrap_or(self.since)) >= time
     }
 }
--- a/crates/lease/src/serving.rs
+++ b/crates/lease/src/serving.rs
@@ -36,15 +36,41 @@
 impl LeaseMachine {
     /// Advances every holder.
     pub(crate) fn advance_holders(&mut self, now: LocalMoment) {
-        let slices: Vec<SliceId> = self.holders.keys().cloned().collect();
+        let slices: Vec<SliceId> = self
+            .holders
+            .iter()
+            .filter(|(_, holder)| !holder.is_steady(now))
+            .map(|(slice, _)| slice.clone())
+            .collect();
 
         for slice in slices {
-            self.extend_lease(now, &slice);
-            self.end_lapsed(now, &slice);
-            self.gain(now, &slice);
-            self.start_serving(now, &slice);
-            self.heed_refusals(now, &slice);
-            self.give_up(now, &slice);
+            self.advance_holder(now, &slice);
+        }
+    }
+
+    /// Advances one holder.
+    fn advance_holder(&mut self, now: LocalMoment, slice: &SliceId) {
+        let end = self.lease_end(now, slice);
+
+        if let Some(holder) = self.holders.get_mut(slice) {
+            holder.is_touched = false;
+        }
+
+        if let Some(end) = end {
+            self.extend_lease(slice, end);
+        }
+
+        self.end_lapsed(now, slice);
+
+        if let Some(end) = end {
+            self.gain(now, slice);
+            self.start_serving(now, slice, end);
+        }
+
+        self.heed_refusals(now, slice);
+
+        if end.is_none() {
+            self.give_up(now, slice);
         }
     }
 
@@ -94,11 +120,8 @@
     }
 
     /// Moves the end of the lease to what the grants give.
-    fn extend_lease(&mut self, now: LocalMoment, slice: &SliceId) {
-        let end = self.lease_end(now, slice);
-        let holder = self.holders.get_mut(slice);
-
-        if let (Some(end), Some(holder)) = (end, holder) {
+    fn extend_lease(&mut self, slice: &SliceId, end: LocalMoment) {
+        if let Some(holder) = self.holders.get_mut(slice) {
             let epoch = holder.record.epoch;
 
             if let Some(grant) = &mut holder.serving
@@ -134,7 +157,12 @@
 
     /// Notes that a slice is gained when each needed majority has granted it.
     fn gain(&mut self, now: LocalMoment, slice: &SliceId) {
-        if self.lease_end(now, slice).is_none() {
+        let is_pending = self
+            .holders
+            .get(slice)
+            .is_some_and(|holder| !holder.gained && holder.is_asking());
+
+        if !is_pending {
             return;
         }
 
@@ -147,10 +175,6 @@
             return;
         };
 
-        if holder.gained || !holder.is_asking() {
-            return;
-        }
-
         // Work of a predecessor may still be on its way to a target that checks no token.
         let follows_itself = holder.serving.is_some();
         let needs_wait = !(fenced || follows_itself || holder.follows_drained(&gone));
@@ -179,11 +203,7 @@
     }
 
     /// Starts to serve a gained slice after the wait.
-    fn start_serving(&mut self, now: LocalMoment, slice: &SliceId) {
-        let Some(until) = self.lease_end(now, slice) else {
-            return;
-        };
-
+    fn start_serving(&mut self, now: LocalMoment, slice: &SliceId, until: LocalMoment) {
         let Some(holder) = self.holders.get_mut(slice) else {
             return;
         };
@@ -237,14 +257,11 @@
 
     /// Stops asking for a slice that can't be gained, so that its members call another node.
     fn give_up(&mut self, now: LocalMoment, slice: &SliceId) {
-        let has_lease = self.lease_end(now, slice).is_some();
-
         let Some(holder) = self.holders.get_mut(slice) else {
             return;
         };
 
-        if holder.is_asking() && !has_lease && holder.serving.is_none() && holder.give_up_at <= now
-        {
+        if holder.is_asking() && holder.serving.is_none() && holder.give_up_at <= now {
             self.drop_holder(slice);
         }
     }
