--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -18,6 +18,7 @@
         .subcommand(capacity::path::command())
         .subcommand(lease::storm_command())
         .subcommand(requests::report::command())
+        .subcommand(lease::measure_command())
         .get_matches();
 
     let is_green = match matches.subcommand() {
@@ -38,6 +39,7 @@
             requests::report::run(arguments);
             true
         }
+        Some(("lease-measure", arguments)) => lease::run_measurements(arguments),
         _ => false,
     };
 
