Admission: a tenant with little waiting is exempt from a standing queue's bound

Change: up to eight waiting calls of a tenant are bound by their deadlines alone, while the whole queue is below twice its bound.

--- a/crates/admit/src/fair.rs
+++ b/crates/admit/src/fair.rs
@@ -160,6 +160,13 @@
         Duration::from_micros(micros)
     }
 
+    /// Returns the count of a tenant's waiting arrivals.
+    pub fn waiting(&self, tenant: &TenantName) -> usize {
+        self.tenants
+            .get(tenant)
+            .map_or(0, |queue| queue.items.len())
+    }
+
     /// Returns whether a tenant has more than its share of the backlog while others wait too.
     pub fn is_over_share(&self, tenant: &TenantName) -> bool {
         let Some(queue) = self.tenants.get(tenant) else {
--- a/crates/admit/src/machine/arrive.rs
+++ b/crates/admit/src/machine/arrive.rs
@@ -16,6 +16,12 @@
 /// The multiple of the class mean up to which a standing queue may always wait.
 const STANDING_MEANS: u32 = 2;
 
+/// The waiting arrivals up to which a tenant counts as modest.
+const MODEST_WAITING: usize = 8;
+
+/// The multiple of a standing queue up to which modest tenants may fill it.
+const MODEST_BACKLOGS: u32 = 2;
+
 impl AdmitMachine {
     /// Queues an arrival, attaches it to the same earlier request, or refuses it.
     pub(super) fn arrive(&mut self, now: LocalMoment, arrival: WorkArrival) {
@@ -114,7 +120,11 @@
     ) -> Option<AdmitRefusal> {
         let wait = self.predicted_wait(arrival, class);
         let left = arrival.deadline.since(now).saturating_sub(covered);
-        let allowed = left.min(self.longest_wait(now, class));
+        let allowed = if self.is_modest(arrival, class) {
+            left
+        } else {
+            left.min(self.longest_wait(now, class))
+        };
         let full = self.short.len() + self.long.len() >= self.options.max_queued;
 
         if wait <= allowed && !full {
@@ -135,6 +145,16 @@
         }
     }
 
+    /// Returns whether a tenant has so little waiting that a standing queue does not count: its
+    /// few calls come unevenly, and its share of the slots may be less than one.
+    fn is_modest(&self, arrival: &WorkArrival, class: WorkClass) -> bool {
+        let room = self.standing_wait(class) * self.short_slots() * MODEST_BACKLOGS;
+
+        class == WorkClass::Short
+            && self.short.waiting(&arrival.tenant) < MODEST_WAITING
+            && self.short.backlog() < room
+    }
+
     /// Predicts how long an arrival would wait for a slot.
     fn predicted_wait(&self, arrival: &WorkArrival, class: WorkClass) -> Duration {
         let weight = self.options.weight(&arrival.tenant);
--- a/crates/bench/src/requests/report.rs
+++ b/crates/bench/src/requests/report.rs
@@ -14,7 +14,7 @@
 type ScenarioRun = fn(&ScenarioSetup) -> ScenarioResult;
 
 /// The measured situations by name.
-const SCENARIOS: [(&str, ScenarioRun); 10] = [
+const SCENARIOS: [(&str, ScenarioRun); 11] = [
     ("crest", scenarios::crest),
     ("crest-mixed", scenarios::crest_mixed),
     ("pulses", scenarios::pulses),
@@ -26,6 +26,7 @@
     ("hurt", scenarios::hurt),
     ("strained", scenarios::strained),
     ("fairness", scenarios::fairness),
+    ("flood", scenarios::flood),
     ("waste", scenarios::waste),
     ("storm", scenarios::storm),
 ];
