Admission: a known identifier goes before the ownership of its slice

Cause: a repeat at a node that had lost the slice was refused as not the owner and "not run", also when that node itself had run the first. Change: what the memory knows is answered first (the kept answer, or "unknown"). A target may also announce that it wants to leave (TargetDraining); the memory's records and the predictions have files of their own.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`options`]: its settings.
 //! - [`estimate`]: learned durations of the operations.
 //! - [`fair`]: the queue that divides slots between tenants.
+//! - [`identifier`]: what an identifier tells of its age.
 //! - [`limit`]: the concurrency limit that adapts to the target.
 //! - [`slowdown`]: the search for fewer concurrent orders.
 //! - [`pressure`]: bursts and overloads.
@@ -17,6 +18,7 @@
 
 pub mod estimate;
 pub mod fair;
+pub mod identifier;
 pub mod limit;
 pub mod machine;
 pub mod memory;
@@ -27,6 +29,7 @@
 pub mod summary;
 mod work;
 
+pub use identifier::issued_unix_ms;
 pub use machine::AdmitMachine;
 pub use memory::{MemoryEntry, MemoryTransfer};
 pub use messages::{
--- a/crates/admit/src/machine.rs
+++ b/crates/admit/src/machine.rs
@@ -4,6 +4,7 @@
 mod dispatch;
 mod expire;
 mod finish;
+mod predict;
 mod slices;
 
 use crate::{
@@ -135,6 +136,7 @@
             AdmitEvent::Tick => {}
             AdmitEvent::Stop => self.stop(now),
             AdmitEvent::TargetStarted => self.start_target(now),
+            AdmitEvent::TargetDraining => self.leaving = true,
             AdmitEvent::TargetReport { running } => self.report(now, running),
             AdmitEvent::SliceGained { slice } => self.gain_slice(slice),
             AdmitEvent::SliceStopping { slice } => self.stop_slice(slice),
--- a/crates/admit/src/memory.rs
+++ b/crates/admit/src/memory.rs
@@ -1,100 +1,21 @@
 //! The identifiers and answers of non-idempotent requests.
 
+mod record;
+
+pub use crate::identifier::issued_unix_ms;
 use crate::{
     messages::{AdmitRefusal, IdentifierAge, WorkArrival},
     options::AdmitOptions,
 };
+pub(crate) use record::MemoryVerdict;
+pub use record::{MemoryEntry, MemoryKey, MemoryTransfer};
+use record::{MemoryRecord, MemoryState};
 use serde::{Deserialize, Serialize};
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
     time::Duration,
 };
-use wagtail_core::{
-    ids::{OperationName, RequestId, TenantName},
-    units::LocalMoment,
-};
-
-/// `MemoryKey` identifies a request: two tenants may use the same identifier.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct MemoryKey {
-    /// The tenant of the caller.
-    pub tenant: TenantName,
-    /// The identifier of the request.
-    pub id: RequestId,
-}
-
-impl MemoryKey {
-    /// Makes the key of an arrival.
-    pub fn of(arrival: &WorkArrival) -> Self {
-        Self {
-            tenant: arrival.tenant.clone(),
-            id: arrival.id.clone(),
-        }
-    }
-}
-
-/// `MemoryState` is what became of a remembered request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-enum MemoryState {
-    /// It waits or runs as this ticket.
-    Unresolved(u64),
-    /// The daemon keeps its answer under this ticket.
-    Kept(u64),
-    /// It ran or may have run, and its answer is not here.
-    Spent,
-}
-
-/// `MemoryRecord` is one remembered request.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct MemoryRecord {
-    /// The operation of the request.
-    operation: OperationName,
-    /// The slice of its key.
-    slice: Option<u32>,
-    /// What became of it.
-    state: MemoryState,
-    /// The moment at which it is forgotten, once resolved.
-    expires: LocalMoment,
-    /// The bytes of its kept answer.
-    bytes: u64,
-}
-
-/// `MemoryEntry` is one remembered request on its way to the next owner of a slice.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct MemoryEntry {
-    /// The identity of the request.
-    pub key: MemoryKey,
-    /// The operation of the request.
-    pub operation: OperationName,
-    /// The time for which it must still be remembered.
-    pub remaining: Duration,
-}
-
-/// `MemoryTransfer` is what the next owner of a slice learns of the requests before it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum MemoryTransfer {
-    /// All that the former owner remembered.
-    Whole(Vec<MemoryEntry>),
-    /// The former owner was lost with its memory.
-    Lost,
-}
-
-/// `MemoryVerdict` is what the memory says of an arrival.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum MemoryVerdict {
-    /// The identifier was not used before.
-    Fresh,
-    /// The same request waits or runs as this ticket.
-    Follow(u64),
-    /// The answer is kept under this ticket.
-    Replay(u64),
-    /// The request may not run.
-    Refuse(AdmitRefusal),
-}
+use wagtail_core::units::LocalMoment;
 
 /// `RequestMemory` remembers the identifiers of non-idempotent requests, so that none runs
 /// twice. It never drops an identifier before its time: when it is full, new work is refused.
@@ -391,50 +312,3 @@
     /// The tickets whose answers are dropped.
     pub(crate) dropped: Vec<u64>,
 }
-
-impl MemoryRecord {
-    /// Judges a repeat of this request.
-    fn check(&self, arrival: &WorkArrival) -> MemoryVerdict {
-        if self.operation != arrival.operation || self.slice != arrival.slice {
-            return MemoryVerdict::Refuse(AdmitRefusal::IdentifierReused);
-        }
-
-        match self.state {
-            MemoryState::Unresolved(ticket) => MemoryVerdict::Follow(ticket),
-            MemoryState::Kept(ticket) => MemoryVerdict::Replay(ticket),
-            MemoryState::Spent => MemoryVerdict::Refuse(AdmitRefusal::Duplicate),
-        }
-    }
-
-    /// Returns the time for which this request must still be remembered.
-    fn remaining(&self, now: LocalMoment, time: Duration) -> Duration {
-        match self.state {
-            MemoryState::Unresolved(_) => time,
-            MemoryState::Kept(_) | MemoryState::Spent => self.expires.since(now),
-        }
-    }
-}
-
-/// Returns the time of issue in milliseconds of the Unix epoch that an identifier carries: one
-/// that is, or ends after a `~` with, a UUID of version 7.
-pub fn issued_unix_ms(id: &RequestId) -> Option<u64> {
-    let text = id.as_str().rsplit('~').next()?;
-    let hyphens = [8, 13, 18, 23];
-    let shaped = text.len() == 36
-        && text.bytes().enumerate().all(|(index, byte)| {
-            if hyphens.contains(&index) {
-                byte == b'-'
-            } else {
-                byte.is_ascii_hexdigit()
-            }
-        });
-
-    if !shaped || text.as_bytes()[14] != b'7' {
-        return None;
-    }
-
-    let high = u64::from_str_radix(&text[..8], 16).ok()?;
-    let low = u64::from_str_radix(&text[9..13], 16).ok()?;
-
-    Some((high << 16) | low)
-}
--- a/crates/admit/src/messages.rs
+++ b/crates/admit/src/messages.rs
@@ -93,6 +93,8 @@
     Stop,
     /// The target started and is cold.
     TargetStarted,
+    /// The target announced that it wants to leave; what was accepted is completed.
+    TargetDraining,
     /// The target announced itself or reported its load. The load is a hint that may lower the
     /// limit but never raise it; the report itself shows that the target runs.
     TargetReport {
--- a/crates/admit/tests/machine.rs
+++ b/crates/admit/tests/machine.rs
@@ -293,6 +293,21 @@
     assert_eq!(refusals(&arrive(&mut machine, 2, short(3))).len(), 1);
 }
 
+#[test]
+fn a_target_that_wants_to_leave_completes_what_was_accepted() {
+    let mut machine = machine(1);
+
+    arrive(&mut machine, 0, short(1));
+    arrive(&mut machine, 0, short(2));
+
+    assert_eq!(machine.handle(at(1), AdmitEvent::TargetDraining), []);
+    assert_eq!(
+        refusals(&arrive(&mut machine, 2, short(3))),
+        [(3, AdmitRefusal::TargetDraining, RunVerdict::NotRun)]
+    );
+    assert_eq!(answer(&mut machine, 10, 1), [dispatch(2)]);
+}
+
 #[test]
 fn a_stop_completes_what_was_accepted() {
     let mut machine = machine(1);
--- a/crates/admit/tests/memory.rs
+++ b/crates/admit/tests/memory.rs
@@ -5,7 +5,7 @@
 use support::{answer, arrive, at, dispatch, finish, machine, refusals, short};
 use wagtail_admit::{
     AdmitAction, AdmitEvent, AdmitMachine, AdmitOptions, AdmitRefusal, IdentifierAge,
-    MemoryTransfer, WorkArrival, WorkOutcome, memory::issued_unix_ms,
+    MemoryTransfer, WorkArrival, WorkOutcome, issued_unix_ms,
 };
 use wagtail_core::{
     ids::{OperationName, RequestId, TenantName},
@@ -179,6 +179,31 @@
     assert_eq!(arrive(&mut next, 5_002, booking(12, "new")), [dispatch(12)]);
 }
 
+#[test]
+fn a_repeat_at_the_former_owner_is_never_called_not_run() {
+    let mut machine = machine(2);
+    let verdict = RunVerdict::Unknown;
+
+    arrive(&mut machine, 0, booking(1, "kept"));
+    answer(&mut machine, 10, 1);
+    arrive(&mut machine, 11, booking(2, "unknown"));
+    finish(&mut machine, 12, 2, WorkOutcome::Failed { verdict });
+    machine.handle(at(20), AdmitEvent::SliceLost { slice: 7 });
+
+    assert_eq!(
+        arrive(&mut machine, 21, booking(3, "kept")),
+        [AdmitAction::Replay { ticket: 3, of: 1 }]
+    );
+    assert_eq!(
+        refusals(&arrive(&mut machine, 22, booking(4, "unknown"))),
+        [(4, AdmitRefusal::Duplicate, RunVerdict::Unknown)]
+    );
+    assert_eq!(
+        refusals(&arrive(&mut machine, 23, booking(5, "new"))),
+        [(5, AdmitRefusal::NotOwner, RunVerdict::NotRun)]
+    );
+}
+
 #[test]
 fn after_a_loss_only_what_is_surely_new_runs() {
     let mut machine = machine(4);
