--- a/crates/bench/src/requests/score.rs
+++ b/crates/bench/src/requests/score.rs
@@ -60,7 +60,8 @@
     answered / offered.min(capacity)
 }
 
-/// Returns a percentile of the answer times of the short calls of a stretch.
+/// Returns a percentile of the answer times of the short calls of a stretch, or
+/// [`Duration::MAX`] when none was answered.
 pub fn percentile(result: &WorldResult, span: TimeSpan, percent: usize) -> Duration {
     let short = result
         .calls
--- a/crates/bench/src/requests/world.rs
+++ b/crates/bench/src/requests/world.rs
@@ -3,6 +3,7 @@
 mod agent;
 mod caller;
 mod setup;
+mod target_side;
 
 use crate::requests::{
     broken::BrokenPart,
