--- a/crates/bench/tests/requests_targets.rs
+++ b/crates/bench/tests/requests_targets.rs
@@ -83,7 +83,7 @@
 
 #[test]
 fn one_bad_target_hurts_fewer_calls_than_with_the_naive_version() {
-    let run =
+    let measure =
         |version| scenarios::hurt(&ScenarioSetup::new(version, DeploymentSize::malla(), SEED));
     let wagtail = measure(RouterVersion::Wagtail);
     let naive = measure(RouterVersion::Naive);
