--- a/crates/admit/src/machine.rs
+++ b/crates/admit/src/machine.rs
@@ -5,6 +5,7 @@
 mod expire;
 mod finish;
 mod settings;
+mod predict;
 mod slices;
 
 use crate::{
@@ -136,6 +137,7 @@
             AdmitEvent::Tick => {}
             AdmitEvent::Stop => self.stop(now),
             AdmitEvent::TargetStarted => self.start_target(now),
+            AdmitEvent::TargetDraining => self.leaving = true,
             AdmitEvent::TargetReport { running } => self.report(now, running),
             AdmitEvent::SliceGained { slice } => self.gain_slice(slice),
             AdmitEvent::SliceStopping { slice } => self.stop_slice(slice),
