A plan whose identifier is taken is not handed out; divisions of serving services stay

Cause: a conflict on writing a plan was taken for the call's own earlier write. Daemons that draw the same number would have answered one operator with a plan that the platform does not hold, and a confirmation would have put another plan in force. Now the stored plan is read and compared. A trial with two daemons showed that a node knows only some owners, so a change of keyed or slices is refused as soon as a target serves.

--- a/crates/intent/src/errors.rs
+++ b/crates/intent/src/errors.rs
@@ -110,6 +110,12 @@
         /// The identifier.
         plan: String,
     },
+    /// Another plan has the identifier that this one drew.
+    #[error("another plan is called {plan}")]
+    PlanExists {
+        /// The identifier.
+        plan: String,
+    },
     /// So many versions followed that nobody can tell whether the plan was accepted.
     #[error(
         "plan {plan} is too old to tell whether it was accepted; version {version} is in force"
@@ -149,6 +155,7 @@
             Self::Conflict { .. } => "version-conflict",
             Self::WrongVersion { .. } => "wrong-version",
             Self::UnknownPlan { .. } => "unknown-plan",
+            Self::PlanExists { .. } => "plan-exists",
             Self::ExpiredPlan { .. } => "expired-plan",
             Self::PlatformReverted { .. } => "platform-reverted",
             Self::Unavailable => "unavailable",
@@ -165,6 +172,7 @@
             | Self::NoChange { .. }
             | Self::Conflict { .. }
             | Self::WrongVersion { .. }
+            | Self::PlanExists { .. }
             | Self::ExpiredPlan { .. }
             | Self::PlatformReverted { .. } => 409,
             Self::Unavailable => 503,
--- a/crates/intent/src/promise.rs
+++ b/crates/intent/src/promise.rs
@@ -68,7 +68,7 @@
 
     for old in &before.services {
         match after.service(&old.name) {
-            Some(new) => check_division(old, new, view, &mut refusals),
+            Some(new) => check_division(old, new, before, view, &mut refusals),
             None => check_removal(old, after, view, &mut refusals),
         }
     }
@@ -84,23 +84,27 @@
     refusals
 }
 
-/// Refuses another division into slices while slices have owners.
+/// Refuses another division into slices while the service is in use.
+///
+/// A node does not know the owner of every slice, so serving targets count as owners also.
 fn check_division(
     old: &ServiceSpec,
     new: &ServiceSpec,
+    before: &ConfigDocument,
     view: &FleetView,
     refusals: &mut Vec<IntentRefusal>,
 ) {
     let changed = old.keyed != new.keyed || (old.keyed && old.slices != new.slices);
     let owned = view.slices_of(&old.name).count();
+    let serving = serving_nodes(&old.name, before, view).len();
 
-    if changed && owned > 0 {
+    if changed && (owned > 0 || serving > 0) {
         refusals.push(refusal(
             "division-in-use",
             old.name.as_str(),
             format!(
-                "{owned} slices have owners; another value of keyed or slices would give keys a \
-                 second owner"
+                "it has {serving} serving targets and {owned} known slice owners; another value \
+                 of keyed or slices would give keys a second owner"
             ),
             "declare a service of another name and move its callers, or drain and remove this one \
              first",
--- a/crates/intent/src/steps.rs
+++ b/crates/intent/src/steps.rs
@@ -22,6 +22,8 @@
     },
     /// The write of a plan.
     PlanWrite { plan: Box<PlanDocument> },
+    /// The plan that holds the identifier already, to compare it.
+    PlanCheck { plan: Box<PlanDocument> },
     /// The plan to confirm.
     ConfirmPlan {
         plan: String,
@@ -64,6 +66,11 @@
             attempt,
             plan: plan.clone(),
         },
+        CallStep::PlanCheck { plan } => IntentAction::ReadPlan {
+            call,
+            attempt,
+            plan: plan.id.clone(),
+        },
         CallStep::ConfirmPlan { plan, .. } => IntentAction::ReadPlan {
             call,
             attempt,
@@ -104,43 +111,56 @@
 
 /// Takes the plan that was read.
 pub(crate) fn on_plan(step: CallStep, outcome: PlanOutcome) -> StepResult {
-    let CallStep::ConfirmPlan {
-        plan: id,
-        base_version,
-        view,
-        held,
-    } = step
-    else {
-        return StepResult::Retry(step);
-    };
-
-    match outcome {
-        PlanOutcome::Found { plan } if plan.base_version != base_version => {
-            StepResult::fail(IntentError::WrongVersion {
-                planned: plan.base_version,
-                named: base_version,
-            })
-        }
-        PlanOutcome::Found { plan } => StepResult::Next(CallStep::ConfirmBase {
-            confirmation: Confirmation::new(plan, view, held),
-        }),
-        PlanOutcome::Absent => StepResult::fail(IntentError::UnknownPlan { plan: id }),
-        PlanOutcome::Failed => StepResult::Retry(CallStep::ConfirmPlan {
-            plan: id,
+    match step {
+        CallStep::PlanCheck { plan } => compare_plan(plan, outcome),
+        CallStep::ConfirmPlan {
+            plan,
             base_version,
             view,
             held,
-        }),
+        } => match outcome {
+            PlanOutcome::Found { plan } if plan.base_version != base_version => {
+                StepResult::fail(IntentError::WrongVersion {
+                    planned: plan.base_version,
+                    named: base_version,
+                })
+            }
+            PlanOutcome::Found { plan } => StepResult::Next(CallStep::ConfirmBase {
+                confirmation: Confirmation::new(plan, view, held),
+            }),
+            PlanOutcome::Absent => StepResult::fail(IntentError::UnknownPlan { plan }),
+            PlanOutcome::Failed => StepResult::Retry(CallStep::ConfirmPlan {
+                plan,
+                base_version,
+                view,
+                held,
+            }),
+        },
+        step => StepResult::Retry(step),
+    }
+}
+
+/// Tells an own earlier write of a plan from another plan under the same identifier.
+fn compare_plan(plan: Box<PlanDocument>, outcome: PlanOutcome) -> StepResult {
+    match outcome {
+        PlanOutcome::Found { plan: found } if found == plan => {
+            StepResult::Done(IntentReply::Planned { plan }, None)
+        }
+        PlanOutcome::Found { .. } => StepResult::fail(IntentError::PlanExists { plan: plan.id }),
+        PlanOutcome::Absent => StepResult::Next(CallStep::PlanWrite { plan }),
+        PlanOutcome::Failed => StepResult::Retry(CallStep::PlanCheck { plan }),
     }
 }
 
 /// Takes the outcome of writing a plan.
 pub(crate) fn on_plan_written(step: CallStep, outcome: WriteOutcome) -> StepResult {
     match (step, outcome) {
-        // Only this call writes under the identifier, so a conflict is its own earlier write.
-        (CallStep::PlanWrite { plan }, WriteOutcome::Written | WriteOutcome::Conflict) => {
+        (CallStep::PlanWrite { plan }, WriteOutcome::Written) => {
             StepResult::Done(IntentReply::Planned { plan }, None)
         }
+        (CallStep::PlanWrite { plan }, WriteOutcome::Conflict) => {
+            StepResult::Next(CallStep::PlanCheck { plan })
+        }
         (step, _) => StepResult::Retry(step),
     }
 }
--- a/crates/intent/src/warnings.rs
+++ b/crates/intent/src/warnings.rs
@@ -41,7 +41,7 @@
         .count();
     if shrinks && left < FULL_SET {
         warnings.push(format!(
-            "{left} VMs are left; with fewer than {FULL_SET} a lease tolerates the loss of fewer VMs"
+            "VMs left: {left}; with fewer than {FULL_SET} a lease survives the loss of fewer VMs"
         ));
     }
 
--- a/crates/intent/tests/plan.rs
+++ b/crates/intent/tests/plan.rs
@@ -159,7 +159,11 @@
     };
     assert_eq!(refusals(&unkeyed, &view), ["division-in-use"]);
 
+    // Targets claim slices that this node does not hear of at once.
     view.slices.clear();
+    assert_eq!(refusals(&intent, &view), ["division-in-use"]);
+
+    view.nodes.clear();
     assert_matches!(plan(&intent, &view), Ok(_));
 }
 
--- a/crates/intent/tests/race.rs
+++ b/crates/intent/tests/race.rs
@@ -37,6 +37,7 @@
         total.unknown += run.counts.unknown;
         total.kept += run.counts.kept;
         total.restarts += run.counts.restarts;
+        total.drawn_twice += run.counts.drawn_twice;
     }
 
     println!("{total:?}");
@@ -48,6 +49,7 @@
         total.unknown,
         total.kept,
         total.restarts,
+        total.drawn_twice,
     ];
     assert!(counts.iter().all(|&count| count > 0), "{total:?}");
 }
--- a/crates/intent/tests/support/mod.rs
+++ b/crates/intent/tests/support/mod.rs
@@ -48,6 +48,7 @@
     pub unknown: u64,
     pub kept: u64,
     pub restarts: u64,
+    pub drawn_twice: u64,
 }
 
 #[derive(Debug)]
--- a/crates/intent/tests/support/operators.rs
+++ b/crates/intent/tests/support/operators.rs
@@ -14,11 +14,7 @@
         };
         self.operators[index].call = None;
         let Some(plan) = self.operators[index].plan.clone() else {
-            if let IntentReply::Planned { plan } = reply {
-                self.operators[index].plan = Some(*plan);
-            }
-
-            return Ok(());
+            return self.note_planned(index, reply);
         };
 
         match reply {
@@ -45,6 +41,24 @@
         }
     }
 
+    /// Takes the answer to an intent; the plan must be the one that the platform holds.
+    fn note_planned(&mut self, operator: usize, reply: IntentReply) -> Result<(), String> {
+        match reply {
+            IntentReply::Planned { plan } => {
+                if self.plans.get(&plan.id) != Some(&*plan) {
+                    return Err(format!("{} is not what the platform holds", plan.id));
+                }
+                self.operators[operator].plan = Some(*plan);
+            }
+            IntentReply::Failed {
+                error: IntentError::PlanExists { .. },
+            } => self.counts.drawn_twice += 1,
+            _ => {}
+        }
+
+        Ok(())
+    }
+
     pub(super) fn note_confirmed(
         &mut self,
         operator: usize,
@@ -114,7 +128,8 @@
                 call,
                 intent: self.draw_intent(),
                 view: self.view.clone(),
-                nonce: self.random.random(),
+                // Few numbers, so that two plans draw the same one at times.
+                nonce: self.random.random_range(0..20),
             },
             Some(plan) => IntentEvent::ConfirmRequested {
                 call,
--- a/crates/tool/src/errors.rs
+++ b/crates/tool/src/errors.rs
@@ -207,6 +207,7 @@
             "run the same `wagtail confirm` again, at any node; it takes effect once at most"
         }
         "unknown-plan" => "check the identifier, or run `wagtail plan` again",
+        "plan-exists" => "run the command again; the next plan draws another identifier",
         "no-change" => "nothing is needed",
         "invalid-document" | "not-yaml" => "mend the file and run the command again",
         "platform-reverted" => {
