--- a/crates/bench/src/assign.rs
+++ b/crates/bench/src/assign.rs
@@ -1,6 +1,7 @@
 //! Churn and imbalance of the assignment, in virtual time.
 
 mod demand;
+mod drive;
 mod fleet;
 mod naive;
 mod scenario;
