--- a/crates/bench/src/lease.rs
+++ b/crates/bench/src/lease.rs
@@ -5,7 +5,7 @@
     dead_code,
     reason = "the tests use more of the driver than the measurements"
 )]
-mod driver;
+pub mod driver;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 use driver::{
