--- a/crates/admit/src/machine.rs
+++ b/crates/admit/src/machine.rs
@@ -4,8 +4,8 @@
 mod dispatch;
 mod expire;
 mod finish;
-mod settings;
 mod predict;
+mod settings;
 mod slices;
 
 use crate::{
