--- a/crates/bench/src/lease.rs
+++ b/crates/bench/src/lease.rs
@@ -336,7 +336,7 @@
 
     println!(
         "cost nodes={nodes} slices={} unserved={unserved} sent_messages_s={} sent_payload_bytes_s={} \
-         sent_and_received_bytes_s={} handled_s={} ns_a_handle={} core_permille={:.2} \
+         sent_and_received_bytes_s={} handled_s={} ns_a_handle={} core_us_a_second={} \
          resident_kb_a_machine={}",
         world.options.slices,
         counts.messages / shared,
@@ -344,7 +344,7 @@
         (counts.bytes + headers) * 2 / shared,
         counts.handled / shared,
         counts.handled_ns / counts.handled.max(1),
-        counts.handled_ns as f64 / shared as f64 / 1e6,
+        counts.handled_ns / shared / 1_000,
         resident / nodes as u64,
     );
 }
--- a/crates/lease/src/event.rs
+++ b/crates/lease/src/event.rs
@@ -111,11 +111,11 @@
         /// The new owner.
         to: NodeName,
     },
-    /// The work of a slice that was to drain has ended.
+    /// The work of a slice that was to drain has ended. A stop in between ends the drain.
     Drained {
         /// The slice.
         slice: SliceId,
-        /// The epoch under which the work ran.
+        /// The epoch that the drain named.
         epoch: LeaseEpoch,
     },
     /// A confirmed intent says that a VM is gone for good. When every member of a set is gone, only
--- a/crates/lease/src/holder.rs
+++ b/crates/lease/src/holder.rs
@@ -30,6 +30,8 @@
     Draining {
         /// The next owner.
         to: NodeIdentity,
+        /// The epoch at which the drain began. A changed set may raise the served epoch since.
+        since: LeaseEpoch,
     },
 }
 
--- a/crates/lease/src/planning.rs
+++ b/crates/lease/src/planning.rs
@@ -205,6 +205,11 @@
             .iter()
             .filter(|name| self.members.can_own(name, &record.slice))
             .count();
+
+        if usable >= self.options.deputies {
+            return false;
+        }
+
         let best =
             self.members
                 .choose_deputies(&record.slice, &record.owner.name, self.options.deputies);
--- a/crates/lease/src/takeover.rs
+++ b/crates/lease/src/takeover.rs
@@ -170,7 +170,10 @@
             return;
         };
 
-        holder.phase = HolderPhase::Draining { to: next };
+        holder.phase = HolderPhase::Draining {
+            to: next,
+            since: grant.epoch,
+        };
 
         self.act(LeaseAction::Drain {
             slice: slice.clone(),
@@ -184,13 +187,13 @@
             return;
         };
 
-        let HolderPhase::Draining { to } = &holder.phase else {
+        let HolderPhase::Draining { to, since } = &holder.phase else {
             return;
         };
 
-        if holder.serving.is_none_or(|grant| grant.epoch != epoch) {
+        let Some(grant) = holder.serving.filter(|_| *since == epoch) else {
             return;
-        }
+        };
 
         let mut record = holder.record.clone();
         record.epoch = next_change_epoch(&record, record.epoch);
@@ -202,7 +205,7 @@
             slice.clone(),
             HandOverTry {
                 record,
-                drained: epoch,
+                drained: grant.epoch,
                 send_at: now,
                 left: HAND_OVER_MESSAGES,
             },
--- a/crates/lease/tests/lease/driver/mod.rs
+++ b/crates/lease/tests/lease/driver/mod.rs
@@ -1,22 +1,27 @@
 //! A small network, platform and target in virtual time round the real machines.
 
+mod checks;
+mod platform;
+mod shape;
 pub mod storm;
 
+pub use shape::{Node, WorldCounts, WorldOptions};
+
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use shape::{Step, Work};
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque},
 };
 use wagtail_core::{
     ids::{LeaseEpoch, NodeIdentity, NodeIncarnation, NodeName, ServiceName, ZoneName},
-    lease::LeaseRecord,
     slice::SliceId,
     units::LocalMoment,
 };
 use wagtail_lease::{
-    LeaseAction, LeaseEvent, LeaseMachine, LeaseMessage, LeaseOptions, LeaseProblem, MemberInfo,
-    ServeGrant, VersionedRecord, WriteOutcome,
+    LeaseAction, LeaseEvent, LeaseMachine, LeaseMessage, LeaseProblem, MemberInfo, ServeGrant,
+    VersionedRecord,
 };
 
 /// Microseconds of a millisecond.
@@ -24,125 +29,6 @@
 /// Microseconds of a second.
 pub const SECOND: u64 = 1_000_000;
 
-/// `WorldOptions` is the shape of a run.
-#[derive(Debug, Clone)]
-pub struct WorldOptions {
-    pub nodes: usize,
-    pub zones: usize,
-    pub slices: u32,
-    pub seed: u64,
-    pub loss: f64,
-    pub duplicates: f64,
-    pub longest_delay: u64,
-    /// The time between two probes of every slice.
-    pub probe: u64,
-    pub lease: LeaseOptions,
-    pub fenced: bool,
-    /// A fault: the clock stops while the node is suspended.
-    pub clock_ignores_pauses: bool,
-    /// A fault: a restart keeps its incarnation.
-    pub keeps_incarnation: bool,
-    /// Measures the encoded size of a message.
-    pub measure: Option<fn(&LeaseMessage) -> usize>,
-    /// Reads a clock in nanoseconds, to measure the machines' processor time.
-    pub stopwatch: Option<fn() -> u64>,
-}
-
-impl Default for WorldOptions {
-    fn default() -> Self {
-        Self {
-            nodes: 8,
-            zones: 3,
-            slices: 4,
-            seed: 1,
-            loss: 0.0,
-            duplicates: 0.0,
-            longest_delay: 2 * MS,
-            probe: 10 * MS,
-            lease: LeaseOptions::default(),
-            fenced: false,
-            clock_ignores_pauses: false,
-            keeps_incarnation: false,
-            measure: None,
-            stopwatch: None,
-        }
-    }
-}
-
-/// `WorldCounts` is what was checked and measured.
-#[derive(Debug, Clone, Default)]
-pub struct WorldCounts {
-    pub owners: u64,
-    pub epochs: u64,
-    pub work: u64,
-    pub records: u64,
-    pub messages: u64,
-    pub bytes: u64,
-    pub handled: u64,
-    pub handled_ns: u64,
-    pub reads: u64,
-    pub writes: u64,
-    pub most_writes_a_second: u64,
-}
-
-/// `Step` is something that happens at a moment.
-#[derive(Debug, Clone)]
-enum Step {
-    Wake {
-        node: usize,
-        token: u64,
-    },
-    Deliver {
-        to: usize,
-        event: LeaseEvent,
-        start: Option<u64>,
-    },
-    Write {
-        node: usize,
-        start: u64,
-        record: LeaseRecord,
-        expected: u64,
-        answered: bool,
-    },
-    Read {
-        node: usize,
-        start: u64,
-        slice: SliceId,
-        read_id: u64,
-    },
-    List {
-        node: usize,
-        start: u64,
-    },
-    Probe,
-    Members,
-}
-
-/// `Node` is one VM.
-#[derive(Debug)]
-pub struct Node {
-    pub name: NodeName,
-    pub zone: ZoneName,
-    pub start: u64,
-    pub machine: Option<LeaseMachine>,
-    pub listed: bool,
-    pub draining: bool,
-    rate_ppm: u64,
-    offset: u64,
-    skipped: u64,
-    paused_until: u64,
-    token: u64,
-}
-
-/// `Work` is one order at a target.
-#[derive(Debug, Clone)]
-struct Work {
-    node: usize,
-    epoch: LeaseEpoch,
-    from: u64,
-    until: u64,
-}
-
 /// `World` is all machines of a run.
 #[derive(Debug)]
 pub struct World {
@@ -571,129 +457,6 @@
         }
     }
 
-    fn is_platform_out(&self, node: usize) -> bool {
-        self.outage || self.cut_off.contains(&node)
-    }
-
-    fn call_delay(&mut self) -> u64 {
-        self.rng.random_range(MS..=self.platform_delay)
-    }
-
-    fn write(
-        &mut self,
-        node: usize,
-        start: u64,
-        record: LeaseRecord,
-        expected: u64,
-        answered: bool,
-    ) {
-        let write_id = record.write_id;
-        self.counts.writes += 1;
-        let second = self.writes_by_second.entry(self.now / SECOND).or_default();
-        *second += 1;
-        self.counts.most_writes_a_second = self.counts.most_writes_a_second.max(*second);
-
-        let outcome = if self.is_platform_out(node) {
-            WriteOutcome::Refused
-        } else {
-            self.store_record(record, expected)
-        };
-
-        let outcome = if answered {
-            outcome
-        } else {
-            WriteOutcome::Unknown
-        };
-        let delay = self.call_delay();
-        let event = LeaseEvent::WriteFinished { write_id, outcome };
-        self.plan(
-            delay,
-            Step::Deliver {
-                to: node,
-                event,
-                start: Some(start),
-            },
-        );
-    }
-
-    fn store_record(&mut self, record: LeaseRecord, expected: u64) -> WriteOutcome {
-        let stored = self.store.get(&record.slice);
-        let found = stored.map_or(0, |stored| stored.version);
-
-        if found != expected {
-            return WriteOutcome::Conflict { stored: None };
-        }
-
-        // A stored record was acknowledged or may have been: nothing older may replace it.
-        self.counts.records += 1;
-
-        if let Some(stored) = stored {
-            let is_settled = record.epoch == stored.record.epoch
-                && record.set_epoch == stored.record.set_epoch
-                && record.owner == stored.record.owner;
-
-            if record.epoch < stored.record.epoch
-                || (record.epoch == stored.record.epoch && !is_settled)
-            {
-                let text = format!("{} us: {:?} replaces {:?}", self.now, record, stored.record);
-                self.violations.push(text);
-            }
-        }
-
-        self.revision += 1;
-        let version = self.revision;
-        self.store
-            .insert(record.slice.clone(), VersionedRecord { version, record });
-
-        WriteOutcome::Written { version }
-    }
-
-    fn read(&mut self, node: usize, start: u64, slice: SliceId, read_id: u64) {
-        self.counts.reads += 1;
-        let event = if self.is_platform_out(node) {
-            LeaseEvent::ReadFailed { slice, read_id }
-        } else {
-            let stored = self.store.get(&slice).cloned();
-            LeaseEvent::RecordRead {
-                slice,
-                read_id,
-                stored,
-            }
-        };
-
-        let delay = self.call_delay();
-        self.plan(
-            delay,
-            Step::Deliver {
-                to: node,
-                event,
-                start: Some(start),
-            },
-        );
-    }
-
-    fn list(&mut self, node: usize, start: u64) {
-        if self.nodes[node].start != start || self.nodes[node].machine.is_none() {
-            return;
-        }
-
-        if self.is_platform_out(node) {
-            self.plan(500 * MS, Step::List { node, start });
-            return;
-        }
-
-        let event = LeaseEvent::RecordsListed(self.store.values().cloned().collect());
-        let delay = self.call_delay();
-        self.plan(
-            delay,
-            Step::Deliver {
-                to: node,
-                event,
-                start: Some(start),
-            },
-        );
-    }
-
     fn tell_members(&mut self) {
         let service = Some(self.service.clone());
         let members: Vec<MemberInfo> = (0..self.nodes.len())
@@ -710,124 +473,6 @@
             self.handle(node, LeaseEvent::MembersChanged(members.clone()));
         }
     }
-
-    /// Takes in that a node starts to serve: epochs only grow, and each has one owner.
-    fn serve(&mut self, node: usize, slice: &SliceId, epoch: LeaseEpoch) {
-        self.counts.epochs += 1;
-        let last = self.served.get(slice).copied();
-
-        if let Some((last, owner)) = last
-            && (epoch < last || (epoch == last && owner != node))
-        {
-            let text = format!(
-                "{} us: vm-{node} serves {slice} at {epoch:?} after vm-{owner} at {last:?}",
-                self.now
-            );
-            self.violations.push(text);
-        }
-
-        self.served.insert(slice.clone(), (epoch, node));
-        self.serving.entry(slice.clone()).or_default().insert(node);
-    }
-
-    /// Checks every slice, and sends one order of each owner to its target.
-    fn probe(&mut self) {
-        for slice in self.slices() {
-            let owners = self.owners(&slice);
-            self.counts.owners += 1;
-
-            if owners.len() > 1 {
-                self.violations
-                    .push(format!("{} us: {slice} is owned by {owners:?}", self.now));
-            }
-
-            let is_served = owners.iter().any(|owner| self.is_running(*owner));
-            self.note_served(&slice, is_served);
-
-            for owner in owners {
-                if self.is_running(owner) {
-                    self.order_work(owner, &slice);
-                }
-            }
-        }
-
-        self.plan(self.options.probe, Step::Probe);
-    }
-
-    fn note_served(&mut self, slice: &SliceId, is_served: bool) {
-        if is_served {
-            self.unserved_since.remove(slice);
-            return;
-        }
-
-        let since = *self.unserved_since.entry(slice.clone()).or_insert(self.now);
-        let gap = self.now - since + self.options.probe;
-        let longest = self.longest_gap.entry(slice.clone()).or_default();
-        *longest = (*longest).max(gap);
-    }
-
-    /// Sends an order that was checked now and reaches its target a little later, where it runs to
-    /// the end of the time that the lease left at the check.
-    fn order_work(&mut self, node: usize, slice: &SliceId) {
-        let Some(grant) = self.grant(node, slice) else {
-            return;
-        };
-
-        let longest = micros_of(self.options.lease.unfenced_wait) * 9 / 10;
-        let from = self.now + self.rng.random_range(0..longest);
-        let left = micros_of(grant.until.since(self.local(node)));
-        let work = Work {
-            node,
-            epoch: grant.epoch,
-            from,
-            until: from + left,
-        };
-
-        self.check_work(slice, work);
-    }
-
-    /// Ends the work of an owner, some of it on its way yet, and returns when all of it has ended.
-    fn drain_work(&mut self, node: usize, slice: &SliceId) -> u64 {
-        let mut end = self.now + self.rng.random_range(0..300 * MS);
-        let work = self.work.entry(slice.clone()).or_default();
-
-        for order in work.iter().filter(|order| order.node == node) {
-            end = end.max(order.from);
-        }
-
-        for order in work.iter_mut().filter(|order| order.node == node) {
-            order.until = order.until.min(end);
-        }
-
-        end - self.now
-    }
-
-    fn check_work(&mut self, slice: &SliceId, work: Work) {
-        let earlier = self.work.entry(slice.clone()).or_default();
-        self.counts.work += 1;
-
-        // A target that checks tokens refuses an order of an earlier epoch; another runs it.
-        for other in earlier.iter() {
-            let overlaps = other.from < work.until && work.from < other.until;
-
-            let refused = self.options.fenced && other.epoch != work.epoch;
-
-            if other.node != work.node && overlaps && !refused {
-                let text = format!("{} us: {slice}: {work:?} runs beside {other:?}", self.now);
-                self.violations.push(text);
-                break;
-            }
-        }
-
-        earlier.push_back(work);
-
-        while earlier
-            .front()
-            .is_some_and(|first| first.until + 2 * SECOND < self.now)
-        {
-            earlier.pop_front();
-        }
-    }
 }
 
 /// Returns the whole microseconds of a time.
