--- a/crates/admit/src/machine/slices.rs
+++ b/crates/admit/src/machine/slices.rs
@@ -14,6 +14,12 @@
     ///
     /// It is asked for after [`SliceDrained`](AdmitAction::SliceDrained) and before the slice
     /// is granted to another owner.
+    pub fn transfer_memory(&self, now: LocalMoment, slice: u32) -> MemoryTransfer {
+        self.memory.transfer(now, slice)
+    }
+
+    /// Returns the remembered requests of a slice alone. They are not enough for a move while
+    /// an earlier loss matters: [`transfer_memory`](Self::transfer_memory) tells that too.
     pub fn export_memory(&self, now: LocalMoment, slice: u32) -> Vec<MemoryEntry> {
         self.memory.export(now, slice)
     }
--- a/crates/admit/src/memory.rs
+++ b/crates/admit/src/memory.rs
@@ -196,8 +196,12 @@
     pub fn import(&mut self, now: LocalMoment, slice: u32, transfer: MemoryTransfer) {
         let entries = match transfer {
             MemoryTransfer::Whole(entries) => entries,
+            MemoryTransfer::Partial { entries, lost_for } => {
+                self.raise_floor(slice, now - lost_for);
+                entries
+            }
             MemoryTransfer::Lost => {
-                self.floors.insert(slice, now);
+                self.raise_floor(slice, now);
 
                 return;
             }
@@ -208,6 +212,35 @@
         }
     }
 
+    /// Returns what the next owner of a slice must know, and whether an earlier owner was lost.
+    pub fn transfer(&self, now: LocalMoment, slice: u32) -> MemoryTransfer {
+        let entries = self.export(now, slice);
+
+        match self.floor(now, Some(slice)) {
+            Some(floor) => MemoryTransfer::Partial {
+                entries,
+                lost_for: now.since(floor),
+            },
+            None => MemoryTransfer::Whole(entries),
+        }
+    }
+
+    /// Notes that what was issued for a slice before a moment may have run unknown.
+    fn raise_floor(&mut self, slice: u32, moment: LocalMoment) {
+        let floor = self.floors.entry(slice).or_insert(moment);
+
+        *floor = (*floor).max(moment);
+    }
+
+    /// Returns the moment before which runs are unknown, while that matters.
+    fn floor(&self, now: LocalMoment, slice: Option<u32>) -> Option<LocalMoment> {
+        let of_slice = slice.and_then(|slice| self.floors.get(&slice).copied());
+
+        of_slice
+            .max(self.lost)
+            .filter(|floor| now.since(*floor) < self.time)
+    }
+
     /// Takes in one entry, unless the request is known here already.
     fn import_entry(&mut self, now: LocalMoment, slice: u32, entry: MemoryEntry) {
         if self.records.contains_key(&entry.key) {
@@ -229,12 +262,7 @@
 
     /// Refuses an identifier that may be one whose record was forgotten or lost.
     fn check_age(&self, now: LocalMoment, arrival: &WorkArrival) -> Option<AdmitRefusal> {
-        let of_slice = arrival
-            .slice
-            .and_then(|slice| self.floors.get(&slice).copied());
-        let floor = of_slice
-            .max(self.lost)
-            .filter(|floor| now.since(*floor) < self.time);
+        let floor = self.floor(now, arrival.slice);
 
         let too_old = match arrival.age {
             IdentifierAge::Made => false,
--- a/crates/admit/src/memory/record.rs
+++ b/crates/admit/src/memory/record.rs
@@ -73,6 +73,13 @@
 pub enum MemoryTransfer {
     /// All that the former owner remembered.
     Whole(Vec<MemoryEntry>),
+    /// What the former owner remembered, after an owner before it was lost with its memory.
+    Partial {
+        /// What is remembered.
+        entries: Vec<MemoryEntry>,
+        /// The time since the loss.
+        lost_for: Duration,
+    },
     /// The former owner was lost with its memory.
     Lost,
 }
