--- a/crates/daemon/src/agent/task.rs
+++ b/crates/daemon/src/agent/task.rs
@@ -555,7 +555,7 @@
     fn slice_drained(&mut self, slice: u32) {
         let now = clock::now();
         let memory = match &self.target {
-            Some(target) => MemoryTransfer::Whole(target.admission.export_memory(now, slice)),
+            Some(target) => target.admission.transfer_memory(now, slice),
             None => MemoryTransfer::Lost,
         };
 
