An order's end always reaches the admission

Cause of 19.7 s unserved after a target froze for 4 s (standins/failures pause-target): a caller that went away while its order was cancelled left no entry in the agent, whose report of the end was then dropped, so that the slice never drained.

--- a/crates/daemon/src/agent/task.rs
+++ b/crates/daemon/src/agent/task.rs
@@ -404,28 +404,22 @@
         }
     }
 
-    /// Takes the end of an order in.
+    /// Takes the end of an order in. The admission is told even when the work is forgotten, as it
+    /// alone knows whether a slot is still taken.
     fn order_ended(&mut self, ticket: u64, end: OrderEnd, took: Duration) {
-        let Some(work) = self.works.get_mut(&ticket) else {
-            return;
-        };
-        work.order = None;
+        if let Some(work) = self.works.get_mut(&ticket) {
+            work.order = None;
+            note_end(&self.options, &work.head, &end, took);
+        }
 
         let outcome = match end {
             OrderEnd::Answered { bytes, kept } => {
-                self.options
-                    .latency
-                    .record(&work.head.tenant, work.head.class, took);
                 if let Some(kept) = kept {
                     self.kept.insert(ticket, kept);
                 }
                 WorkOutcome::Answered { bytes }
             }
-            OrderEnd::Failed { error } => {
-                warn!(event = "order-failed", request_id = %work.head.id, %error);
-                notice_failure(&self.options.ownership, &error);
-                outcome_of(&error)
-            }
+            OrderEnd::Failed { error } => outcome_of(&error),
             OrderEnd::Abandoned => WorkOutcome::Abandoned,
         };
 
@@ -669,6 +663,18 @@
     Some(KeyHash::new(key.as_bytes()).slice_index(spec.slices))
 }
 
+/// Records the latency of an answered order, or logs why there is no answer.
+fn note_end(options: &AgentOptions, head: &RequestHead, end: &OrderEnd, took: Duration) {
+    match end {
+        OrderEnd::Answered { .. } => options.latency.record(&head.tenant, head.class, took),
+        OrderEnd::Failed { error } => {
+            warn!(event = "order-failed", request_id = %head.id, %error);
+            notice_failure(&options.ownership, error);
+        }
+        OrderEnd::Abandoned => info!(event = "order-abandoned", request_id = %head.id),
+    }
+}
+
 /// Tells the ownership task of a target that takes no connection.
 fn notice_failure(ownership: &OwnershipHandle, error: &CoreError) {
     if matches!(
