--- a/crates/lease/src/recording.rs
+++ b/crates/lease/src/recording.rs
@@ -196,13 +196,17 @@
     fn compare_with_stored(&mut self, now: LocalMoment, stored: &LeaseRecord) {
         let slice = &stored.slice;
         let me = self.identity.clone();
+        let is_gained = self.lease_end(now, slice).is_some();
 
         let Some(holder) = self.holders.get_mut(slice) else {
             return;
         };
 
         let proposed = holder.proposal.as_ref().map(|record| record.write_id);
-        let is_valid = holder.serving.is_some_and(|grant| grant.until > now);
+        let is_serving = holder.serving.is_some_and(|grant| grant.until > now);
+
+        // Who has the lease, served already or not, goes on under the stored set.
+        let is_valid = is_serving || is_gained;
         let held = &holder.record;
 
         if proposed == Some(stored.write_id) {
--- a/crates/lease/src/serving.rs
+++ b/crates/lease/src/serving.rs
@@ -267,7 +267,7 @@
     }
 
     /// Returns the end of the lease under the record's epoch, when it is in the future.
-    fn lease_end(&self, now: LocalMoment, slice: &SliceId) -> Option<LocalMoment> {
+    pub(crate) fn lease_end(&self, now: LocalMoment, slice: &SliceId) -> Option<LocalMoment> {
         let holder = self.holders.get(slice)?;
         let end = holder.lease_end(&self.members.gone, self.options.term)?;
 
