--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -5,6 +5,17 @@
 //! majority of its set granted the slice within the term. A witness never has grants to two
 //! holders outstanding at once, so that two majorities can't serve at the same instant.
 //!
+//! What is survived with sets of five, with the platform up or down: the loss of the owner and any
+//! one other member, or of one whole zone when the set is spread over three. With sets of three
+//! (fleets of three or four) it is the owner alone. When more is lost, the slice stays unserved until
+//! members return or the operator says which are gone for good. Members that restart with nothing
+//! remembered return after one term, once a majority of the others told them what they had
+//! promised; when too few remember, the platform must be up.
+//!
+//! What the daemon owes: incarnations that grow with each start, a clock that counts the time spent
+//! suspended, a question to [`LeaseMachine::may_serve`] before each dispatch, and no deadline past
+//! [`ServeGrant::until`].
+//!
 //! Nothing here reads a clock or does input or output: [`LeaseMachine::handle`] takes the time
 //! and an event and returns the actions that the daemon carries out.
 //!
--- a/crates/lease/src/machine.rs
+++ b/crates/lease/src/machine.rs
@@ -82,8 +82,8 @@
 }
 
 impl LeaseMachine {
-    /// Makes the machine of a node that has just started. Two starts of one node must differ in
-    /// their incarnation.
+    /// Makes the machine of a node that has just started. A later start of the node must have a
+    /// higher incarnation, and the options must have passed [`LeaseOptions::check`].
     pub fn new(identity: NodeIdentity, zone: ZoneName, options: LeaseOptions, seed: u64) -> Self {
         Self {
             identity,
