--- a/crates/bench/src/requests/scenarios/crest.rs
+++ b/crates/bench/src/requests/scenarios/crest.rs
@@ -37,6 +37,10 @@
         .with("useful_first_second", shares[3])
         .with("useful_least_crest", least(&shares[3..8]))
         .with("useful_least_after", least(&shares[8..]))
+        .with(
+            "useful_whole_crest",
+            score::useful_share(&result, &setup.size, seconds(3, 8)),
+        )
         .with(
             "p50_crest_ms",
             millis(score::percentile(&result, seconds(3, 8), 50)),
