--- a/crates/assign/src/exchange.rs
+++ b/crates/assign/src/exchange.rs
@@ -29,8 +29,15 @@
         Some(self.send_load(now, to, wanted))
     }
 
-    /// Draws two peers and returns the one whose load differs more from the own one.
+    /// Returns the peer to report to: one with room when the own load is far above the mean, else
+    /// one of two random peers.
     fn choose_peer(&mut self) -> Option<NodeName> {
+        if self.is_hot()
+            && let Some(peer) = self.choose_relief()
+        {
+            return Some(peer);
+        }
+
         let able: Vec<NodeName> = self
             .able_members()
             .map(|target| target.node)
@@ -40,9 +47,9 @@
         let own = self.own_load() / f64::from(self.own_weight().max(1));
         // A peer of unknown load comes first, so that it becomes known.
         let distance = |node: &NodeName| {
-            self.peers.get(node).map_or(f64::INFINITY, |peer| {
-                (peer.load / f64::from(peer.weight.max(1)) - own).abs()
-            })
+            self.peers
+                .get(node)
+                .map_or(f64::INFINITY, |peer| (peer.relative_load() - own).abs())
         };
 
         // A random peer now and then keeps the far ones from being the only ones that are heard.
@@ -55,6 +62,31 @@
             .max_by(|left, right| distance(left).total_cmp(&distance(right)))
     }
 
+    /// Returns whether the own load is far above the mean.
+    fn is_hot(&self) -> bool {
+        self.balance()
+            .is_some_and(|balance| balance.load > balance.fair * (1.0 + self.options.hot_margin))
+    }
+
+    /// Draws a few peers of known load and returns the least loaded one. Hot targets with the same
+    /// knowledge draw differently, so they do not all turn to one peer.
+    fn choose_relief(&mut self) -> Option<NodeName> {
+        /// The peers to draw.
+        const DRAWN: usize = 4;
+
+        let known: Vec<(f64, NodeName)> = self
+            .peers
+            .iter()
+            .filter(|(node, _)| !self.avoided.contains_key(*node))
+            .map(|(node, peer)| (peer.relative_load(), node.clone()))
+            .collect();
+
+        known
+            .choose_multiple(&mut self.random, DRAWN)
+            .min_by(|left, right| left.0.total_cmp(&right.0))
+            .map(|(_, node)| node.clone())
+    }
+
     /// Returns the own weight.
     pub(crate) fn own_weight(&self) -> u32 {
         self.members.get(&self.node).map_or(0, |own| own.weight)
@@ -107,11 +139,10 @@
             return 0.0;
         };
         let limit = balance.fair / weight * (1.0 + self.options.hot_margin);
-        let hot = self.peers.get(peer).is_some_and(|peer| {
-            let load = peer.load / f64::from(peer.weight.max(1));
-
-            load > limit
-        });
+        let hot = self
+            .peers
+            .get(peer)
+            .is_some_and(|peer| peer.relative_load() > limit);
 
         if hot && !self.is_draining() {
             (balance.room(&self.options) - self.asked_load(now)).max(0.0)
@@ -165,7 +196,7 @@
         let spare = self
             .peers
             .get(&sender)
-            .is_some_and(|peer| peer.load / f64::from(peer.weight.max(1)) > own);
+            .is_some_and(|peer| peer.relative_load() > own);
         let lacking = if spare { self.lacking_load(now) } else { 0.0 };
         let wanted = lacking.max(self.relieving_load(now, &sender));
 
--- a/crates/assign/src/handover.rs
+++ b/crates/assign/src/handover.rs
@@ -121,9 +121,9 @@
         let weights = self.peers.iter().map(|(_, peer)| f64::from(peer.weight));
         let mean = loads.sum::<f64>() / weights.sum::<f64>().max(1.0);
         let spare = |node: &&NodeName| {
-            self.peers.get(node).is_none_or(|peer| {
-                peer.load / f64::from(peer.weight.max(1)) <= mean * (1.0 + self.options.high_margin)
-            })
+            self.peers
+                .get(node)
+                .is_none_or(|peer| peer.relative_load() <= mean * (1.0 + self.options.high_margin))
         };
 
         ranked
--- a/crates/assign/src/peers.rs
+++ b/crates/assign/src/peers.rs
@@ -46,6 +46,13 @@
     pub weight: u32,
 }
 
+impl PeerLoad {
+    /// Returns the load for each share.
+    pub fn relative_load(&self) -> f64 {
+        self.load / f64::from(self.weight.max(1))
+    }
+}
+
 /// `PeerTable` remembers the latest loads of at most [`MAX_PEERS`] targets.
 #[derive(Debug, Clone, Default)]
 pub struct PeerTable {
--- a/crates/bench/src/assign.rs
+++ b/crates/bench/src/assign.rs
@@ -33,11 +33,21 @@
                 .value_parser(value_parser!(u16).range(3..=1_000))
                 .help("Targets of the service; 5 and 150 when absent"),
         )
+        .arg(
+            Arg::new("scenario")
+                .long("scenario")
+                .value_parser(Scenario::ALL.map(Scenario::name))
+                .help("The only scenario to run"),
+        )
 }
 
 /// Runs every scenario and prints one line for each.
 pub fn run(matches: &ArgMatches) {
     let seeds = matches.get_one::<u64>("seeds").copied().unwrap_or(1);
+    let only = matches.get_one::<String>("scenario");
+    let scenarios = Scenario::ALL
+        .into_iter()
+        .filter(|scenario| only.is_none_or(|name| name == scenario.name()));
     let sizes = match matches.get_one::<u16>("targets") {
         Some(targets) => vec![usize::from(*targets)],
         None => vec![SMALL, LARGE],
@@ -48,7 +58,7 @@
          end,sd,seconds to 1.25,messages/node/s,bytes/message,us/event"
     );
     for targets in sizes {
-        for scenario in Scenario::ALL {
+        for scenario in scenarios.clone() {
             for policy in Policy::ALL {
                 let results: Vec<ScenarioResult> = (1..=seeds)
                     .map(|seed| scenario::run(scenario, policy, targets, seed))
