--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,6 +1,7 @@
 //! Measurements of the decisions in virtual time and of the daemons over loopback.
 
 mod assign;
+mod capacity;
 mod lease;
 mod requests;
 
@@ -13,8 +14,11 @@
         .about("Measures the decisions in virtual time and the daemons over loopback")
         .subcommand_required(true)
         .subcommand(assign::command())
+        .subcommand(capacity::command())
+        .subcommand(capacity::path::command())
         .subcommand(lease::storm_command())
         .subcommand(requests::report::command())
+        .subcommand(lease::measure_command())
         .get_matches();
 
     let is_green = match matches.subcommand() {
@@ -22,11 +26,20 @@
             assign::run(arguments);
             true
         }
+        Some(("capacity", arguments)) => {
+            capacity::run(arguments);
+            true
+        }
+        Some(("capacity-path", arguments)) => {
+            capacity::path::run(arguments);
+            true
+        }
         Some(("lease-storm", arguments)) => lease::run_storms(arguments),
         Some(("requests", arguments)) => {
             requests::report::run(arguments);
             true
         }
+        Some(("lease-measure", arguments)) => lease::run_measurements(arguments),
         _ => false,
     };
 
--- a/crates/bench/src/requests/report.rs
+++ b/crates/bench/src/requests/report.rs
@@ -14,8 +14,9 @@
 type ScenarioRun = fn(&ScenarioSetup) -> ScenarioResult;
 
 /// The measured situations by name.
-const SCENARIOS: [(&str, ScenarioRun); 8] = [
+const SCENARIOS: [(&str, ScenarioRun); 11] = [
     ("crest", scenarios::crest),
+    ("crest-mixed", scenarios::crest_mixed),
     ("pulses", scenarios::pulses),
     ("head-of-line", scenarios::head_of_line),
     (
@@ -23,7 +24,9 @@
         scenarios::head_of_line_undeclared,
     ),
     ("hurt", scenarios::hurt),
+    ("strained", scenarios::strained),
     ("fairness", scenarios::fairness),
+    ("flood", scenarios::flood),
     ("waste", scenarios::waste),
     ("storm", scenarios::storm),
 ];
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,9 +6,10 @@
 //!
 //! - [`run`]: starting, stopping and the order of both.
 //! - [`fleet`] and [`directory`]: the configuration and the nodes, followed in the platform.
-//! - [`ownership`] and [`memories`]: the leases, and what owners hand on.
+//! - [`ownership`]: the leases and the assignment of slices.
 //! - [`agent`]: the queue and the dispatch to the target beside the daemon.
 //! - [`ingress`], [`parse`] and [`forward`]: the way of a caller's request.
+//! - [`homes`] and [`identifier`]: where a non-idempotent request may run, and its age.
 //! - [`inbound`] and [`control`]: what the other daemons send, and what is sent to them.
 //! - [`admin`]: the administration API.
 //! - [`local`]: the announcements of the target.
@@ -21,11 +22,12 @@
 pub mod directory;
 pub mod fleet;
 pub mod forward;
+pub mod homes;
+pub mod identifier;
 pub mod inbound;
 pub mod ingress;
 pub mod latency;
 pub mod local;
-pub mod memories;
 pub mod ownership;
 pub mod parse;
 pub mod run;
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -32,6 +32,7 @@
 };
 use thiserror::Error;
 use tracing::{info, warn};
+use wagtail_assign::AssignOptions;
 use wagtail_core::{
     ids::{NodeIdentity, NodeIncarnation},
     ports::PlatformStore,
@@ -211,6 +212,7 @@
         view: view.clone(),
         agent: agent.clone(),
         outbox: Rc::new(ControlOutbox::new(identity.clone(), fleet.clone())),
+        seed,
     };
     ownership::spawn(ownership.clone(), ownership_commands, ownership_options);
 
@@ -275,6 +277,9 @@
     let handler = Rc::<LocalHandler>::clone(&local);
     serve_http(listeners.local, handler, LOCAL_HEADER_BYTES, &peers_stop).detach();
 
+    let watched = Rc::<LocalHandler>::clone(&local);
+    compio::runtime::spawn(async move { watched.watch().await }).detach();
+
     let parts = DaemonParts {
         agent: base.agent.clone(),
         agent_done: base.agent_done.clone(),
@@ -423,6 +428,8 @@
         renew_interval: Duration::from_millis(settings.lease.renew_ms),
         suspicion: Duration::from_millis(settings.lease.suspicion_ms),
         deputy_step: Duration::from_millis(settings.lease.stagger_ms),
+        // A node that drains moves as many slices at a time as its assignment starts.
+        moves_in_flight: AssignOptions::default().max_drain_moves,
         ..LeaseOptions::default()
     }
 }
--- a/crates/lease/src/recording.rs
+++ b/crates/lease/src/recording.rs
@@ -107,8 +107,8 @@
             self.witnesses.recall_stored(&self.identity, &stored);
         }
 
-        self.rescue(now, &stored);
         self.take_up_stored(now, &stored);
+        self.rescue(now, &stored);
     }
 
     /// Takes in that a read failed.
@@ -175,7 +175,7 @@
 
         self.learn(record);
         self.witnesses
-            .note_stored(now, &self.identity, stored, &self.options);
+            .note_record(now, &self.identity, record, &self.options);
 
         let Some(holder) = self.holders.get_mut(&record.slice) else {
             return;
