--- a/crates/bench/src/capacity/mod.rs
+++ b/crates/bench/src/capacity/mod.rs
@@ -9,11 +9,12 @@
 pub mod path;
 mod process;
 mod records;
+mod region;
 
 use clap::{Arg, ArgMatches, Command};
 
 /// The tables, in the order of the page.
-const TABLES: [&str; 9] = [
+const TABLES: [&str; 10] = [
     "lease-nodes",
     "lease-slices",
     "records",
@@ -23,6 +24,7 @@
     "admit-queue",
     "choice",
     "losses",
+    "region",
 ];
 
 /// Returns the definition of the subcommand.
@@ -53,6 +55,7 @@
         "admit-queue" => admit::by_queue(),
         "choice" => choice::run(),
         "losses" => losses::run(),
+        "region" => region::run(),
         _ => {}
     }
 }
--- /dev/null
+++ b/crates/bench/src/capacity/region.rs
@@ -0,0 +1,112 @@
+//! What changes hands when two regions lose each other, in virtual time.
+
+use super::fit::{LineFit, float, float_of};
+use crate::lease::driver::{SECOND, World, WorldOptions};
+use std::time::Duration;
+use wagtail_core::ids::NodeName;
+use wagtail_lease::LeaseOptions;
+
+/// The sizes of the fleet.
+const NODES: [usize; 4] = [20, 40, 60, 100];
+/// The availability zones; the first three are one region, the others the second one.
+const ZONES: usize = 5;
+/// The zones of the first region.
+const FIRST_REGION: usize = 3;
+/// The slices of each node.
+const SLICES_PER_NODE: usize = 10;
+/// The aimed count of slices.
+const AIMED: f64 = 24_800.0;
+/// The length of the cut in virtual seconds.
+const CUT_SECONDS: u64 = 30;
+/// The writes a second by which slices are claimed.
+const CLAIMS_PER_SECOND: usize = 250;
+/// The longest time in microseconds for which a key may be unserved.
+const LONGEST_UNSERVED: u64 = 3 * SECOND;
+/// The renewal interval that the settings of a daemon default to.
+const RENEW_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Prints the changes of owners and the platform's calls by the count of slices. The platform
+/// stays in reach of both regions.
+pub fn run() {
+    println!("nodes,slices,changed owner,unserved over 3 s,reads,writes,longest unserved ms");
+    let (mut moves, mut writes) = (Vec::new(), Vec::new());
+
+    for nodes in NODES {
+        let (changed, written) = cut(nodes);
+        let slices = float(nodes * SLICES_PER_NODE);
+        moves.push((slices, changed));
+        writes.push((slices, written));
+    }
+
+    LineFit::new(&moves).print("changed owner", "slices", "slice", AIMED);
+    LineFit::new(&writes).print("writes", "calls", "slice", AIMED);
+}
+
+/// Cuts the regions of a fleet and returns the changed owners and the writes.
+fn cut(nodes: usize) -> (f64, f64) {
+    let mut world = make_world(nodes);
+    let owners = owners(&world);
+    let before = world.counts.clone();
+    world.reset_gaps();
+
+    let is_first = |node: usize| node % ZONES < FIRST_REGION;
+    for from in 0..nodes {
+        for to in (0..nodes).filter(|to| is_first(*to) != is_first(from)) {
+            world.cut(from, to, CUT_SECONDS * SECOND);
+        }
+    }
+    world.run_for(CUT_SECONDS * SECOND);
+
+    let changed = self::owners(&world)
+        .iter()
+        .zip(&owners)
+        .filter(|(now, then)| now != then)
+        .count();
+    let reads = world.counts.reads - before.reads;
+    let writes = world.counts.writes - before.writes;
+    let gap = world.longest_gap.values().max().copied().unwrap_or(0);
+    let late = world
+        .longest_gap
+        .values()
+        .filter(|gap| **gap > LONGEST_UNSERVED)
+        .count();
+    println!(
+        "{nodes},{},{changed},{late},{reads},{writes},{}",
+        nodes * SLICES_PER_NODE,
+        gap / 1_000
+    );
+
+    (float(changed), float_of(writes))
+}
+
+/// Returns the owner of each slice.
+fn owners(world: &World) -> Vec<Option<NodeName>> {
+    world
+        .slices()
+        .iter()
+        .map(|slice| world.owner(slice).map(|node| world.identity(node).name))
+        .collect()
+}
+
+/// Makes the fleet with every slice served.
+fn make_world(nodes: usize) -> World {
+    let total = nodes * SLICES_PER_NODE;
+    let mut world = World::new(WorldOptions {
+        nodes,
+        zones: ZONES,
+        slices: u32::try_from(total).unwrap_or(u32::MAX),
+        fenced: true,
+        lease: LeaseOptions {
+            renew_interval: RENEW_INTERVAL,
+            ..LeaseOptions::default()
+        },
+        ..WorldOptions::default()
+    });
+
+    world.run_for(SECOND);
+    world.claim_all();
+    let settle = u64::try_from(total / CLAIMS_PER_SECOND + 15).unwrap_or(u64::MAX);
+    world.run_for(settle * SECOND);
+
+    world
+}
