--- a/crates/daemon/src/admin/server.rs
+++ b/crates/daemon/src/admin/server.rs
@@ -4,7 +4,7 @@
     admin::{
         operator::{read_plan, run_call},
         status::StatusSources,
-        view::fleet_view,
+        view::{fleet_view, owner_identity},
     },
     fleet::FleetCell,
     ownership::{OwnershipView, calls::record_key},
@@ -17,13 +17,13 @@
 use serde::{Serialize, de::DeserializeOwned};
 use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 use wagtail_core::{
-    ids::{NodeIdentity, NodeIncarnation, NodeName, ServiceName},
+    ids::{NodeName, ServiceName},
     lease::LeaseRecord,
     ports::{LocalFuture, PlatformStore},
     slice::{KeyHash, SliceId},
 };
 use wagtail_intent::{
-    CallId, IntentError, IntentEvent, IntentReply, parse_intent,
+    CallId, FleetView, IntentError, IntentEvent, IntentReply, parse_intent,
     reports::{
         ConfirmReport, ConfirmRequest, ErrorReport, OwnerReport, ServicesReport, WatchReport,
     },
@@ -169,7 +169,7 @@
         let event = IntentEvent::PlanRequested {
             call,
             intent,
-            view: fleet_view(&self.options.fleet.load(), &self.options.view),
+            view: self.fleet_view().await,
             nonce: self.options.seed ^ (call.0 << 40),
         };
 
@@ -179,6 +179,16 @@
         }
     }
 
+    /// Returns the fleet as plans see it.
+    async fn fleet_view(&self) -> FleetView {
+        fleet_view(
+            &*self.options.store,
+            &self.options.fleet.load(),
+            &self.options.view,
+        )
+        .await
+    }
+
     /// Shows a plan.
     async fn show_plan(&self, plan: &str) -> Reply {
         let read = read_plan(&*self.options.store, plan)
@@ -207,7 +217,7 @@
             call: self.next_call(),
             plan: plan.to_owned(),
             base_version: confirm.base_version,
-            view: fleet_view(&fleet, &self.options.view),
+            view: self.fleet_view().await,
             held: fleet.config.version,
         };
 
@@ -264,12 +274,7 @@
         let fleet = self.options.fleet.load();
         let routes = self.options.view.routes().borrow();
         let hint = routes.hint(&slice);
-        let owner = hint.map(|hint| {
-            fleet.nodes.get(&hint.owner).map_or_else(
-                || NodeIdentity::new(hint.owner.clone(), NodeIncarnation(0)),
-                |entry| entry.identity.clone(),
-            )
-        });
+        let owner = hint.map(|hint| owner_identity(&fleet, &hint.owner));
 
         OwnerReport {
             owner,
--- a/crates/daemon/src/admin/view.rs
+++ b/crates/daemon/src/admin/view.rs
@@ -1,36 +1,85 @@
 //! The fleet as plans see it.
 
-use crate::{fleet::FleetState, ownership::OwnershipView};
+use crate::{
+    fleet::{FleetState, LEASE_PREFIX, NodeEntry},
+    ownership::{OwnershipView, calls::parse_record},
+};
+use compio::{net::TcpStream, time::timeout};
+use futures_util::future::join_all;
+use std::time::Duration;
 use wagtail_core::{
     ids::{NodeIdentity, NodeIncarnation, NodeName},
+    ports::PlatformStore,
+    service::ServiceSpec,
     slice::SliceId,
 };
 use wagtail_intent::{FleetView, NodeView, SliceView};
 
-/// Returns the nodes and the slice owners that this daemon knows of.
-pub fn fleet_view(fleet: &FleetState, ownership: &OwnershipView) -> FleetView {
-    let nodes = fleet.nodes.values().map(|entry| NodeView {
+/// The longest wait for a node's answer. A node that does not answer counts as out of reach.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Returns the nodes and the slice owners, freshly looked up: a plan is rare and must be right.
+pub async fn fleet_view(
+    store: &dyn PlatformStore,
+    fleet: &FleetState,
+    ownership: &OwnershipView,
+) -> FleetView {
+    let nodes = join_all(fleet.nodes.values().map(node_view)).await;
+
+    let mut slices = Vec::new();
+    for spec in fleet.config.services.iter().filter(|spec| spec.keyed) {
+        slices.extend(slice_views(store, fleet, ownership, spec).await);
+    }
+
+    FleetView { nodes, slices }
+}
+
+/// Describes a node, and tries whether it takes connections.
+async fn node_view(entry: &NodeEntry) -> NodeView {
+    let probe = timeout(PROBE_TIMEOUT, TcpStream::connect(entry.peers)).await;
+
+    NodeView {
         identity: entry.identity.clone(),
         zone: entry.zone.clone(),
         service: entry.service.clone(),
         fenced: entry.fenced,
         leaving: entry.leaving,
-        reachable: true,
-    });
+        reachable: matches!(probe, Ok(Ok(_))),
+    }
+}
 
-    FleetView {
-        nodes: nodes.collect(),
-        slices: slice_views(fleet, ownership),
+/// Returns the owners of a service's slices by the platform's records, or by the known routes
+/// while the platform does not answer.
+async fn slice_views(
+    store: &dyn PlatformStore,
+    fleet: &FleetState,
+    ownership: &OwnershipView,
+    spec: &ServiceSpec,
+) -> Vec<SliceView> {
+    match store.list(&format!("{LEASE_PREFIX}{}/", spec.name)).await {
+        Ok(batch) => batch
+            .changed
+            .iter()
+            .filter_map(parse_record)
+            .map(|stored| SliceView {
+                slice: stored.record.slice,
+                owner: stored.record.owner,
+            })
+            .collect(),
+        Err(_unavailable) => routed_slices(fleet, ownership, spec),
     }
 }
 
-/// Returns the slices of the keyed services whose owner is known.
-fn slice_views(fleet: &FleetState, ownership: &OwnershipView) -> Vec<SliceView> {
+/// Returns the owners of a service's slices by the known routes.
+fn routed_slices(
+    fleet: &FleetState,
+    ownership: &OwnershipView,
+    spec: &ServiceSpec,
+) -> Vec<SliceView> {
     let routes = ownership.routes().borrow();
-    let keyed = fleet.config.services.iter().filter(|spec| spec.keyed);
+    let slices = (0..spec.slices).map(|index| SliceId::new(spec.name.clone(), index));
 
-    keyed
-        .flat_map(|spec| (0..spec.slices).map(|index| SliceId::new(spec.name.clone(), index)))
+    slices
         .filter_map(|slice| {
             let owner = owner_identity(fleet, &routes.hint(&slice)?.owner);
 
@@ -40,7 +89,7 @@
 }
 
 /// Returns the latest known start of a node.
-fn owner_identity(fleet: &FleetState, name: &NodeName) -> NodeIdentity {
+pub fn owner_identity(fleet: &FleetState, name: &NodeName) -> NodeIdentity {
     fleet.nodes.get(name).map_or_else(
         || NodeIdentity::new(name.clone(), NodeIncarnation::default()),
         |entry| entry.identity.clone(),
--- a/crates/daemon/src/ownership/placing.rs
+++ b/crates/daemon/src/ownership/placing.rs
@@ -57,7 +57,7 @@
             return Vec::new();
         };
 
-        if self.machine.is_none() {
+        if self.service.as_ref() != Some(&service) {
             let machine = AssignMachine::new(now, self.node.clone(), service.clone(), self.seed);
             self.machine = Some(machine);
         }
--- a/crates/daemon/src/ownership/slices.rs
+++ b/crates/daemon/src/ownership/slices.rs
@@ -202,6 +202,9 @@
             self.assign(actions);
         }
 
-        self.options.view.keep_problem(slice, problem);
+        // Losing the race for a claim needs nobody's attention.
+        if !matches!(problem, LeaseProblem::AlreadyOwned { .. }) {
+            self.options.view.keep_problem(slice, problem);
+        }
     }
 }
--- a/standins/target/src/guard.rs
+++ b/standins/target/src/guard.rs
@@ -1,7 +1,7 @@
 //! The guards that count an order and record its execution, also when it is cancelled.
 
 use crate::{execution::ExecutionEntry, order::OrderFields, state::TargetState};
-use standin_net::clock::monotonic_us;
+use standin_net::clock::{boottime_us, monotonic_us};
 use std::{cell::RefCell, rc::Rc, sync::Arc};
 
 /// `InFlightGuard` counts an accepted order until it is answered or cancelled.
@@ -37,6 +37,8 @@
     pub(crate) run: usize,
     /// Whether the end is recorded.
     ended: bool,
+    /// The deadline of the order in microseconds of `CLOCK_BOOTTIME`.
+    deadline_us: Option<u64>,
 }
 
 impl ExecutionGuard {
@@ -62,6 +64,7 @@
             run: target.log.start(entry),
             state: Rc::clone(state),
             ended: false,
+            deadline_us: order.deadline_us,
         }
     }
 
@@ -78,7 +81,11 @@
 impl Drop for ExecutionGuard {
     fn drop(&mut self) {
         if !self.ended {
-            self.end(monotonic_us(), true);
+            // A process that was frozen commits nothing after the deadline that it finds passed.
+            let overdue_us = self
+                .deadline_us
+                .map_or(0, |end| boottime_us().saturating_sub(end));
+            self.end(monotonic_us().saturating_sub(overdue_us), true);
         }
     }
 }
