--- /dev/null
+++ b/crates/daemon/src/agent/arrivals.rs
@@ -0,0 +1,153 @@
+//! The arrivals of requests, and callers that go away.
+
+use crate::{
+    agent::{task::AgentTask, work::AgentWork},
+    identifier::issued_moment,
+};
+use bytes::Bytes;
+use futures_channel::oneshot::Sender;
+use std::time::Duration;
+use wagtail_admit::{AdmitEvent, AdmitRefusal, IdentifierAge, WorkArrival};
+use wagtail_core::{
+    ports::TargetAnswer,
+    request::RequestHead,
+    service::ServiceSpec,
+    slice::{KeyHash, SliceId},
+    units::LocalMoment,
+    verdict::RunVerdict,
+};
+use wagtail_net::clock;
+
+/// The time after which a repeat is expected to find the owner of a key.
+const NOT_OWNER_RETRY: Duration = Duration::from_millis(300);
+
+impl AgentTask {
+    /// Takes a request in.
+    pub(super) fn submit(
+        &mut self,
+        ticket: u64,
+        head: RequestHead,
+        body: Bytes,
+        deadline: LocalMoment,
+        reply: Sender<TargetAnswer>,
+    ) {
+        let spec = self.spec_of(&head);
+        let slice = spec.as_ref().and_then(|spec| slice_index(spec, &head));
+        let arrival = arrival(ticket, &head, deadline, slice);
+        let service = head.service.clone();
+        let key = head.key.clone();
+        let work = AgentWork {
+            head,
+            body,
+            slice,
+            deadline,
+            reply: Some(reply),
+            order: None,
+        };
+        self.works.insert(ticket, work);
+
+        if let Some(slice) = slice.filter(|_| spec.is_some()) {
+            let slice = SliceId::new(service, slice);
+            if self
+                .options
+                .leases
+                .may_serve(clock::now(), &slice)
+                .is_none()
+            {
+                self.refuse(
+                    ticket,
+                    AdmitRefusal::NotOwner,
+                    RunVerdict::NotRun,
+                    NOT_OWNER_RETRY,
+                );
+                return;
+            }
+        }
+
+        if self.target.is_none() || spec.is_none() {
+            let code = if self.stopping {
+                "stopping"
+            } else {
+                "no-target"
+            };
+            self.refuse_plain(ticket, code, "no target of the service is beside this node");
+            return;
+        }
+
+        if let (Some(slice), Some(key)) = (slice, key) {
+            self.meter.record(slice, &key);
+        }
+        self.admit(AdmitEvent::Arrived(arrival));
+    }
+
+    /// Returns the declared service of a request when the target beside this node serves it.
+    pub(super) fn spec_of(&self, head: &RequestHead) -> Option<ServiceSpec> {
+        let target = self.target.as_ref()?;
+
+        if target.notice.service != head.service {
+            return None;
+        }
+
+        self.options
+            .fleet
+            .load()
+            .config
+            .service(&head.service)
+            .cloned()
+    }
+
+    /// Takes in that nobody waits for an answer.
+    pub(super) fn caller_gone(&mut self, ticket: u64) {
+        if let Some(work) = self.works.get_mut(&ticket) {
+            work.reply = None;
+            self.admit(AdmitEvent::Cancelled { ticket });
+        }
+
+        self.forget_if_over(ticket);
+    }
+
+    /// Forgets a work that is over.
+    pub(super) fn forget_if_over(&mut self, ticket: u64) {
+        if self.works.get(&ticket).is_some_and(AgentWork::is_over) {
+            self.works.remove(&ticket);
+        }
+    }
+}
+
+/// Makes the admission's view of a request.
+fn arrival(
+    ticket: u64,
+    head: &RequestHead,
+    deadline: LocalMoment,
+    slice: Option<u32>,
+) -> WorkArrival {
+    let age = identifier_age(head);
+
+    WorkArrival {
+        ticket,
+        id: head.id.clone(),
+        tenant: head.tenant.clone(),
+        operation: head.operation.clone(),
+        class: head.class,
+        idempotent: head.idempotent,
+        deadline,
+        slice,
+        age,
+    }
+}
+
+/// Returns what is known of the age of a request's identifier.
+fn identifier_age(head: &RequestHead) -> IdentifierAge {
+    if head.id_made {
+        return IdentifierAge::Made;
+    }
+
+    issued_moment(clock::now(), &head.id).map_or(IdentifierAge::Unknown, IdentifierAge::Issued)
+}
+
+/// Returns the slice of a request's key.
+fn slice_index(spec: &ServiceSpec, head: &RequestHead) -> Option<u32> {
+    let key = head.key.as_ref().filter(|_| spec.keyed)?;
+
+    Some(KeyHash::new(key.as_bytes()).slice_index(spec.slices))
+}
--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -5,10 +5,16 @@
 //! - [`order`]: one order at the target.
 //! - [`answer`]: the answers that the task gives itself.
 //! - [`task`]: the task.
+//! - `arrivals`, `orders`, `refusals`, `slices` and `target`: its parts by job.
 
 pub mod answer;
+mod arrivals;
 pub mod command;
 pub mod order;
+mod orders;
+mod refusals;
+mod slices;
+mod target;
 pub mod task;
 pub mod work;
 
--- /dev/null
+++ b/crates/daemon/src/agent/refusals.rs
@@ -0,0 +1,79 @@
+//! The final answers without a target.
+
+use crate::agent::{
+    answer::{RefusalAnswer, refusal_answer},
+    task::AgentTask,
+};
+use std::{sync::Arc, time::Duration};
+use tracing::debug;
+use wagtail_admit::AdmitRefusal;
+use wagtail_core::{ports::TargetAnswer, slice::SliceId, verdict::RunVerdict};
+use wagtail_peer::stream::WholeBody;
+
+/// The time after which a repeat is expected to find a target that has announced itself.
+const NO_TARGET_RETRY: Duration = Duration::from_secs(1);
+
+impl AgentTask {
+    /// Gives a refusal as the final answer.
+    pub(super) fn refuse(
+        &mut self,
+        ticket: u64,
+        refusal: AdmitRefusal,
+        verdict: RunVerdict,
+        retry_after: Duration,
+    ) {
+        let Some(work) = self.works.get_mut(&ticket) else {
+            return;
+        };
+
+        let owner = work.slice.and_then(|slice| {
+            let slice = SliceId::new(work.head.service.clone(), slice);
+            self.options.leases.owner(&slice)
+        });
+        debug!(
+            event = "request-refused", request_id = %work.head.id, refusal = refusal.as_str(),
+            verdict = verdict.as_str()
+        );
+
+        let answer = refusal_answer(refusal, verdict, retry_after, owner);
+        let answer = answer.into_answer(&work.head.id, &self.options.node);
+        work.answer(answer);
+        self.forget_if_over(ticket);
+    }
+
+    /// Refuses a request that reached no admission.
+    pub(super) fn refuse_plain(&mut self, ticket: u64, code: &str, message: &str) {
+        if let Some(work) = self.works.get_mut(&ticket) {
+            let refusal = RefusalAnswer {
+                status: 503,
+                code: Arc::from(code),
+                message: Arc::from(message),
+                verdict: RunVerdict::NotRun,
+                owner: None,
+                retry_after: Some(NO_TARGET_RETRY),
+            };
+            work.answer(refusal.into_answer(&work.head.id, &self.options.node));
+        }
+
+        self.forget_if_over(ticket);
+    }
+
+    /// Gives the kept answer of an earlier arrival.
+    pub(super) fn replay(&mut self, ticket: u64, of: u64) {
+        let Some(kept) = self.kept.get(&of).cloned() else {
+            let verdict = RunVerdict::Unknown;
+            self.refuse(ticket, AdmitRefusal::Duplicate, verdict, Duration::ZERO);
+            return;
+        };
+
+        if let Some(work) = self.works.get_mut(&ticket) {
+            let body = Box::new(WholeBody::new(kept.body));
+            work.answer(TargetAnswer {
+                head: kept.head,
+                body,
+            });
+        }
+
+        self.forget_if_over(ticket);
+    }
+}
