--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -51,6 +51,17 @@
     pub headers: Vec<HeaderField>,
 }
 
+/// `TargetLoad` is the load of a target as the daemon beside it knows it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TargetLoad {
+    /// The requests that wait or run at the target.
+    pub load: u32,
+    /// The requests that may be at the target now.
+    pub limit: u32,
+}
+
 /// `AnswerHead` is all of an answer but its body.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -71,6 +82,8 @@
     pub epoch: Option<LeaseEpoch>,
     /// The time in milliseconds after which a repeat is expected to succeed.
     pub retry_after_ms: Option<u64>,
+    /// The load of the target that the answering daemon stands beside.
+    pub load: Option<TargetLoad>,
     /// The end-to-end header fields.
     pub headers: Vec<HeaderField>,
 }
--- a/crates/core/src/verdict.rs
+++ b/crates/core/src/verdict.rs
@@ -24,18 +24,6 @@
         }
     }
 
-    /// Returns the verdict of a request whose latest attempt ended so and whose earlier attempts
-    /// together ended as `earlier`.
-    ///
-    /// A retry that did not run says nothing of an earlier attempt that may have run.
-    #[must_use]
-    pub const fn after(self, earlier: Self) -> Self {
-        match (self, earlier) {
-            (Self::NotRun, Self::Unknown) => Self::Unknown,
-            (latest, _) => latest,
-        }
-    }
-
     /// Returns whether another attempt can run the request no more than allowed.
     pub const fn allows_retry(self, idempotent: bool) -> bool {
         match self {
--- a/crates/daemon/src/agent/answer.rs
+++ b/crates/daemon/src/agent/answer.rs
@@ -92,6 +92,7 @@
             owner: self.owner,
             epoch: None,
             retry_after_ms: retry_after,
+            load: None,
             headers: vec![content_type],
         };
 
--- a/crates/daemon/src/agent/orders.rs
+++ b/crates/daemon/src/agent/orders.rs
@@ -14,7 +14,7 @@
 use wagtail_core::{
     CoreError,
     ports::{TargetAnswer, TargetOrder},
-    request::RequestHead,
+    request::{RequestHead, TargetLoad},
     slice::SliceId,
     verdict::RunVerdict,
 };
@@ -84,12 +84,26 @@
     }
 
     /// Passes the head of a target's answer on.
-    pub(super) fn answer_started(&mut self, ticket: u64, answer: TargetAnswer) {
+    pub(super) fn answer_started(&mut self, ticket: u64, mut answer: TargetAnswer) {
+        let load = self.target_load();
+
         if let Some(work) = self.works.get_mut(&ticket) {
+            answer.head.load = load;
             work.answer(answer);
         }
     }
 
+    /// Returns the load of the target, which the ingresses weigh among other targets.
+    fn target_load(&self) -> Option<TargetLoad> {
+        let summary = self.target.as_ref()?.admission.summary();
+        let queued = u32::try_from(summary.queued_short + summary.queued_long).unwrap_or(u32::MAX);
+
+        Some(TargetLoad {
+            load: queued.saturating_add(summary.running),
+            limit: summary.limit,
+        })
+    }
+
     /// Takes the end of an order in. The admission is told even when the work is forgotten, as it
     /// alone knows whether a slot is still taken.
     pub(super) fn order_ended(&mut self, ticket: u64, end: OrderEnd, took: Duration) {
--- a/crates/daemon/src/agent/task.rs
+++ b/crates/daemon/src/agent/task.rs
@@ -4,6 +4,7 @@
     agent::{
         command::{AgentCommand, AgentHandle, TargetNotice},
         order::KeptAnswer,
+        target::GrantHealth,
         work::AgentWork,
     },
     fleet::FleetCell,
@@ -61,6 +62,7 @@
     pub(super) served: Vec<u32>,
     pub(super) stopping: bool,
     pub(super) meter: LoadMeter,
+    pub(super) grants: GrantHealth,
     commands: UnboundedReceiver<AgentCommand>,
 }
 
@@ -80,6 +82,7 @@
         served: Vec::new(),
         stopping: false,
         meter: LoadMeter::new(clock::now(), AssignOptions::default().rate_window),
+        grants: GrantHealth::default(),
     };
 
     compio::runtime::spawn(task.run()).detach();
--- a/crates/daemon/src/directory.rs
+++ b/crates/daemon/src/directory.rs
@@ -43,6 +43,8 @@
     pub fleet: FleetCell,
     /// The ownership task, which is told of the members.
     pub ownership: OwnershipHandle,
+    /// The name of this node.
+    pub node: NodeName,
     /// The seed of the jitter.
     pub seed: u64,
 }
@@ -67,6 +69,7 @@
     wanted: Option<NodeEntry>,
     versions: BTreeMap<Arc<str>, u64>,
     revision: u64,
+    was_read: bool,
     random: ChaCha8Rng,
     pause: Duration,
     keeper: ConfigKeeper,
@@ -82,6 +85,7 @@
         wanted: None,
         versions: BTreeMap::new(),
         revision: 0,
+        was_read: false,
         random,
         pause: MIN_PAUSE,
         keeper: ConfigKeeper::new(),
@@ -117,10 +121,23 @@
         let batch = self.options.store.list(FLEET_PREFIX).await?;
 
         self.apply(&batch);
+        // Later reads find this start's own entry.
+        if !self.was_read {
+            self.was_read = true;
+            self.note_restart();
+        }
 
         Ok(())
     }
 
+    /// Notes whether an earlier start of this daemon has left its entry.
+    fn note_restart(&mut self) {
+        let mut state = FleetState::clone(&self.options.fleet.load());
+
+        state.restarted = state.nodes.contains_key(&self.options.node);
+        self.options.fleet.store(state);
+    }
+
     /// Waits for changes, or for a new entry of this node.
     async fn follow(&mut self) -> Result<()> {
         let store = Rc::clone(&self.options.store);
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -48,6 +48,8 @@
     pub config: ConfigDocument,
     /// The known nodes.
     pub nodes: BTreeMap<NodeName, NodeEntry>,
+    /// Whether an earlier start of this daemon was known when it started.
+    pub restarted: bool,
 }
 
 impl FleetState {
--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -23,7 +23,7 @@
     CoreError, Result,
     ids::{NodeName, ServiceName},
     ports::TargetAnswer,
-    request::RequestHead,
+    request::{RequestHead, TargetLoad},
     service::WorkClass,
     slice::{KeyHash, SliceId},
     units::LocalMoment,
@@ -32,8 +32,8 @@
 use wagtail_net::clock;
 use wagtail_peer::link::PeerLink;
 use wagtail_route::{
-    AttemptResult, BudgetOptions, ChoiceEvent, ChoiceMachine, ChoiceOptions, HomeChoice,
-    RetryDecision, RetryPolicy, RetryQuestion, mint_identifier,
+    AttemptResult, BudgetOptions, ChoiceEvent, ChoiceMachine, ChoiceOptions, HomeChoice, LoadHint,
+    RetryDecision, RetryPolicy, RetryQuestion, combined_verdict, mint_identifier,
 };
 
 /// The longest time that one attempt at idempotent short work may take, so that a frozen node
@@ -137,8 +137,10 @@
                 return self.refuse_route(head, &route);
             };
 
+            let started = clock::now();
             let outcome = self.attempt(head, &body, &node, &route).await;
-            self.learn(head, &node, &route, &outcome);
+            let took = clock::now().since(started);
+            self.learn(head, &node, &route, &outcome, took);
 
             if let Some(answer) = self.settle(head, node, &mut route, outcome) {
                 return answer;
@@ -315,10 +317,11 @@
         node: &NodeName,
         route: &RequestRoute,
         outcome: &Result<TargetAnswer>,
+        took: Duration,
     ) {
         match &route.slice {
             Some(slice) => self.learn_owner(slice, node, outcome),
-            None if route.home.is_none() => self.learn_standing(head, node, outcome),
+            None if route.home.is_none() => self.learn_standing(head, node, outcome, took),
             None => {}
         }
     }
@@ -341,15 +344,26 @@
     }
 
     /// Learns how a target stands.
-    fn learn_standing(&self, head: &RequestHead, node: &NodeName, outcome: &Result<TargetAnswer>) {
+    fn learn_standing(
+        &self,
+        head: &RequestHead,
+        node: &NodeName,
+        outcome: &Result<TargetAnswer>,
+        took: Duration,
+    ) {
         let result = attempt_result(outcome);
+        let hint = outcome
+            .as_ref()
+            .ok()
+            .and_then(|answer| answer.head.load)
+            .map(load_hint);
 
         if let Some(choice) = self.choices.borrow_mut().get_mut(&head.service) {
             let ended = ChoiceEvent::Ended {
                 node: node.clone(),
                 result,
-                took: Duration::ZERO,
-                hint: None,
+                took,
+                hint,
             };
             choice.handle(clock::now(), ended);
         }
@@ -373,7 +387,7 @@
             verdict = verdict.as_str(), reason = &*reason_of(&outcome)
         );
         route.tried.push(node);
-        route.verdict = verdict.after(route.verdict);
+        route.verdict = combined_verdict(Some(route.verdict), verdict);
 
         if is_redirection(&outcome) && route.redirections < MAX_REDIRECTIONS {
             route.redirections += 1;
@@ -498,6 +512,14 @@
     }
 }
 
+/// Makes the hint of a load that came along with an answer.
+fn load_hint(load: TargetLoad) -> LoadHint {
+    LoadHint {
+        load: load.load,
+        limit: load.limit,
+    }
+}
+
 /// Returns what an outcome says of the target.
 fn attempt_result(outcome: &Result<TargetAnswer>) -> AttemptResult {
     match outcome {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -220,6 +220,7 @@
         store: Rc::clone(&store),
         fleet: fleet.clone(),
         ownership: ownership.clone(),
+        node: settings.node.clone(),
         seed,
     });
 
--- a/crates/peer/tests/protocol.rs
+++ b/crates/peer/tests/protocol.rs
@@ -103,6 +103,7 @@
         owner: None,
         epoch: None,
         retry_after_ms: None,
+        load: None,
         headers: Vec::new(),
     }
 }
--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -108,6 +108,7 @@
             owner: None,
             epoch: order.epoch,
             retry_after_ms: None,
+            load: None,
             headers: end_to_end_fields(parts),
         };
 
