--- /dev/null
+++ b/crates/daemon/src/forward/attempt.rs
@@ -0,0 +1,110 @@
+//! One attempt.
+
+use crate::{
+    forward::forwarder::{RequestForwarder, RequestRoute},
+    identifier::unique_text,
+};
+use bytes::Bytes;
+use compio::time::timeout;
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+use tracing::debug;
+use wagtail_core::{
+    CoreError, Result, ids::NodeName, ports::TargetAnswer, request::RequestHead,
+    service::WorkClass, verdict::RunVerdict,
+};
+use wagtail_net::clock;
+use wagtail_peer::link::PeerLink;
+use wagtail_route::mint_identifier;
+
+/// The longest time that one attempt at idempotent short work may take, so that a frozen node
+/// leaves time for another attempt.
+const SHORT_ATTEMPT: Duration = Duration::from_secs(1);
+
+impl RequestForwarder {
+    /// Makes one attempt.
+    pub(super) async fn attempt(
+        &self,
+        head: &RequestHead,
+        body: &Bytes,
+        node: &NodeName,
+        route: &RequestRoute,
+    ) -> Result<TargetAnswer> {
+        let left = route.deadline.since(clock::now());
+        if left.is_zero() {
+            return Err(CoreError::DeadlineExceeded {
+                verdict: RunVerdict::NotRun,
+            });
+        }
+
+        let mut head = head.clone();
+        head.attempt = route.attempt;
+        head.time_left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        name_home(&mut head, node);
+        debug!(event = "request-attempt", request_id = %head.id, to = %node, attempt = head.attempt);
+
+        let limit = attempt_limit(&head, left);
+        let attempt = async {
+            if node == &self.options.node {
+                return Ok(self
+                    .options
+                    .agent
+                    .submit(head, body.clone(), route.deadline)
+                    .await);
+            }
+            let link = self.link(node)?;
+
+            link.request(&head, body.clone()).await
+        };
+
+        timeout(limit, attempt)
+            .await
+            .unwrap_or(Err(CoreError::DeadlineExceeded {
+                verdict: RunVerdict::Unknown,
+            }))
+    }
+
+    /// Returns the link to a peer, a new one when the peer has moved.
+    pub(super) fn link(&self, node: &NodeName) -> Result<Rc<PeerLink>> {
+        let fleet = self.options.fleet.load();
+        let entry = fleet.nodes.get(node).ok_or_else(|| {
+            CoreError::unavailable(format!("node {node} is unknown"), RunVerdict::NotRun)
+        })?;
+
+        let mut links = self.links.borrow_mut();
+        let link = links
+            .entry(node.clone())
+            .or_insert_with(|| new_link(entry.peers));
+        if link.address() != entry.peers {
+            *link = new_link(entry.peers);
+        }
+
+        Ok(Rc::clone(link))
+    }
+}
+
+/// Lets an identifier made here name the node that will remember it, so that a repeat by the
+/// caller finds it.
+fn name_home(head: &mut RequestHead, node: &NodeName) {
+    if !head.id_made || head.idempotent || head.key.is_some() {
+        return;
+    }
+
+    if let Ok(id) = mint_identifier(node, &unique_text()) {
+        debug!(event = "identifier-made", request_id = %head.id, named = %id);
+        head.id = id;
+    }
+}
+
+/// Makes a link to a peer.
+fn new_link(address: SocketAddr) -> Rc<PeerLink> {
+    Rc::new(PeerLink::new(address))
+}
+
+/// Returns the longest time that an attempt may take.
+fn attempt_limit(head: &RequestHead, left: Duration) -> Duration {
+    if head.idempotent && head.class == WorkClass::Short {
+        left.min(SHORT_ATTEMPT)
+    } else {
+        left
+    }
+}
