Silent nodes are not chosen as witnesses again at once

After 17 of 50 nodes were lost and stayed in the membership, 10 sets were changed in 30 s: a new witness that was lost too held a change up for 10 s and was chosen again when it had been dropped.

--- a/crates/lease/src/machine.rs
+++ b/crates/lease/src/machine.rs
@@ -53,6 +53,9 @@
     fencing: BTreeMap<ServiceName, bool>,
     /// The set that this node's slices share.
     pub(crate) set: Vec<NodeIdentity>,
+    /// The nodes that did not answer as witnesses and have not been heard since, and when that was
+    /// noticed.
+    pub(crate) silent: BTreeMap<NodeName, LocalMoment>,
     /// When the sets are looked at next.
     pub(crate) plan_at: LocalMoment,
     /// The slices that this node holds or tries to gain.
@@ -95,6 +98,7 @@
             going: BTreeMap::new(),
             fencing: BTreeMap::new(),
             set: Vec::new(),
+            silent: BTreeMap::new(),
             plan_at: LocalMoment::ZERO,
             holders: BTreeMap::new(),
             counter: MessageCounter::default(),
@@ -284,6 +288,7 @@
         }
 
         self.witnesses.observe_start(now, from);
+        self.silent.remove(&from.name);
 
         match message {
             LeaseMessage::Renew { .. } => {
--- a/crates/lease/src/pairs.rs
+++ b/crates/lease/src/pairs.rs
@@ -12,6 +12,9 @@
 /// The unanswered renewals that a pair remembers.
 const REMEMBERED_RENEWALS: usize = 16;
 
+/// The time within which a new witness must have answered once.
+const FIRST_ANSWER: Duration = Duration::from_secs(2);
+
 /// `AskedSlice` is one slice of a list.
 #[derive(Debug, Clone)]
 pub(crate) struct AskedSlice {
@@ -169,8 +172,12 @@
             .is_some_and(|answered| now.since(answered) <= within)
     }
 
-    /// Returns whether the witness has been silent for a time.
+    /// Returns whether the witness has been silent for a time. One that has not answered at all is
+    /// silent sooner.
     pub(crate) fn is_silent(&self, now: LocalMoment, time: Duration) -> bool {
-        now.since(self.answered.unwrap_or(self.since)) >= time
+        self.answered.map_or_else(
+            || now.since(self.since) >= time.min(FIRST_ANSWER),
+            |answered| now.since(answered) >= time,
+        )
     }
 }
--- a/crates/lease/src/planning.rs
+++ b/crates/lease/src/planning.rs
@@ -25,6 +25,9 @@
 /// The deputies of a record that may be lost before it names others.
 const LOST_DEPUTIES: usize = 2;
 
+/// The time after which a silent node is tried again.
+const TRY_SILENT_AFTER: Duration = Duration::from_mins(1);
+
 /// The changes of sets that one node has under way.
 const CHANGES_IN_FLIGHT: usize = 4;
 
@@ -123,14 +126,17 @@
     /// Chooses the shared set of this node.
     fn choose_set(&mut self, now: LocalMoment) {
         let replace_after = self.options.replace_after;
-        let is_usable = |name: &NodeName| {
-            let silent = self
-                .pairs
-                .get(name)
-                .is_some_and(|pair| pair.is_silent(now, replace_after));
-
-            !silent && !self.members.gone.contains(name)
-        };
+        let silent = self
+            .pairs
+            .values()
+            .filter(|pair| pair.is_silent(now, replace_after))
+            .map(|pair| (pair.to.clone(), now));
+        self.silent.extend(silent);
+        self.silent
+            .retain(|_, noticed| now.since(*noticed) < TRY_SILENT_AFTER);
+
+        let is_usable =
+            |name: &NodeName| !self.silent.contains_key(name) && !self.members.gone.contains(name);
 
         let set = self.members.choose_set(
             &self.identity,
