--- a/crates/lease/src/message.rs
+++ b/crates/lease/src/message.rs
@@ -13,8 +13,8 @@
         sequence: u64,
         /// The version of the holder's list for this witness.
         version: u64,
-        /// The whole list, when it changed or the witness asked for it.
-        bundle: Option<Vec<LeaseRecord>>,
+        /// The list or its changes, when it changed or the witness asked for it.
+        bundle: Option<LeaseBundle>,
     },
     /// A witness granted all slices of a list but these.
     Renewed {
@@ -69,6 +69,18 @@
     },
 }
 
+/// `LeaseBundle` is the list of what a holder asks a witness for, or its changes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LeaseBundle {
+    /// The version of the list that is changed; absent when the whole list follows.
+    pub base: Option<u64>,
+    /// The slices that are asked for no more.
+    pub dropped: Vec<SliceId>,
+    /// The changed records, or all.
+    pub records: Vec<LeaseRecord>,
+}
+
 /// `GrantRefusal` says why a witness did not grant a slice.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/lease/src/pairs.rs
+++ b/crates/lease/src/pairs.rs
@@ -1,7 +1,7 @@
 //! The renewals from one holder to its witnesses.
 
-use crate::message::LeaseMessage;
-use std::{collections::VecDeque, mem, sync::Arc, time::Duration};
+use crate::message::{LeaseBundle, LeaseMessage};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 use wagtail_core::{
     ids::{LeaseEpoch, NodeName},
     lease::LeaseRecord,
@@ -60,8 +60,8 @@
     records: Vec<LeaseRecord>,
     /// The slices of the list.
     asked: Arc<[AskedSlice]>,
-    /// Whether the list is to be sent whole.
-    send_bundle: bool,
+    /// What is to be sent of the list.
+    bundle: Option<LeaseBundle>,
     /// The unanswered renewals, oldest first.
     unanswered: VecDeque<SentRenewal>,
     /// When the witness last answered.
@@ -80,7 +80,7 @@
             version: 0,
             records: Vec::new(),
             asked: Arc::from([]),
-            send_bundle: true,
+            bundle: None,
             unanswered: VecDeque::new(),
             answered: None,
             since: now,
@@ -106,9 +106,17 @@
                 epoch: record.epoch,
             })
             .collect();
+
+        // The changes of an unsent list are not known any more, so that the whole one is sent.
+        let base = Some(self.version).filter(|version| *version > 0 && self.bundle.is_none());
+        let bundle = base.map_or_else(
+            || whole(&records),
+            |base| changes(base, &self.records, &records),
+        );
+
         self.records = records;
         self.version = counter.next();
-        self.send_bundle = true;
+        self.bundle = Some(bundle);
         self.send_at = now;
     }
 
@@ -125,7 +133,7 @@
         }
 
         // A list that got lost is asked for; one that is never answered is not sent again and again.
-        let bundle = mem::take(&mut self.send_bundle).then(|| self.records.clone());
+        let bundle = self.bundle.take();
 
         LeaseMessage::Renew {
             sequence,
@@ -161,7 +169,7 @@
         if let Some(place) = place {
             self.unanswered.remove(place);
             self.answered = Some(now);
-            self.send_bundle = true;
+            self.bundle = Some(whole(&self.records));
             self.send_at = now;
         }
     }
@@ -181,3 +189,25 @@
         )
     }
 }
+
+/// Returns the whole list.
+fn whole(records: &[LeaseRecord]) -> LeaseBundle {
+    LeaseBundle {
+        base: None,
+        dropped: Vec::new(),
+        records: records.to_vec(),
+    }
+}
+
+/// Returns the changes from one list to the next.
+fn changes(base: u64, before: &[LeaseRecord], after: &[LeaseRecord]) -> LeaseBundle {
+    let is_left = |record: &&LeaseRecord| after.iter().any(|other| other.slice == record.slice);
+    let dropped = before.iter().filter(|record| !is_left(record));
+    let changed = after.iter().filter(|record| !before.contains(record));
+
+    LeaseBundle {
+        base: Some(base),
+        dropped: dropped.map(|record| record.slice.clone()).collect(),
+        records: changed.cloned().collect(),
+    }
+}
--- a/crates/lease/src/witnesses.rs
+++ b/crates/lease/src/witnesses.rs
@@ -2,7 +2,10 @@
 
 use crate::{
     event::VersionedRecord,
-    message::{GrantRefusal, HolderChange, LeaseMessage, RefusalReason, SilentSlice, SliceMemory},
+    message::{
+        GrantRefusal, HolderChange, LeaseBundle, LeaseMessage, RefusalReason, SilentSlice,
+        SliceMemory,
+    },
     options::LeaseOptions,
     quorum::{everyone, is_member},
     witness::{GrantWitness, has_forgotten, refuse},
@@ -37,6 +40,27 @@
     records: Vec<LeaseRecord>,
 }
 
+impl HolderBundle {
+    /// Takes up a list, or its changes when the version that they change is known.
+    fn take_up(&mut self, version: u64, news: LeaseBundle) {
+        if news.base.is_none() {
+            self.records.clear();
+        } else if news.base != self.version {
+            return;
+        }
+
+        let is_replaced = |record: &LeaseRecord| {
+            let mut changed = news.records.iter();
+
+            news.dropped.contains(&record.slice) || changed.any(|other| other.slice == record.slice)
+        };
+
+        self.records.retain(|record| !is_replaced(record));
+        self.records.extend(news.records);
+        self.version = Some(version);
+    }
+}
+
 /// `WitnessTable` is all slices that one node witnesses.
 #[derive(Debug)]
 pub(crate) struct WitnessTable {
@@ -323,16 +347,15 @@
         &mut self,
         from: &NodeIdentity,
         version: u64,
-        records: Option<Vec<LeaseRecord>>,
+        news: Option<LeaseBundle>,
     ) -> Option<bool> {
-        let bundle = self.bundles.get_mut(&from.name)?;
+        let known = self.bundles.get_mut(&from.name)?;
 
-        if let Some(records) = records {
-            bundle.version = Some(version);
-            bundle.records = records;
+        if let Some(news) = news {
+            known.take_up(version, news);
         }
 
-        Some(bundle.version == Some(version))
+        Some(known.version == Some(version))
     }
 
     /// Decides on each slice of a holder's list.
