--- a/standins/fleet.sh
+++ b/standins/fleet.sh
@@ -286,7 +286,7 @@
         --services "agenda:$SLICES,patrones" --requests "$1" --rate "$RATE" --seed "$SEED" \
         --check-logs "${logs[@]}"
 
-    while callers_run && ! grep -q 'half of the requests' "$run_dir/callers.log"; do
+    while callers_run && ! grep -qs 'half of the requests' "$run_dir/callers.log"; do
         sleep 0.1
     done
     if callers_run; then "$2"; fi
