--- a/crates/daemon/src/directory.rs
+++ b/crates/daemon/src/directory.rs
@@ -12,7 +12,7 @@
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::{collections::BTreeMap, pin::pin, rc::Rc, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, ops::Range, pin::pin, rc::Rc, sync::Arc, time::Duration};
 use tracing::{error, info, warn};
 use wagtail_core::{
     CoreError, Result,
@@ -31,8 +31,9 @@
 /// which a configuration must be in force.
 const MAX_PAUSE: Duration = Duration::from_secs(4);
 
-/// The largest spread of the calls that one change wakes, so that a fleet does not call at once.
-const WAKE_SPREAD_MS: u64 = 400;
+/// The range in milliseconds of the pause after a change. Every watcher of the fleet is woken by
+/// it; the pause spreads their next calls and bounds them while changes follow one another.
+const WAKE_PAUSE_MS: Range<u64> = 300..1_100;
 
 /// `DirectoryOptions` are the collaborators of the directory task.
 #[derive(Debug)]
@@ -157,10 +158,9 @@
         let changed = !batch.changed.is_empty();
         self.apply(&batch);
 
-        // Every watcher is woken by the same change; the next watches are spread out.
         if changed {
-            let spread = self.random.random_range(0..WAKE_SPREAD_MS);
-            sleep(Duration::from_millis(spread)).await;
+            let pause = self.random.random_range(WAKE_PAUSE_MS);
+            sleep(Duration::from_millis(pause)).await;
         }
 
         Ok(())
--- a/crates/daemon/src/ownership/fleet.rs
+++ b/crates/daemon/src/ownership/fleet.rs
@@ -74,7 +74,8 @@
 
         let mut versioned = Vec::new();
         for stored in records {
-            if let Some(record) = parse_record(stored) {
+            if let Some(mut record) = parse_record(stored) {
+                self.names.share(&mut record.record);
                 versioned.push(record);
             } else {
                 warn!(event = "lease-unreadable", key = %stored.key);
--- a/crates/daemon/src/ownership/mod.rs
+++ b/crates/daemon/src/ownership/mod.rs
@@ -8,11 +8,13 @@
 //! - [`slices`]: serving, draining and moving slices.
 //! - [`placing`]: the assignment machine.
 //! - [`memories`]: what the owners of a slice hand on.
+//! - [`names`]: one copy of each name that many records hold.
 
 pub mod calls;
 pub mod command;
 mod fleet;
 pub mod memories;
+pub mod names;
 mod placing;
 mod slices;
 pub mod task;
--- a/crates/daemon/src/ownership/task.rs
+++ b/crates/daemon/src/ownership/task.rs
@@ -8,6 +8,7 @@
         calls::{RecordCalls, parse_record},
         command::{OwnershipCommand, OwnershipHandle},
         memories::MemoryBook,
+        names::NameBook,
         placing::PlacingState,
         view::OwnershipView,
     },
@@ -37,7 +38,8 @@
 /// The time between two measurements of the load.
 const MEASURE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The time between two reads of the same record for its owner.
+/// The time between two reads of records for unknown owners. All nodes may ask at once, so that
+/// the bound is one for each node and not for each slice.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The identifier of a read that the machine did not ask for.
@@ -78,6 +80,7 @@
     pub(super) calls: RecordCalls,
     pub(super) placing: PlacingState,
     pub(super) memories: MemoryBook,
+    pub(super) names: NameBook,
     /// How far the records of each keyed service are known.
     pub(super) records: BTreeMap<ServiceName, ServiceRecords>,
     /// The epochs of the slices that this node serves.
@@ -85,7 +88,7 @@
     /// The nodes of which the lease machine knows that they are gone for good.
     pub(super) gone: BTreeSet<NodeIdentity>,
     commands: UnboundedReceiver<OwnershipCommand>,
-    refreshed: BTreeMap<SliceId, LocalMoment>,
+    refresh_at: LocalMoment,
     grant_at: LocalMoment,
     measure_at: LocalMoment,
 }
@@ -100,11 +103,12 @@
         calls: RecordCalls::new(Rc::clone(&options.store), handle),
         placing: PlacingState::new(options.identity.name.clone(), options.seed),
         memories: MemoryBook::default(),
+        names: NameBook::default(),
         records: BTreeMap::new(),
         epochs: BTreeMap::new(),
         gone: BTreeSet::new(),
         commands,
-        refreshed: BTreeMap::new(),
+        refresh_at: LocalMoment::ZERO,
         grant_at: LocalMoment::ZERO,
         measure_at: LocalMoment::ZERO,
         options,
@@ -217,14 +221,12 @@
         }
     }
 
-    /// Reads the record of a slice whose owner is not known, at most once in a while.
+    /// Reads the record of a slice whose owner is not known, at most one in a while.
     fn refresh(&mut self, slice: SliceId) {
         let now = clock::now();
-        self.refreshed
-            .retain(|_, at| now.since(*at) < REFRESH_INTERVAL);
 
-        if !self.refreshed.contains_key(&slice) {
-            self.refreshed.insert(slice.clone(), now);
+        if now >= self.refresh_at {
+            self.refresh_at = now + REFRESH_INTERVAL;
             self.calls.read(slice, REFRESH);
         }
     }
@@ -233,8 +235,9 @@
     fn record_read(&mut self, slice: SliceId, read_id: u64, outcome: Result<Option<StoredValue>>) {
         let event = match outcome {
             Ok(stored) => {
-                let stored = stored.as_ref().and_then(parse_record);
-                if let Some(versioned) = &stored {
+                let mut stored = stored.as_ref().and_then(parse_record);
+                if let Some(versioned) = &mut stored {
+                    self.names.share(&mut versioned.record);
                     self.options.view.learn(RouteHint::from(&versioned.record));
                 }
                 LeaseEvent::RecordRead {
