Lease sets follow regions: a cut between regions moves nothing

Ruled out: the platform, which both regions reached. The test regions_that_lose_each_other_keep_their_slices_served was seen failing before the change.

--- a/crates/bench/src/capacity/fleet.rs
+++ b/crates/bench/src/capacity/fleet.rs
@@ -118,6 +118,7 @@
         let members = state.nodes.values().map(|entry| MemberInfo {
             identity: entry.identity.clone(),
             zone: entry.zone.clone(),
+            region: entry.region.clone(),
             service: entry.service.clone(),
             draining: state.is_leaving(entry),
         });
@@ -141,6 +142,7 @@
     NodeEntry {
         identity: NodeIdentity::new(name, NodeIncarnation(INCARNATION)),
         zone: ZoneName::new(format!("zone-{}", index % 5)).expect("the name is valid"),
+        region: None,
         peers: SocketAddr::from((address, PEERS_PORT)),
         service: ServiceName::new("agenda").ok(),
         fenced: true,
--- a/crates/bench/src/capacity/region.rs
+++ b/crates/bench/src/capacity/region.rs
@@ -94,6 +94,7 @@
     let mut world = World::new(WorldOptions {
         nodes,
         zones: ZONES,
+        first_region_zones: Some(FIRST_REGION),
         slices: u32::try_from(total).unwrap_or(u32::MAX),
         fenced: true,
         lease: LeaseOptions {
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -31,6 +31,9 @@
     pub identity: NodeIdentity,
     /// The availability zone.
     pub zone: ZoneName,
+    /// The region; absent where there is only one.
+    #[serde(default)]
+    pub region: Option<ZoneName>,
     /// The address for the other daemons.
     pub peers: SocketAddr,
     /// The service of the target beside the daemon; absent until one has announced itself.
--- a/crates/daemon/src/ownership/fleet.rs
+++ b/crates/daemon/src/ownership/fleet.rs
@@ -127,6 +127,7 @@
     MemberInfo {
         identity: entry.identity.clone(),
         zone: entry.zone.clone(),
+        region: entry.region.clone(),
         service: entry.service.clone(),
         draining: fleet.is_leaving(entry),
     }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -167,6 +167,7 @@
     let entry = NodeEntry {
         identity: base.identity.clone(),
         zone: settings.zone.clone(),
+        region: settings.region.clone(),
         peers: settings.listen.peers,
         service: None,
         fenced: false,
--- a/crates/lease/src/event.rs
+++ b/crates/lease/src/event.rs
@@ -16,6 +16,9 @@
     pub identity: NodeIdentity,
     /// The availability zone.
     pub zone: ZoneName,
+    /// The region of the zone; absent where there is only one.
+    #[serde(default)]
+    pub region: Option<ZoneName>,
     /// The service of the target beside it; absent when no target has announced itself.
     pub service: Option<ServiceName>,
     /// Whether the node is to receive no new work.
--- a/crates/lease/src/members.rs
+++ b/crates/lease/src/members.rs
@@ -76,19 +76,29 @@
         let size = set_size(others.len() + 1, options);
         let mut set = vec![me.clone()];
 
-        // The first pass spreads the set over the zones; the second fills up what is left.
+        // The owner's region comes first, so that a cut between regions leaves it a majority. Its
+        // zones are shared out before another region helps, and the last pass fills what is left.
         let usable_count = others
             .iter()
             .filter(|member| usable(&member.identity.name))
             .count();
-        pick_spread(&others[..usable_count], zone, size, &mut set);
+        let region = self.region(&me.name);
+        let (near, far): (Vec<&MemberInfo>, Vec<&MemberInfo>) = others[..usable_count]
+            .iter()
+            .partition(|member| member.region.as_ref() == region);
+
+        pick_spread(&near, zone, size, &mut set);
+        if !far.is_empty() {
+            pick_own_zone(&near, zone, size, &mut set);
+            pick_spread(&far, zone, size, &mut set);
+        }
         pick_any(&others, size, &mut set);
 
         set
     }
 
-    /// Chooses the deputies of a slice, those in other zones than the owner's first. The order
-    /// differs by slice, so that a lost node's slices spread over many.
+    /// Chooses the deputies of a slice: those of the owner's region first, and among them those in
+    /// other zones than the owner's. The order differs by slice, so that a lost node's slices spread over many.
     pub(crate) fn choose_deputies(
         &self,
         slice: &SliceId,
@@ -96,6 +106,7 @@
         count: usize,
     ) -> Vec<NodeName> {
         let zone = self.nodes.get(owner).map(|member| &member.zone);
+        let region = self.region(owner);
         let mut names: Vec<&MemberInfo> = self
             .nodes
             .values()
@@ -107,7 +118,9 @@
         names.sort_by_cached_key(|member| {
             let is_same_zone = Some(&member.zone) == zone;
 
-            (is_same_zone, score(&label, &member.identity.name))
+            let is_far = member.region.as_ref() != region;
+
+            (is_far, is_same_zone, score(&label, &member.identity.name))
         });
 
         names
@@ -117,6 +130,11 @@
             .collect()
     }
 
+    /// Returns the region of a node; nothing where there is only one.
+    fn region(&self, name: &NodeName) -> Option<&ZoneName> {
+        self.nodes.get(name)?.region.as_ref()
+    }
+
     /// Returns the node to call at a place in the order of candidates: the deputies that are
     /// known, the last owner, then any node that can own the slice.
     pub(crate) fn candidate(&self, record: &LeaseRecord, place: usize) -> Option<NodeName> {
@@ -168,6 +186,14 @@
     }
 }
 
+/// Adds nodes of the owner's zone to a set, as many as the owner leaves room for there.
+fn pick_own_zone(near: &[&MemberInfo], zone: &ZoneName, size: usize, set: &mut Vec<NodeIdentity>) {
+    let room = size.saturating_sub(set.len()).min(MEMBERS_PER_ZONE - 1);
+    let of_zone = near.iter().filter(|member| member.zone == *zone);
+
+    set.extend(of_zone.take(room).map(|member| member.identity.clone()));
+}
+
 /// Adds any nodes to a set.
 fn pick_any(others: &[&MemberInfo], size: usize, set: &mut Vec<NodeIdentity>) {
     for member in others {
--- a/crates/lease/tests/lease/course.rs
+++ b/crates/lease/tests/lease/course.rs
@@ -98,6 +98,59 @@
     assert_settled(&world);
 }
 
+#[test]
+fn regions_that_lose_each_other_keep_their_slices_served() {
+    // Three zones in the first region, two in the second.
+    let mut world = served_world(WorldOptions {
+        nodes: 20,
+        zones: 5,
+        first_region_zones: Some(3),
+        slices: 40,
+        ..WorldOptions::default()
+    });
+    let owners: Vec<_> = world
+        .slices()
+        .iter()
+        .map(|slice| world.owner(slice))
+        .collect();
+
+    let is_first = |node: usize| node % 5 < 3;
+    for from in 0..20 {
+        for to in (0..20).filter(|to| is_first(*to) != is_first(from)) {
+            world.cut(from, to, 30 * SECOND);
+        }
+    }
+    world.run_for(40 * SECOND);
+
+    assert!(longest_gap(&world) <= LONGEST_GAP);
+    let after: Vec<_> = world
+        .slices()
+        .iter()
+        .map(|slice| world.owner(slice))
+        .collect();
+    assert_eq!(after, owners, "a cut between regions moves nothing");
+    assert_settled(&world);
+}
+
+#[test]
+fn a_lost_zone_of_two_in_a_region_is_replaced_in_time() {
+    let mut world = served_world(WorldOptions {
+        nodes: 20,
+        zones: 5,
+        first_region_zones: Some(3),
+        slices: 40,
+        ..WorldOptions::default()
+    });
+
+    for node in (4..20).step_by(5) {
+        world.kill(node);
+    }
+    world.run_for(15 * SECOND);
+
+    assert!(longest_gap(&world) <= LONGEST_GAP);
+    assert_settled(&world);
+}
+
 #[test]
 fn a_frozen_owner_that_returns_may_not_serve() {
     let mut world = served_world(WorldOptions::default());
--- a/crates/lease/tests/lease/driver/mod.rs
+++ b/crates/lease/tests/lease/driver/mod.rs
@@ -457,6 +457,15 @@
         }
     }
 
+    /// Returns the region of a node, where the zones are divided into two.
+    fn region(&self, node: usize) -> Option<ZoneName> {
+        let first = self.options.first_region_zones?;
+        let is_first = node % self.options.zones < first;
+        let name = if is_first { "region-0" } else { "region-1" };
+
+        Some(ZoneName::new(name).unwrap())
+    }
+
     fn tell_members(&mut self) {
         let service = Some(self.service.clone());
         let members: Vec<MemberInfo> = (0..self.nodes.len())
@@ -464,6 +473,7 @@
             .map(|node| MemberInfo {
                 identity: self.identity(node),
                 zone: self.nodes[node].zone.clone(),
+                region: self.region(node),
                 service: service.clone(),
                 draining: self.nodes[node].draining,
             })
--- a/crates/lease/tests/lease/driver/shape.rs
+++ b/crates/lease/tests/lease/driver/shape.rs
@@ -13,6 +13,8 @@
 pub struct WorldOptions {
     pub nodes: usize,
     pub zones: usize,
+    /// The zones of the first of two regions; absent in a fleet of one region.
+    pub first_region_zones: Option<usize>,
     pub slices: u32,
     pub seed: u64,
     pub loss: f64,
@@ -37,6 +39,7 @@
         Self {
             nodes: 8,
             zones: 3,
+            first_region_zones: None,
             slices: 4,
             seed: 1,
             loss: 0.0,
