--- a/crates/settings/src/faults.rs
+++ b/crates/settings/src/faults.rs
@@ -87,9 +87,10 @@
     }
 }
 
-/// Writes one fault a line.
+/// Writes the count of the faults, and each on a line of its own.
 fn join_faults(faults: &[SettingFault]) -> String {
-    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    let head = format!("the settings have {} fault(s)", faults.len());
+    let lines: Vec<String> = faults.iter().map(|fault| format!("\n  {fault}")).collect();
 
-    lines.join("\n")
+    head + &lines.concat()
 }
--- a/crates/settings/src/limits.rs
+++ b/crates/settings/src/limits.rs
@@ -53,17 +53,18 @@
 
     /// Returns the range as it is shown to the operator.
     pub fn describe(&self) -> String {
-        let least = self
-            .least_text
-            .map_or_else(|| self.least.to_string(), str::to_owned);
-        let greatest = self
-            .greatest_text
-            .map_or_else(|| self.greatest.to_string(), str::to_owned);
+        let least = describe_bound(self.least, self.least_text);
+        let greatest = describe_bound(self.greatest, self.greatest_text);
 
         format!("{least}..={greatest}")
     }
 }
 
+/// Returns a bound with the rule that it follows from.
+fn describe_bound(bound: u64, text: Option<&str>) -> String {
+    text.map_or_else(|| bound.to_string(), |text| format!("{bound} ({text})"))
+}
+
 /// The largest body of a request.
 pub const MAX_BODY_BYTES: NumberRange = NumberRange::new(1_048_576, 1_024, 67_108_864, "bytes");
 
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -88,7 +88,7 @@
          admin_remote is true",
         "listen.lokal: is unknown; the fields here are callers, peers, admin, local",
         "limits.max_requests: 0 is outside 1..=100000 requests",
-        "lease.renew_ms: 900 is outside 20..=term_ms/2 milliseconds",
+        "lease.renew_ms: 900 is outside 20..=350 (term_ms/2) milliseconds",
         "lease.stagger_ms: \"fast\" is not a whole number in 10..=2000 milliseconds",
         "shutdown: 5 is not a mapping of fields",
     ] {
@@ -142,7 +142,7 @@
 
     assert_eq!(
         lines(&text),
-        ["lease.suspicion_ms: 600 is outside 2*renew_ms..=10000 milliseconds"]
+        ["lease.suspicion_ms: 600 is outside 700 (2*renew_ms)..=10000 milliseconds"]
     );
 }
 
@@ -179,3 +179,24 @@
         ]
     );
 }
+
+#[test]
+fn the_example_is_valid_and_shows_the_defaults() {
+    let example = include_str!("../../../docs/EXAMPLES/wagtaild.yaml");
+    let minimal = MINIMAL.replace("0123456789abcdef-token", "change-this-token");
+
+    assert_eq!(
+        DaemonSettings::from_yaml(example),
+        DaemonSettings::from_yaml(&minimal)
+    );
+}
+
+#[test]
+fn the_whole_message_counts_the_faults() {
+    let text = MINIMAL.replace("node: vm-1", "node: VM 1") + "colour: red\n";
+
+    let message = DaemonSettings::from_yaml(&text).unwrap_err().to_string();
+
+    assert!(message.starts_with("the settings have 2 fault(s)\n  node: "));
+    assert_eq!(message.lines().count(), 3);
+}
--- a/crates/tool/src/client.rs
+++ b/crates/tool/src/client.rs
@@ -19,6 +19,8 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(20);
 /// The time in milliseconds that a node is asked to hold a watch.
 const WATCH_WAIT_MS: u64 = 10_000;
+/// The header of every answer of a callers port, which an admin port never sends.
+const CALLERS_HEADER: &str = "wagtail-verdict";
 
 /// `AdminClient` calls the administration API of one node.
 #[derive(Debug)]
@@ -168,12 +170,13 @@
         let exchange = async {
             let response = request.send().await?;
             let status = response.status().as_u16();
+            let for_callers = response.headers().contains_key(CALLERS_HEADER);
 
-            Ok::<_, cyper::Error>((status, response.bytes().await?))
+            Ok::<_, cyper::Error>((status, for_callers, response.bytes().await?))
         };
 
         let answer = time::timeout(ANSWER_TIMEOUT, exchange).await;
-        let (status, body) = answer
+        let (status, for_callers, body) = answer
             .map_err(|_elapsed| {
                 let waited = ANSWER_TIMEOUT.as_secs();
 
@@ -181,6 +184,15 @@
             })?
             .map_err(|error| self.unreachable(&chain(&error)))?;
 
+        if for_callers {
+            return Err(ToolError::Usage {
+                what: "--node",
+                reason: format!(
+                    "{} is a callers port; give the admin port, `listen.admin` of the settings",
+                    self.node
+                ),
+            });
+        }
         if (200..300).contains(&status) {
             return serde_json::from_slice(&body)
                 .map_err(|error| self.unreachable(&format!("unexpected answer: {error}")));
--- a/crates/tool/src/errors.rs
+++ b/crates/tool/src/errors.rs
@@ -209,6 +209,7 @@
         "unknown-plan" => "check the identifier, or run `wagtail plan` again",
         "plan-exists" => "run the command again; the next plan draws another identifier",
         "no-change" => "nothing is needed",
+        "not-found" => "`wagtail services` shows what is declared",
         "invalid-document" | "not-yaml" => "mend the file and run the command again",
         "platform-reverted" => {
             "the platform lost a configuration; restore it before changing anything"
--- a/crates/tool/tests/program.rs
+++ b/crates/tool/tests/program.rs
@@ -4,6 +4,7 @@
 use std::{
     io::{Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
+    path::Path,
     process::{Command, Output},
     thread::{self, JoinHandle},
 };
@@ -12,11 +13,14 @@
     FleetView, IntentDocument, PlanDocument, make_plan,
     reports::{ErrorReport, StatusReport},
 };
+use wagtail_tool::input::read_intent;
 
 /// `Answer` is what the node does with one request.
 enum Answer {
     /// Send a status and a body.
     Send(u16, Value),
+    /// Send a refusal as a callers port does.
+    RefuseCaller,
     /// Close the connection without an answer.
     Close,
 }
@@ -31,14 +35,16 @@
             let (mut stream, _) = listener.accept().unwrap();
             requests.push(read_request(&mut stream));
 
-            if let Answer::Send(status, body) = answer {
-                let body = body.to_string();
-                let head = format!(
-                    "HTTP/1.1 {status} X\r\ncontent-length: {}\r\nconnection: close\r\n\r\n",
-                    body.len()
-                );
-                stream.write_all((head + &body).as_bytes()).unwrap();
-            }
+            let (status, body, extra) = match answer {
+                Answer::Send(status, body) => (status, body.to_string(), ""),
+                Answer::RefuseCaller => (404, String::new(), "wagtail-verdict: not-run\r\n"),
+                Answer::Close => continue,
+            };
+            let head = format!(
+                "HTTP/1.1 {status} X\r\n{extra}content-length: {}\r\nconnection: close\r\n\r\n",
+                body.len()
+            );
+            stream.write_all((head + &body).as_bytes()).unwrap();
         }
 
         requests
@@ -250,3 +256,24 @@
     assert_eq!(output.status.code(), Some(0));
     assert!(text(&output.stdout).contains("_wagtail"));
 }
+
+#[test]
+fn a_callers_port_is_named_as_the_mistake() {
+    let (node, served) = start_node(vec![Answer::RefuseCaller]);
+
+    let output = wagtail(node, "status");
+    served.join().unwrap();
+
+    assert_eq!(output.status.code(), Some(2));
+    assert!(text(&output.stderr).contains("is a callers port; give the admin port"));
+}
+
+#[test]
+fn the_example_intent_is_accepted() {
+    let path = Path::new("../../docs/EXAMPLES/intent.yaml");
+
+    let intent = read_intent(path).unwrap();
+
+    assert_eq!(intent.services.len(), 2);
+    assert!(intent.services[0].keyed && intent.services[0].fenced);
+}
