--- a/crates/admit/src/machine.rs
+++ b/crates/admit/src/machine.rs
@@ -183,7 +183,7 @@
     }
 
     /// Returns the slots that are or may be in use at the target.
-    fn occupied(&self) -> u32 {
+    pub(super) fn occupied(&self) -> u32 {
         u32::try_from(self.running.len() + self.abandoned.len()).unwrap_or(u32::MAX)
     }
 
--- a/crates/admit/src/machine/dispatch.rs
+++ b/crates/admit/src/machine/dispatch.rs
@@ -89,7 +89,10 @@
         let limit = self.limit.current();
         let free = limit.saturating_sub(self.options.reserved());
 
-        // A lowered limit still lets one long order run beside a short one.
-        free.max(u32::from(limit > 1 || self.options.max_running() == 1))
+        // A lowered limit still lets one long order run beside a short one, or alone at a target
+        // that is idle: without an answer the limit would never rise again.
+        let one = limit > 1 || self.options.max_running() == 1 || self.occupied() == 0;
+
+        free.max(u32::from(one))
     }
 }
--- a/crates/admit/tests/machine.rs
+++ b/crates/admit/tests/machine.rs
@@ -223,6 +223,18 @@
     assert_eq!(machine.summary().limit, 6);
 }
 
+#[test]
+fn an_idle_target_whose_limit_fell_to_one_still_runs_long_work() {
+    let mut machine = machine(2);
+
+    arrive(&mut machine, 0, short(1));
+    finish(&mut machine, 1, 1, WorkOutcome::Shed);
+    finish(&mut machine, 2, 1, WorkOutcome::Shed);
+    assert_eq!(machine.summary().limit, 1);
+
+    assert_eq!(arrive(&mut machine, 3, long(2)), [dispatch(2)]);
+}
+
 #[test]
 fn a_cold_target_gets_few_orders_at_first() {
     let mut machine = machine(6);
--- a/crates/daemon/src/agent/orders.rs
+++ b/crates/daemon/src/agent/orders.rs
@@ -46,7 +46,10 @@
                 });
                 return;
             };
-            until = until.min(grant.until);
+            // A target that checks fencing stops by itself when its grant is not renewed.
+            if !target.notice.fenced {
+                until = until.min(grant.until);
+            }
             epoch = Some(grant.epoch);
         }
 
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,10 +1,10 @@
 //! The program `wagtaild`.
 
 use clap::{Arg, ArgAction, Command, crate_version, value_parser};
-use std::{fs, path::PathBuf, process::ExitCode};
+use std::{fs, io, path::PathBuf, process::ExitCode};
 use wagtail_daemon::run::run;
 use wagtail_settings::DaemonSettings;
-use wagtail_telemetry::logs::init_logs;
+use wagtail_telemetry::logs::{init_logs, log_subscriber};
 
 /// The exit code when requests were cut off or an address is not available.
 const EXIT_FAILED: u8 = 1;
@@ -27,6 +27,10 @@
             return ExitCode::from(EXIT_SETTINGS);
         }
     };
+    if let Err(error) = log_subscriber(&settings.log, io::sink) {
+        eprintln!("{}: log: {error}", path.display());
+        return ExitCode::from(EXIT_SETTINGS);
+    }
     if matches.get_flag("check") {
         println!("{}: the settings are valid", path.display());
         return ExitCode::SUCCESS;
--- a/crates/daemon/src/ownership/command.rs
+++ b/crates/daemon/src/ownership/command.rs
@@ -5,7 +5,7 @@
 use wagtail_admit::MemoryTransfer;
 use wagtail_assign::{LoadMessage, LoadSample};
 use wagtail_core::{
-    ids::{LeaseEpoch, NodeIdentity, ServiceName},
+    ids::{LeaseEpoch, NodeIdentity, NodeName, ServiceName},
     ports::StoredValue,
     slice::SliceId,
 };
@@ -77,6 +77,15 @@
         /// The slice.
         slice: SliceId,
     },
+    /// The destination of a move was tried.
+    MoveProbed {
+        /// The slice.
+        slice: SliceId,
+        /// The destination.
+        to: NodeName,
+        /// Whether it takes connections.
+        reachable: bool,
+    },
     /// The load of the slices was measured at the target.
     LoadMeasured(LoadSample),
     /// A peer sent the load of its target.
--- a/crates/daemon/src/ownership/slices.rs
+++ b/crates/daemon/src/ownership/slices.rs
@@ -3,8 +3,14 @@
 use crate::{
     agent::AgentCommand,
     control::ControlBody,
-    ownership::{command::MemoryNotice, task::OwnershipTask, view::SliceLeases},
+    ownership::{
+        command::{MemoryNotice, OwnershipCommand},
+        task::OwnershipTask,
+        view::SliceLeases,
+    },
 };
+use compio::{net::TcpStream, time::timeout};
+use std::time::Duration;
 use tracing::{info, warn};
 use wagtail_admit::MemoryTransfer;
 use wagtail_assign::{AssignAction, LoadMessage, LoadSample};
@@ -17,6 +23,9 @@
 use wagtail_lease::{LeaseEvent, LeaseProblem};
 use wagtail_net::clock;
 
+/// The longest wait for the destination of a move.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+
 impl OwnershipTask {
     /// Begins to serve a slice.
     pub(super) fn serve(&mut self, slice: SliceId, epoch: LeaseEpoch) {
@@ -120,15 +129,39 @@
         self.drive(LeaseEvent::Claim { slice });
     }
 
-    /// Begins the move of a slice to another node.
-    fn move_slice(&mut self, slice: SliceId, to: NodeName) {
+    /// Tries the destination of a move first: nobody else notices that a node is down which is
+    /// in no lease set with this one.
+    fn move_slice(&self, slice: SliceId, to: NodeName) {
+        let entry = self.options.fleet.load().nodes.get(&to).cloned();
+        let handle = self.handle.clone();
+
+        let probe = async move {
+            let reachable = match entry {
+                Some(entry) => {
+                    let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(entry.peers)).await;
+                    matches!(connected, Ok(Ok(_)))
+                }
+                None => false,
+            };
+            handle.tell(OwnershipCommand::MoveProbed {
+                slice,
+                to,
+                reachable,
+            });
+        };
+        compio::runtime::spawn(probe).detach();
+    }
+
+    /// Begins the move of a slice to a node that takes connections.
+    pub(super) fn move_probed(&mut self, slice: SliceId, to: NodeName, reachable: bool) {
         let now = clock::now();
         let index = slice.index;
 
-        if self.memories.begin_move(now, &slice, &to) {
+        if reachable && self.memories.begin_move(now, &slice, &to) {
             self.placing.begin_move(index, to.clone());
             self.drive(LeaseEvent::Move { slice, to });
         } else {
+            info!(event = "slice-move-refused", %slice, to = %to, reachable);
             let actions = self.placing.refuse_move(now, index);
             self.assign(actions);
         }
--- a/crates/daemon/src/ownership/task.rs
+++ b/crates/daemon/src/ownership/task.rs
@@ -87,6 +87,7 @@
     pub(super) epochs: BTreeMap<SliceId, LeaseEpoch>,
     /// The nodes of which the lease machine knows that they are gone for good.
     pub(super) gone: BTreeSet<NodeIdentity>,
+    pub(super) handle: OwnershipHandle,
     commands: UnboundedReceiver<OwnershipCommand>,
     refresh_at: LocalMoment,
     grant_at: LocalMoment,
@@ -100,7 +101,8 @@
     options: OwnershipOptions,
 ) {
     let task = OwnershipTask {
-        calls: RecordCalls::new(Rc::clone(&options.store), handle),
+        calls: RecordCalls::new(Rc::clone(&options.store), handle.clone()),
+        handle,
         placing: PlacingState::new(options.identity.name.clone(), options.seed),
         memories: MemoryBook::default(),
         names: NameBook::default(),
@@ -180,6 +182,13 @@
             OwnershipCommand::SliceDrained { slice, memory } => self.slice_drained(slice, memory),
             OwnershipCommand::Memory(notice) => self.memories.receive(clock::now(), notice),
             OwnershipCommand::Refresh { slice } => self.refresh(slice),
+            OwnershipCommand::MoveProbed {
+                slice,
+                to,
+                reachable,
+            } => {
+                self.move_probed(slice, to, reachable);
+            }
             OwnershipCommand::LoadMeasured(sample) => self.load_measured(sample),
             OwnershipCommand::LoadReceived { service, message } => {
                 self.load_received(&service, message);
--- a/crates/lease/src/planning.rs
+++ b/crates/lease/src/planning.rs
@@ -19,8 +19,9 @@
 /// The time between two looks at the sets.
 const PLAN_INTERVAL: Duration = Duration::from_millis(500);
 
-/// The time within which a member must have answered before it is relied upon.
-const RECENT_ANSWER: Duration = Duration::from_secs(1);
+/// The time within which a member must have answered before it is relied upon. It is shorter than
+/// a suspicion, so that a deputy does not rely on answers from before the failure that called it.
+const RECENT_ANSWER: Duration = Duration::from_millis(500);
 
 /// The deputies of a record that may be lost before it names others.
 const LOST_DEPUTIES: usize = 2;
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -62,10 +62,9 @@
     /// refused its stream, and `Unknown` otherwise.
     pub async fn request(&self, head: &RequestHead, body: Bytes) -> Result<TargetAnswer> {
         let frame = frame::encode(head)?;
-        let sender = self.connection(head.class).await?;
         let request = stream_request(REQUEST_PATH)?;
 
-        let mut sender = sender.ready().await.map_err(|error| self.lost(&error))?;
+        let mut sender = self.ready(head.class).await?;
         let (response, mut stream) = sender
             .send_request(request, false)
             .map_err(|error| self.lost(&error))?;
@@ -84,6 +83,19 @@
         self.answer(response).await
     }
 
+    /// Returns a connection that takes another stream. A kept one that the peer has closed since
+    /// is replaced, as nothing of the request was sent on it.
+    async fn ready(&self, class: WorkClass) -> Result<SendRequest<Bytes>> {
+        if let Ok(sender) = self.connection(class).await?.ready().await {
+            return Ok(sender);
+        }
+        self.forget();
+
+        let sender = self.connection(class).await?;
+
+        sender.ready().await.map_err(|error| self.lost(&error))
+    }
+
     /// Reads the head of an answer.
     async fn answer(&self, response: http::Response<h2::RecvStream>) -> Result<TargetAnswer> {
         if response.status() != StatusCode::OK {
--- a/crates/peer/tests/protocol.rs
+++ b/crates/peer/tests/protocol.rs
@@ -291,6 +291,30 @@
     });
 }
 
+#[test]
+fn a_restarted_peer_is_dialled_again_for_the_first_request() {
+    Runtime::new().unwrap().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let link = PeerLink::new(address);
+
+        let stop = StopSignal::new();
+        let handler = Rc::new(EchoHandler::default());
+        let served = compio::runtime::spawn(serve(listener, handler, stop.clone()));
+        exchange(&link, "a", b"before").await;
+        stop.give();
+        served.await.unwrap();
+
+        let listener = TcpListener::bind(address).await.unwrap();
+        let stop = StopSignal::new();
+        let handler = Rc::new(EchoHandler::default());
+        let served = compio::runtime::spawn(serve(listener, handler, stop.clone()));
+        assert_eq!(exchange(&link, "b", b"after").await.1, b"after");
+        stop.give();
+        served.await.unwrap();
+    });
+}
+
 #[test]
 fn control_messages_arrive_in_order() {
     with_server(|address, handler| async move {
--- a/standins/target/src/grants.rs
+++ b/standins/target/src/grants.rs
@@ -50,6 +50,8 @@
 struct HeldGrant {
     /// The epoch, which only grows.
     epoch: u64,
+    /// The moment in microseconds from which the slice was granted without a gap.
+    since_us: u64,
     /// The end of the grant in microseconds.
     until_us: u64,
 }
@@ -82,8 +84,13 @@
                 continue;
             }
 
+            let earlier = self
+                .held
+                .get(&grant.slice)
+                .filter(|held| start_us < held.until_us);
             let held = HeldGrant {
                 epoch: grant.epoch,
+                since_us: earlier.map_or(start_us, |held| held.since_us),
                 until_us: start_us.saturating_add(grant.valid_ms.saturating_mul(1_000)),
             };
             self.held.insert(grant.slice, held);
@@ -92,6 +99,18 @@
         report
     }
 
+    /// Returns the moment in microseconds until which an order that started earlier may take
+    /// effect: the end of the grant, or its start when the slice was elsewhere since.
+    pub fn effect_until(&self, slice: u32, started_us: u64) -> u64 {
+        self.held.get(&slice).map_or(started_us, |held| {
+            if held.since_us <= started_us {
+                held.until_us
+            } else {
+                started_us
+            }
+        })
+    }
+
     /// Returns whether a grant allows an order for a slice and epoch at a moment.
     pub fn allows(&self, slice: u32, epoch: u64, now_us: u64) -> bool {
         self.held
--- a/standins/target/src/guard.rs
+++ b/standins/target/src/guard.rs
@@ -39,11 +39,19 @@
     ended: bool,
     /// The deadline of the order in microseconds of `CLOCK_BOOTTIME`.
     deadline_us: Option<u64>,
+    /// The slice whose grant the order needs.
+    granted_slice: Option<u32>,
+    /// The start in microseconds of `CLOCK_BOOTTIME`.
+    started_us: u64,
 }
 
 impl ExecutionGuard {
     /// Records the start of an execution.
-    pub(crate) fn start(state: &Rc<RefCell<TargetState>>, order: &OrderFields) -> Self {
+    pub(crate) fn start(
+        state: &Rc<RefCell<TargetState>>,
+        order: &OrderFields,
+        fenced: bool,
+    ) -> Self {
         let mut target = state.borrow_mut();
         let entry = ExecutionEntry {
             id: Arc::clone(&order.id),
@@ -65,9 +73,23 @@
             state: Rc::clone(state),
             ended: false,
             deadline_us: order.deadline_us,
+            granted_slice: order.slice.filter(|_| fenced),
+            started_us: boottime_us(),
         }
     }
 
+    /// Returns how long ago the order could take effect last: its deadline has passed, or the grant
+    /// of its slice has ended or had a gap.
+    pub(crate) fn overdue_us(&self) -> u64 {
+        let target = self.state.borrow();
+        let granted = self.granted_slice.map_or(u64::MAX, |slice| {
+            target.grants.effect_until(slice, self.started_us)
+        });
+        let until_us = self.deadline_us.unwrap_or(u64::MAX).min(granted);
+
+        boottime_us().saturating_sub(until_us)
+    }
+
     /// Records the end of the execution.
     pub(crate) fn end(&mut self, ended_us: u64, cancelled: bool) {
         let mut target = self.state.borrow_mut();
@@ -81,10 +103,7 @@
 impl Drop for ExecutionGuard {
     fn drop(&mut self) {
         if !self.ended {
-            // A process that was frozen commits nothing after the deadline that it finds passed.
-            let overdue_us = self
-                .deadline_us
-                .map_or(0, |end| boottime_us().saturating_sub(end));
+            let overdue_us = self.overdue_us();
             self.end(monotonic_us().saturating_sub(overdue_us), true);
         }
     }
--- a/standins/target/src/work.rs
+++ b/standins/target/src/work.rs
@@ -115,7 +115,7 @@
 
     /// Does the work and returns the ordinal of the execution.
     async fn work(&self, order: &OrderFields) -> Result<usize> {
-        let mut execution = ExecutionGuard::start(&self.state, order);
+        let mut execution = ExecutionGuard::start(&self.state, order, self.fenced);
         let now_us = boottime_us();
         let factor = self.state.borrow().work_factor(now_us);
 
@@ -125,10 +125,8 @@
             compio::time::sleep(work.min(left)).await;
         }
 
-        // A process that was frozen finds its deadline passed, and commits nothing.
-        let overdue_us = order
-            .deadline_us
-            .map_or(0, |end| boottime_us().saturating_sub(end));
+        // A process that was frozen finds its deadline or its grant passed, and commits nothing.
+        let overdue_us = execution.overdue_us();
         if overdue_us > 0 {
             execution.end(monotonic_us().saturating_sub(overdue_us), true);
             return Err(NetError::Injected { fault: "deadline" });
