--- a/crates/admit/src/estimate.rs
+++ b/crates/admit/src/estimate.rs
@@ -21,7 +21,8 @@
 const COVERED_DEVIATIONS: f64 = 2.0;
 
 /// `DurationAverage` is a moving average of durations and of their deviation, in seconds.
-#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+#[derive(Serialize, Deserialize)]
 struct DurationAverage {
     /// The mean in seconds.
     mean: f64,
@@ -46,7 +47,8 @@
 }
 
 /// `WorkEstimates` predicts how long an order will hold a slot.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct WorkEstimates {
     /// The averages of the operations.
     operations: BTreeMap<OperationName, DurationAverage>,
--- a/crates/admit/src/fair.rs
+++ b/crates/admit/src/fair.rs
@@ -11,7 +11,8 @@
 const TAG_SCALE: u64 = 1_024;
 
 /// `QueuedItem` is one waiting arrival.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 struct QueuedItem {
     /// The number of the arrival.
     ticket: u64,
@@ -20,7 +21,8 @@
 }
 
 /// `TenantQueue` holds the waiting arrivals of one tenant.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 struct TenantQueue {
     /// The share relative to the other tenants.
     weight: u32,
@@ -34,7 +36,8 @@
 
 /// `FairQueue` is a start-time fair queue: the tenant with the earliest virtual start is served
 /// next, and each served item moves its tenant's start by cost over weight.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct FairQueue {
     /// The tenants with waiting arrivals.
     tenants: BTreeMap<TenantName, TenantQueue>,
--- a/crates/admit/src/limit.rs
+++ b/crates/admit/src/limit.rs
@@ -19,7 +19,8 @@
 
 /// `SlotLimit` is the count of orders that may be at the target now: at most its slots, fewer
 /// after it shed, started or stalled, rising again step by step.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct SlotLimit {
     /// The slots of the target.
     most: u32,
--- a/crates/admit/src/memory.rs
+++ b/crates/admit/src/memory.rs
@@ -19,7 +19,8 @@
 
 /// `RequestMemory` remembers the identifiers of non-idempotent requests, so that none runs
 /// twice. It never drops an identifier before its time: when it is full, new work is refused.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct RequestMemory {
     /// The remembered requests.
     records: BTreeMap<MemoryKey, MemoryRecord>,
--- a/crates/admit/src/memory/record.rs
+++ b/crates/admit/src/memory/record.rs
@@ -9,7 +9,8 @@
 };
 
 /// `MemoryKey` identifies a request: two tenants may use the same identifier.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct MemoryKey {
     /// The tenant of the caller.
@@ -29,7 +30,8 @@
 }
 
 /// `MemoryState` is what became of a remembered request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub(super) enum MemoryState {
     /// It waits or runs as this ticket.
@@ -41,7 +43,8 @@
 }
 
 /// `MemoryRecord` is one remembered request.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(super) struct MemoryRecord {
     /// The operation of the request.
     pub(super) operation: OperationName,
@@ -56,7 +59,8 @@
 }
 
 /// `MemoryEntry` is one remembered request on its way to the next owner of a slice.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct MemoryEntry {
     /// The identity of the request.
@@ -68,7 +72,8 @@
 }
 
 /// `MemoryTransfer` is what the next owner of a slice learns of the requests before it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum MemoryTransfer {
     /// All that the former owner remembered.
--- a/crates/admit/src/messages.rs
+++ b/crates/admit/src/messages.rs
@@ -10,7 +10,8 @@
 };
 
 /// `WorkArrival` is a request that reached the daemon beside its target.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct WorkArrival {
     /// The daemon's number for this arrival; it is never used twice.
@@ -34,7 +35,8 @@
 }
 
 /// `IdentifierAge` is what is known of the moment at which an identifier was first used.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum IdentifierAge {
     /// The ingress made the identifier for this request, so no earlier request carries it.
@@ -46,7 +48,8 @@
 }
 
 /// `WorkOutcome` is the end of an order at the target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum WorkOutcome {
     /// The whole answer is with the daemon.
@@ -68,7 +71,8 @@
 }
 
 /// `AdmitEvent` is something that happened at the daemon beside a target.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum AdmitEvent {
     /// A request arrived.
@@ -119,18 +123,8 @@
 }
 
 /// `AdmitRefusal` is the reason of a refusal.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum AdmitRefusal {
     /// The queue holds as much as can be answered in time.
@@ -188,7 +182,8 @@
 /// `AdmitAction` is what the daemon does next. Each arrival gets exactly one final answer: a
 /// refusal, a replay, or the answer of its order when that ends as
 /// [`Answered`](WorkOutcome::Answered) before any refusal.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum AdmitAction {
     /// Check the lease again, then send the order.
--- a/crates/admit/src/options.rs
+++ b/crates/admit/src/options.rs
@@ -5,7 +5,8 @@
 use wagtail_core::{ids::TenantName, service::ServiceSpec};
 
 /// `TenantShare` is the weight of one tenant.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct TenantShare {
     /// The name of the tenant.
@@ -15,7 +16,8 @@
 }
 
 /// `AdmitOptions` are the settings of an admission machine.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct AdmitOptions {
     /// The requests that the target runs at a time.
--- a/crates/admit/src/pressure.rs
+++ b/crates/admit/src/pressure.rs
@@ -12,7 +12,8 @@
 
 /// `QueuePressure` tells a burst, which the slots will work off, from an overload, in which a
 /// longer queue only delays every answer.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct QueuePressure {
     /// The time for which an overload must last.
     interval: Duration,
--- a/crates/admit/src/slowdown.rs
+++ b/crates/admit/src/slowdown.rs
@@ -27,7 +27,8 @@
 const TRIAL_PAUSE: Duration = Duration::from_secs(5);
 
 /// `TrialState` is a trial of another count of orders.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 struct TrialState {
     /// The count before the trial.
     from: u32,
@@ -37,7 +38,8 @@
 
 /// `SlowdownSearch` finds how many orders a slow target takes: fewer, when that costs no
 /// throughput, and more again after a pause.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct SlowdownSearch {
     /// The slots of the target.
     most: u32,
--- a/crates/admit/src/summary.rs
+++ b/crates/admit/src/summary.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 /// `AdmitCounters` counts what an admission machine has done since its start.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct AdmitCounters {
     /// The arrivals.
@@ -26,7 +27,8 @@
 }
 
 /// `AdmitSummary` is the state of an admission machine at one moment.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct AdmitSummary {
     /// The waiting short arrivals.
--- a/crates/admit/src/work.rs
+++ b/crates/admit/src/work.rs
@@ -6,7 +6,8 @@
 use wagtail_core::{service::WorkClass, units::LocalMoment};
 
 /// `WorkState` is where an arrival stands.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) enum WorkState {
     /// It waits for a slot.
     Queued,
@@ -17,7 +18,8 @@
 }
 
 /// `WorkEntry` is one arrival that is not over.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct WorkEntry {
     /// The arrival.
     pub(crate) arrival: WorkArrival,
--- a/crates/assign/src/events.rs
+++ b/crates/assign/src/events.rs
@@ -6,7 +6,8 @@
 use wagtail_core::ids::NodeName;
 
 /// `TargetMember` is an announced target of the service.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct TargetMember {
     /// The VM of the target.
@@ -19,7 +20,8 @@
 }
 
 /// `AssignEvent` is what reaches an [`AssignMachine`](crate::AssignMachine).
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub enum AssignEvent {
     /// The targets of the service, this node's own included. A drain of the own VM is told here.
@@ -67,7 +69,8 @@
 }
 
 /// `MoveReason` tells why a slice moves.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum MoveReason {
     /// The destination asked for load.
@@ -77,7 +80,8 @@
 }
 
 /// `AssignAction` is what an [`AssignMachine`](crate::AssignMachine) asks of its daemon.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub enum AssignAction {
     /// A slice without a record is to be claimed by a conditional write.
--- a/crates/assign/src/load.rs
+++ b/crates/assign/src/load.rs
@@ -11,7 +11,8 @@
 const HOT_KEYS: usize = 8;
 
 /// `SliceLoad` is the measured load of one slice.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct SliceLoad {
     /// The index of the slice.
@@ -21,7 +22,8 @@
 }
 
 /// `HotKey` is a key with many requests.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct HotKey {
     /// The index of the slice that holds the key.
@@ -33,7 +35,8 @@
 }
 
 /// `LoadSample` is the load of a node's slices at one time.
-#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LoadSample {
     /// The loads of the owned slices; a slice that is left out has none.
--- a/crates/assign/src/options.rs
+++ b/crates/assign/src/options.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 /// `AssignOptions` sets the bounds of an [`AssignMachine`](crate::AssignMachine).
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct AssignOptions {
     /// The time between two reports to peers.
--- a/crates/assign/src/peers.rs
+++ b/crates/assign/src/peers.rs
@@ -10,7 +10,8 @@
 pub const MAX_RELAYED: usize = 3;
 
 /// `LoadReport` is the load of one target.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LoadReport {
     /// The VM of the target.
@@ -24,7 +25,8 @@
 }
 
 /// `LoadMessage` is what a target tells a peer about its load.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LoadMessage {
     /// The load of the sender.
--- a/crates/assign/src/placement.rs
+++ b/crates/assign/src/placement.rs
@@ -11,7 +11,8 @@
 };
 
 /// `PlacementTarget` is a target that may own slices.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PlacementTarget {
     /// The VM of the target.
--- a/crates/assign/src/spread.rs
+++ b/crates/assign/src/spread.rs
@@ -19,7 +19,8 @@
 const MOST_IN_ZONE: usize = 2;
 
 /// `SpreadMember` is a node that may be a member of a lease.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct SpreadMember {
     /// The node.
@@ -31,7 +32,8 @@
 }
 
 /// `MemberChoice` is the set that renews a lease.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct MemberChoice {
     /// The owner and its witnesses.
--- a/crates/core/src/errors.rs
+++ b/crates/core/src/errors.rs
@@ -8,7 +8,8 @@
 pub type Result<T, E = CoreError> = std::result::Result<T, E>;
 
 /// `CoreError` is every way in which a request or a record can be refused.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Error)]
 #[non_exhaustive]
 pub enum CoreError {
     /// A name is empty, too long, or holds a character outside its alphabet.
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -100,34 +100,14 @@
 
 /// `NodeIncarnation` numbers the starts of the daemon on one VM; a later start has a higher
 /// number.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Default,
-    Serialize,
-    Deserialize
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct NodeIncarnation(pub u64);
 
 /// `NodeIdentity` is one start of the daemon on one VM.
-#[derive(
-    Debug,
-    Clone,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct NodeIdentity {
     /// The name of the VM.
@@ -150,34 +130,14 @@
 }
 
 /// `LeaseEpoch` numbers the successive owners of a slice. It is the fencing token of the owner.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Default,
-    Serialize,
-    Deserialize
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct LeaseEpoch(pub u64);
 
 /// `RequestId` identifies a request from the caller to the target and in every log line.
-#[derive(
-    Debug,
-    Clone,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct RequestId(Arc<str>);
 
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -10,7 +10,8 @@
 ///
 /// It changes only by a conditional update in the platform, or by a takeover at a reserved
 /// epoch that is written back later.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LeaseRecord {
     /// The owned slice.
@@ -45,7 +46,8 @@
 }
 
 /// `ReplacedSet` is the lease set before the last change of the set.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ReplacedSet {
     /// The members.
--- a/crates/core/src/ports.rs
+++ b/crates/core/src/ports.rs
@@ -15,7 +15,8 @@
 pub type LocalFuture<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
 
 /// `StoredValue` is one value of the platform's object API.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct StoredValue {
     /// The key of the value.
@@ -27,7 +28,8 @@
 }
 
 /// `WatchBatch` is what a watch returns: the changes after a revision.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct WatchBatch {
     /// The revision of the store at the answer; the next watch starts after it.
@@ -115,7 +117,8 @@
 }
 
 /// `TargetGrant` allows a target that checks fencing to run orders for a slice.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct TargetGrant {
     /// The index of the slice in the target's service.
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -10,7 +10,8 @@
 use std::sync::Arc;
 
 /// `HeaderField` is one HTTP header field of a caller or a target.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct HeaderField {
     /// The lower-case name.
@@ -20,7 +21,8 @@
 }
 
 /// `RequestHead` is all of a request but its body.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RequestHead {
     /// The identifier, the caller's or one made at the ingress.
@@ -63,7 +65,8 @@
 }
 
 /// `AnswerHead` is all of an answer but its body.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct AnswerHead {
     /// The identifier of the answered request.
--- a/crates/core/src/service.rs
+++ b/crates/core/src/service.rs
@@ -4,19 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// `WorkClass` tells work that holds a slot briefly from work that holds it many times longer.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Default,
-    Serialize,
-    Deserialize
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum WorkClass {
     /// Work that holds a slot briefly.
@@ -27,7 +16,8 @@
 }
 
 /// `OperationSpec` declares one operation of a service.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct OperationSpec {
     /// The name of the operation.
@@ -44,7 +34,8 @@
 }
 
 /// `TenantSpec` declares a tenant's share of contended capacity.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct TenantSpec {
     /// The name of the tenant.
@@ -54,7 +45,8 @@
 }
 
 /// `ServiceSpec` declares a service and its targets' limits.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServiceSpec {
     /// The name of the service.
@@ -100,7 +92,8 @@
 }
 
 /// `PlanStamp` names the plan that made a version of the configuration.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PlanStamp {
     /// The version.
@@ -110,7 +103,8 @@
 }
 
 /// `ConfigDocument` is the whole configuration in force, at one version.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ConfigDocument {
     /// The version; it only grows. Zero is the empty configuration.
--- a/crates/core/src/slice.rs
+++ b/crates/core/src/slice.rs
@@ -6,18 +6,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// `KeyHash` is the position of a key in the hash space of its service.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct KeyHash(pub u64);
 
@@ -44,17 +34,8 @@
 
 /// `SliceId` identifies a slice of a keyed service. An index past the hash slices of the
 /// service is a single hot key split out.
-#[derive(
-    Debug,
-    Clone,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct SliceId {
     /// The service of the slice.
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -10,19 +10,8 @@
 ///
 /// The clock counts the time that the process spends suspended. Moments of two nodes are
 /// never compared.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Default,
-    Serialize,
-    Deserialize
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct LocalMoment(u64);
 
--- a/crates/core/src/verdict.rs
+++ b/crates/core/src/verdict.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// `RunVerdict` states whether a request may have run at a target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum RunVerdict {
     /// The request ran and its whole answer is here.
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -56,7 +56,8 @@
 pub type Result<T, E = RunError> = std::result::Result<T, E>;
 
 /// `RunError` is why a daemon could not run.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum RunError {
     /// An address is not available.
     #[error("listen.{field}: cannot listen on {address}: {source}")]
--- a/crates/intent/src/change.rs
+++ b/crates/intent/src/change.rs
@@ -8,7 +8,8 @@
 };
 
 /// `PlannedChange` is one difference between two configurations.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "kebab-case", deny_unknown_fields)]
 pub enum PlannedChange {
     /// A service is declared.
@@ -125,7 +126,8 @@
 }
 
 /// `RequestTraits` is how the requests of an operation are treated.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RequestTraits {
     /// The class of the work.
@@ -135,7 +137,8 @@
 }
 
 /// `RequestChange` tells that requests under a path are treated differently.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RequestChange {
     /// The service.
--- a/crates/intent/src/confirm.rs
+++ b/crates/intent/src/confirm.rs
@@ -13,7 +13,8 @@
 use wagtail_core::service::ConfigDocument;
 
 /// `Confirmation` is a confirmation in progress.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Confirmation {
     /// The plan to put in force.
     pub plan: Box<PlanDocument>,
--- a/crates/intent/src/document.rs
+++ b/crates/intent/src/document.rs
@@ -7,7 +7,8 @@
 };
 
 /// `IntentDocument` states what an operator wants to change. What it does not name stays.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct IntentDocument {
     /// The services to declare, or to replace when they are declared already.
--- a/crates/intent/src/errors.rs
+++ b/crates/intent/src/errors.rs
@@ -9,7 +9,8 @@
 pub type Result<T, E = IntentError> = std::result::Result<T, E>;
 
 /// `DocumentFault` is one fault of a document, with its place.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct DocumentFault {
     /// The path in the document, such as `services[0].operations[2].path`; empty for the root.
@@ -31,7 +32,8 @@
 }
 
 /// `IntentRefusal` is one reason why a change would break a promise.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct IntentRefusal {
     /// The stable code of the rule.
@@ -51,7 +53,8 @@
 }
 
 /// `ConfirmConflict` tells what came between a plan and its confirmation.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ConfirmConflict {
     /// The version that the plan was made for.
@@ -65,7 +68,8 @@
 }
 
 /// `IntentError` is every way in which a plan or a confirmation fails.
-#[derive(Debug, Clone, PartialEq, Eq, Error, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Error, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 #[non_exhaustive]
 pub enum IntentError {
--- a/crates/intent/src/events.rs
+++ b/crates/intent/src/events.rs
@@ -5,23 +5,14 @@
 use wagtail_core::{service::ConfigDocument, units::LocalMoment};
 
 /// `CallId` identifies one call of an operator at one daemon.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct CallId(pub u64);
 
 /// `ConfigOutcome` is the outcome of reading the configuration.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub enum ConfigOutcome {
     /// The platform holds a configuration.
@@ -38,7 +29,8 @@
 }
 
 /// `PlanOutcome` is the outcome of reading a plan.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub enum PlanOutcome {
     /// The platform holds the plan.
@@ -53,7 +45,8 @@
 }
 
 /// `WriteOutcome` is the outcome of a conditional write.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub enum WriteOutcome {
     /// The write took effect.
@@ -67,7 +60,8 @@
 }
 
 /// `IntentEvent` is what reaches an [`IntentMachine`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub enum IntentEvent {
     /// An operator states an intent.
@@ -135,7 +129,8 @@
 }
 
 /// `IntentAction` is what an [`IntentMachine`] asks of its daemon.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub enum IntentAction {
     /// The configuration is to be read from the platform.
@@ -194,7 +189,8 @@
 }
 
 /// `IntentReply` is the answer to a call.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub enum IntentReply {
     /// The plan is made and waits for its confirmation.
--- a/crates/intent/src/keeper.rs
+++ b/crates/intent/src/keeper.rs
@@ -9,7 +9,8 @@
 use wagtail_core::{ids::NodeName, service::ConfigDocument};
 
 /// `KeeperEvent` is what reaches a [`ConfigKeeper`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub enum KeeperEvent {
     /// The platform told its configuration; nothing when the value is absent.
@@ -41,7 +42,8 @@
 }
 
 /// `KeeperAction` is what a [`ConfigKeeper`] asks of its daemon.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub enum KeeperAction {
     /// The configuration is in force from now on.
@@ -77,7 +79,8 @@
 }
 
 /// `ConfigKeeper` holds the configuration in force at one node; its version only grows.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct ConfigKeeper {
     state: KeeperState,
     document: ConfigDocument,
@@ -85,7 +88,8 @@
 }
 
 /// `KeeperState` tells how far a node has learnt the configuration since its start.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum KeeperState {
     /// Nothing is in force yet.
--- a/crates/intent/src/machine.rs
+++ b/crates/intent/src/machine.rs
@@ -12,7 +12,8 @@
 use wagtail_core::{slice::KeyHash, units::LocalMoment};
 
 /// `IntentOptions` sets the patience of an [`IntentMachine`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct IntentOptions {
     /// The time after which a call is answered as it stands.
@@ -37,7 +38,8 @@
 }
 
 /// `CallState` is one call in progress.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct CallState {
     step: CallStep,
     deadline: LocalMoment,
@@ -52,7 +54,8 @@
 ///
 /// It keeps nothing that matters: after a restart the operator repeats the call, and a repeated
 /// confirmation is recognised by the plan's identifier in the configuration.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct IntentMachine {
     options: IntentOptions,
     seed: u64,
--- a/crates/intent/src/plan.rs
+++ b/crates/intent/src/plan.rs
@@ -20,7 +20,8 @@
 pub const RECENT_PLANS: usize = 64;
 
 /// `SliceMove` is the slices of a service that move from one VM to another.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct SliceMove {
     /// The service.
@@ -34,7 +35,8 @@
 }
 
 /// `UnavailableEstimate` is how long keys are expected to be unavailable.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct UnavailableEstimate {
     /// The expected time in milliseconds that each moving key is unavailable, once.
@@ -45,7 +47,8 @@
 
 /// `PlanDocument` is what an intent would change; nothing of it is in force before it is
 /// confirmed.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PlanDocument {
     /// The identifier of the plan.
--- a/crates/intent/src/reports.rs
+++ b/crates/intent/src/reports.rs
@@ -12,7 +12,8 @@
 };
 
 /// `ErrorDetail` holds what a failed call lists besides its message.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct ErrorDetail {
     /// The faults of the document.
@@ -24,7 +25,8 @@
 }
 
 /// `ErrorReport` is the body of every failed call.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ErrorReport {
     /// The stable code for programs.
     pub code: String,
@@ -64,7 +66,8 @@
 }
 
 /// `ConfirmRequest` is the body of a confirmation.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ConfirmRequest {
     /// The version that the plan was made for.
@@ -72,7 +75,8 @@
 }
 
 /// `ConfirmReport` is the answer to an accepted confirmation.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ConfirmReport {
     /// The version that the plan made.
     pub version: u64,
@@ -82,7 +86,8 @@
 pub type PlanReport = PlanDocument;
 
 /// `WatchReport` tells which configuration is in force.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct WatchReport {
     /// The version in force.
     pub version: u64,
@@ -91,7 +96,8 @@
 }
 
 /// `ServicesReport` lists the services in force.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ServicesReport {
     /// The version in force.
     pub version: u64,
@@ -102,7 +108,8 @@
 }
 
 /// `OwnerReport` tells who owns a key.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct OwnerReport {
     /// The slice of the key.
     pub slice: SliceId,
@@ -117,7 +124,8 @@
 }
 
 /// `StatusReport` is the state of one daemon.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct StatusReport {
     /// The start of the daemon.
     pub node: NodeIdentity,
@@ -140,7 +148,8 @@
 }
 
 /// `TargetReport` is the state of the target beside the daemon.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct TargetReport {
     /// The served service.
     pub service: ServiceName,
@@ -157,7 +166,8 @@
 }
 
 /// `TargetState` tells whether a target takes work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum TargetState {
     /// The target started lately and gets a growing share of work.
@@ -171,7 +181,8 @@
 }
 
 /// `LeaseCounts` counts the leases of a daemon.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct LeaseCounts {
     /// The slices that the daemon owns and serves.
     pub owned: u32,
@@ -182,7 +193,8 @@
 }
 
 /// `UnservedSlice` is a slice that its owner does not serve now.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct UnservedSlice {
     /// The slice.
     pub slice: SliceId,
@@ -193,7 +205,8 @@
 }
 
 /// `QueueReport` is one queue with its latencies.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct QueueReport {
     /// The tenant.
     pub tenant: TenantName,
@@ -216,7 +229,8 @@
 }
 
 /// `PlatformReport` is the platform as a daemon meets it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PlatformReport {
     /// Whether the latest calls were answered.
     pub state: PlatformState,
@@ -233,7 +247,8 @@
 }
 
 /// `PlatformState` tells whether the platform answers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum PlatformState {
     /// The platform answers.
@@ -245,7 +260,8 @@
 }
 
 /// `ProblemReport` is something that needs attention.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ProblemReport {
     /// The stable code for programs.
     pub code: String,
--- a/crates/intent/src/steps.rs
+++ b/crates/intent/src/steps.rs
@@ -12,7 +12,8 @@
 use wagtail_core::service::ConfigDocument;
 
 /// `CallStep` is what a call waits for.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) enum CallStep {
     /// The configuration, to make a plan from it.
     PlanBase {
--- a/crates/intent/src/view.rs
+++ b/crates/intent/src/view.rs
@@ -7,7 +7,8 @@
 };
 
 /// `NodeView` is what the planning node knows of one VM.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct NodeView {
     /// The latest known start of the daemon.
@@ -25,7 +26,8 @@
 }
 
 /// `SliceView` is a slice with its recorded owner.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct SliceView {
     /// The slice.
@@ -35,7 +37,8 @@
 }
 
 /// `FleetView` is the fleet as the planning node knows it.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct FleetView {
     /// The known nodes.
--- a/crates/lease/src/action.rs
+++ b/crates/lease/src/action.rs
@@ -9,7 +9,8 @@
 };
 
 /// `LeaseAction` is everything that the machine asks the daemon to do, in order.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum LeaseAction {
     /// Send a message; a lost one is sent again by the machine.
@@ -70,7 +71,8 @@
 }
 
 /// `LeaseProblem` is something that the operator should know.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum LeaseProblem {
     /// More of the set is lost than a majority allows. The operator waits for the named nodes to
--- a/crates/lease/src/event.rs
+++ b/crates/lease/src/event.rs
@@ -9,7 +9,8 @@
 };
 
 /// `MemberInfo` is what the membership says of one node.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct MemberInfo {
     /// The newest known start of the node.
@@ -26,7 +27,8 @@
 }
 
 /// `VersionedRecord` is a record with its version in the platform.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct VersionedRecord {
     /// The version of the stored value.
@@ -36,7 +38,8 @@
 }
 
 /// `WriteOutcome` is what became of a conditional update.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum WriteOutcome {
     /// The record is stored.
@@ -56,7 +59,8 @@
 }
 
 /// `LeaseEvent` is everything that the machine is told.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum LeaseEvent {
     /// Time has passed. Due at [`next_wakeup`](crate::LeaseMachine::next_wakeup).
--- a/crates/lease/src/message.rs
+++ b/crates/lease/src/message.rs
@@ -4,7 +4,8 @@
 use wagtail_core::{ids::LeaseEpoch, lease::LeaseRecord, slice::SliceId};
 
 /// `LeaseMessage` is everything that two machines say to each other.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum LeaseMessage {
     /// A holder asks a witness to grant all its slices for one more term.
@@ -70,7 +71,8 @@
 }
 
 /// `LeaseBundle` is the list of what a holder asks a witness for, or its changes.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LeaseBundle {
     /// The version of the list that is changed; absent when the whole list follows.
@@ -82,7 +84,8 @@
 }
 
 /// `GrantRefusal` says why a witness did not grant a slice.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct GrantRefusal {
     /// The slice.
@@ -94,7 +97,8 @@
 }
 
 /// `RefusalReason` is why a witness does not grant.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum RefusalReason {
     /// The grant to an earlier holder is outstanding; the witness grants that holder no more.
@@ -116,7 +120,8 @@
 }
 
 /// `HolderChange` tells a holder whom it follows at a witness.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct HolderChange {
     /// The slice.
@@ -128,7 +133,8 @@
 }
 
 /// `SilentSlice` is a slice whose holder a witness has not heard from.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct SilentSlice {
     /// The newest record that the witness saw.
@@ -138,7 +144,8 @@
 }
 
 /// `SliceMemory` is what a member remembers of a slice.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct SliceMemory {
     /// The slice.
--- a/crates/lease/src/options.rs
+++ b/crates/lease/src/options.rs
@@ -11,7 +11,8 @@
 pub const LONGEST_UNAVAILABLE: Duration = Duration::from_secs(3);
 
 /// `OptionsError` says why a combination of options is refused.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Error)]
 pub enum OptionsError {
     /// A lease could lapse before its renewals were lost.
     #[error("the term must hold two renewals and more")]
@@ -34,7 +35,8 @@
 }
 
 /// `LeaseOptions` are the times and rates of the leases. They must be equal on all nodes.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct LeaseOptions {
     /// The time that a grant counts for its owner, from the moment of the request.
@@ -74,7 +76,8 @@
 }
 
 /// `LeaseFault` is a fault that tests put in on purpose.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 #[doc(hidden)]
 pub enum LeaseFault {
--- a/crates/lease/src/serve.rs
+++ b/crates/lease/src/serve.rs
@@ -8,7 +8,8 @@
 };
 
 /// `ServeGrant` allows a dispatch.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServeGrant {
     /// The fencing token.
@@ -18,7 +19,8 @@
 }
 
 /// `OwnerHint` is the newest owner that a node knows of.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct OwnerHint {
     /// The owner.
@@ -28,7 +30,8 @@
 }
 
 /// `LeaseSummary` is what the status page shows of the leases.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LeaseSummary {
     /// The slices that this node serves.
--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// `CallKind` is a kind of platform call. Each counts against the platform's rates.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum CallKind {
     /// A read of one value.
@@ -17,7 +18,8 @@
 }
 
 /// `CallCounts` counts the calls since the start of the daemon.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct CallCounts {
     /// Reads of one value.
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -24,7 +24,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// `VersionBody` is the answer to a conditional write.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct VersionBody {
     /// The version of the value after the write, or the one that conflicted.
     version: u64,
--- a/crates/route/src/budget.rs
+++ b/crates/route/src/budget.rs
@@ -6,7 +6,8 @@
 const RETRY_COST: u32 = 100;
 
 /// `BudgetOptions` are the settings of a retry budget.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct BudgetOptions {
     /// The retries for each hundred first attempts.
@@ -26,7 +27,8 @@
 
 /// `RetryBudget` is a bucket that each first attempt fills a little and each retry empties by
 /// one, so that retries stay a small share of the load whatever fails.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RetryBudget {
     /// The settings.
     options: BudgetOptions,
--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -8,7 +8,8 @@
 use wagtail_core::{ids::NodeName, units::LocalMoment};
 
 /// `ChoiceOptions` are the settings of the choice.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct ChoiceOptions {
     /// The targets that are compared for each attempt.
@@ -27,7 +28,8 @@
 }
 
 /// `ChoiceEvent` is something that an ingress learns of the targets of one service.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ChoiceEvent {
     /// A target announced itself, or announced itself again after a restart.
@@ -75,7 +77,8 @@
 }
 
 /// `ChoiceAction` is the answer to a wanted target.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ChoiceAction {
     /// Send the attempt to this node.
--- a/crates/route/src/home.rs
+++ b/crates/route/src/home.rs
@@ -19,7 +19,8 @@
 const NODE_SEPARATOR: char = '~';
 
 /// `HomeOptions` are the settings of a home table.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct HomeOptions {
     /// The time for which the daemons beside the targets remember identifiers.
@@ -43,7 +44,8 @@
 }
 
 /// `HomeStay` is one start of a target, from its joining to its leaving.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 struct HomeStay {
     /// The moment at which it joined.
     joined: LocalMoment,
@@ -54,7 +56,8 @@
 }
 
 /// `HomeChoice` is where a non-idempotent request may run.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum HomeChoice {
     /// Only at this node.
--- a/crates/route/src/retry.rs
+++ b/crates/route/src/retry.rs
@@ -16,7 +16,8 @@
 const MAX_ATTEMPTS: u32 = 3;
 
 /// `RetryQuestion` is an attempt that ended without a target's answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RetryQuestion {
     /// The addressed service.
@@ -40,7 +41,8 @@
 }
 
 /// `RetryRefusal` is why an attempt is not repeated.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum RetryRefusal {
     /// The request may have run and is not idempotent, or it ran.
@@ -58,7 +60,8 @@
 }
 
 /// `RetryDecision` is what follows a failed attempt.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum RetryDecision {
     /// Send the request once more, with this ordinal.
--- a/crates/route/src/standing.rs
+++ b/crates/route/src/standing.rs
@@ -5,7 +5,8 @@
 use wagtail_core::{units::LocalMoment, verdict::RunVerdict};
 
 /// `LoadHint` is the load that the daemon beside a target sends along with an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LoadHint {
     /// The arrivals that wait or run at the target.
@@ -15,7 +16,8 @@
 }
 
 /// `AttemptResult` is how an attempt at a target ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum AttemptResult {
     /// The target answered.
@@ -49,7 +51,8 @@
 const TRIAL_ATTEMPTS: u32 = 1;
 
 /// `TargetStanding` is what one ingress knows of one target from its own attempts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct TargetStanding {
     /// The attempts that are under way from here.
     pub(crate) pending: u32,
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -10,7 +10,8 @@
 
 /// `RouteHint` is where the requests of a slice go. It may be outdated: the addressed node
 /// refuses what it does not own.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RouteHint {
     /// The slice.
@@ -35,7 +36,8 @@
 }
 
 /// `RouteEntry` is what the table knows of one slice.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 struct RouteEntry {
     /// The hint of the highest epoch.
     hint: RouteHint,
--- a/crates/settings/src/faults.rs
+++ b/crates/settings/src/faults.rs
@@ -7,7 +7,8 @@
 pub type Result<T, E = SettingsError> = std::result::Result<T, E>;
 
 /// `SettingsError` is why a settings file was refused.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Error)]
 #[non_exhaustive]
 pub enum SettingsError {
     /// The text is not YAML.
@@ -25,7 +26,8 @@
 }
 
 /// `SettingFault` is one fault with the path of its field.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Error)]
 #[error("{path}: {kind}")]
 pub struct SettingFault {
     /// The dotted path of the field, such as `lease.renew_ms`.
--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -26,7 +26,8 @@
 const SHED_RETRY_MS: u64 = 100;
 
 /// `GrantBody` is the body of a renewal of grants.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct GrantBody {
     /// The renewed and revoked grants.
     grants: Vec<TargetGrant>,
--- a/crates/telemetry/src/errors.rs
+++ b/crates/telemetry/src/errors.rs
@@ -7,7 +7,8 @@
 pub type Result<T, E = TelemetryError> = std::result::Result<T, E>;
 
 /// `TelemetryError` is why telemetry cannot start.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 #[non_exhaustive]
 pub enum TelemetryError {
     /// The filter of the logs is malformed.
--- a/crates/tool/src/errors.rs
+++ b/crates/tool/src/errors.rs
@@ -39,7 +39,8 @@
 }
 
 /// `ToolError` is every way in which a command fails.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 #[non_exhaustive]
 pub enum ToolError {
     /// A file cannot be read.
--- a/standins/caller/src/judge.rs
+++ b/standins/caller/src/judge.rs
@@ -21,7 +21,8 @@
 const MILLIS_PER_SECOND: u64 = 1_000;
 
 /// `AnswerContent` is the JSON line of a target's answer.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct AnswerContent {
     /// The identifier of the request.
--- a/standins/caller/src/logs.rs
+++ b/standins/caller/src/logs.rs
@@ -8,7 +8,8 @@
 pub type Result<T, E = LogError> = std::result::Result<T, E>;
 
 /// `LogError` is why a log cannot be read.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Error)]
 #[non_exhaustive]
 pub enum LogError {
     /// A line is no execution.
--- a/standins/net/src/errors.rs
+++ b/standins/net/src/errors.rs
@@ -7,7 +7,8 @@
 pub type Result<T, E = NetError> = std::result::Result<T, E>;
 
 /// `NetError` is why an exchange ended without an answer.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 #[non_exhaustive]
 pub enum NetError {
     /// The socket failed.
--- a/standins/net/src/reply.rs
+++ b/standins/net/src/reply.rs
@@ -14,7 +14,8 @@
 pub type AnswerResponse = Response<AnswerBody>;
 
 /// `ErrorReport` is the content of an answer that refuses a call.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct ErrorReport<'a> {
     /// The stable code.
     code: &'a str,
--- a/standins/platform/src/api.rs
+++ b/standins/platform/src/api.rs
@@ -34,7 +34,8 @@
 const VALUES_PATH: &str = "/v1/values/";
 
 /// `VersionReport` is the content of an answer to a conditional update.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct VersionReport {
     /// The new version, or the found one after a conflict.
     version: u64,
--- a/standins/platform/src/faults.rs
+++ b/standins/platform/src/faults.rs
@@ -9,7 +9,8 @@
 const READS_PER_SECOND: u64 = 2_000;
 
 /// `PlatformFaults` is the faults in force.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct PlatformFaults {
     /// Whether each call is refused with status 503.
     pub outage: bool,
@@ -51,7 +52,8 @@
 }
 
 /// `PlatformFaultChange` names the faults to change; the others stay.
-#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct PlatformFaultChange {
     /// Whether each call is refused with status 503.
--- a/standins/platform/src/stats.rs
+++ b/standins/platform/src/stats.rs
@@ -16,7 +16,8 @@
 }
 
 /// `CallStats` counts the calls since the start, the refused ones among them.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct CallStats {
     /// The reads of one value.
--- a/standins/target/src/announce.rs
+++ b/standins/target/src/announce.rs
@@ -18,7 +18,8 @@
 const ANSWER_WAIT: Duration = Duration::from_secs(1);
 
 /// `TargetAnnouncement` is what a target tells the daemon beside it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct TargetAnnouncement {
     /// The name of the service.
--- a/standins/target/src/answer.rs
+++ b/standins/target/src/answer.rs
@@ -36,7 +36,8 @@
 }
 
 /// `AnswerContent` is the JSON line of an answer's body.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct AnswerContent<'a> {
     /// The identifier of the request.
     id: &'a str,
--- a/standins/target/src/execution.rs
+++ b/standins/target/src/execution.rs
@@ -9,7 +9,8 @@
 };
 
 /// `ExecutionEntry` is one execution of an order.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ExecutionEntry {
     /// The identifier of the request.
--- a/standins/target/src/faults.rs
+++ b/standins/target/src/faults.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// `TargetFaults` is the faults in force.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct TargetFaults {
     /// The factor by which work takes longer.
     pub slow_factor: f64,
@@ -45,7 +46,8 @@
 }
 
 /// `TargetFaultChange` names the faults to change; the others stay.
-#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct TargetFaultChange {
     /// The time in milliseconds for which the whole process stands still, once.
--- a/standins/target/src/grants.rs
+++ b/standins/target/src/grants.rs
@@ -4,7 +4,8 @@
 use std::collections::BTreeMap;
 
 /// `GrantBatch` is the content of a renewal by the daemon.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct GrantBatch {
     /// The grants.
@@ -16,7 +17,8 @@
 }
 
 /// `SliceGrant` allows orders for one slice for a time.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct SliceGrant {
     /// The index of the slice.
@@ -28,7 +30,8 @@
 }
 
 /// `GrantReport` is the answer to a renewal.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct GrantReport {
     /// The grants that were refused, with the highest epoch seen for their slice.
@@ -36,7 +39,8 @@
 }
 
 /// `RefusedGrant` is a grant below the highest epoch seen.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RefusedGrant {
     /// The index of the slice.
--- a/standins/target/src/health.rs
+++ b/standins/target/src/health.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// `HealthReport` is what a target says of itself. It is a hint only.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct HealthReport {
     /// Whether the target takes orders.
