A later start of a node that was declared gone counts again

The operator's word is for a start, the machine kept it for the name. No run was seen to fail by it; the new test passes before and after the change.

--- a/crates/daemon/src/ownership/fleet.rs
+++ b/crates/daemon/src/ownership/fleet.rs
@@ -10,7 +10,11 @@
 };
 use tracing::{info, warn};
 use wagtail_assign::{AssignEvent, PlacementTarget};
-use wagtail_core::{ids::ServiceName, ports::StoredValue, slice::SliceId};
+use wagtail_core::{
+    ids::{NodeIdentity, ServiceName},
+    ports::StoredValue,
+    slice::SliceId,
+};
 use wagtail_lease::{LeaseEvent, MemberInfo};
 use wagtail_net::clock;
 use wagtail_route::RouteHint;
@@ -46,7 +50,12 @@
 
     /// Tells the lease machine once of each node that the operator declared lost.
     fn tell_gone(&mut self, fleet: &FleetState) {
-        for gone in &fleet.config.gone {
+        let has_returned = |gone: &NodeIdentity| {
+            let entry = fleet.nodes.get(&gone.name);
+            entry.is_some_and(|entry| entry.identity.incarnation > gone.incarnation)
+        };
+
+        for gone in fleet.config.gone.iter().filter(|gone| !has_returned(gone)) {
             if self.gone.insert(gone.clone()) {
                 self.drive(LeaseEvent::NodeGone {
                     name: gone.name.clone(),
--- a/crates/lease/src/machine.rs
+++ b/crates/lease/src/machine.rs
@@ -343,6 +343,12 @@
     /// Takes up the membership.
     fn members_changed(&mut self, now: LocalMoment, members: Vec<MemberInfo>) {
         for member in &members {
+            // The operator's word was for an earlier start; a later one counts.
+            if self.members.is_later_start(&member.identity) {
+                self.going.remove(&member.identity.name);
+                self.members.gone.remove(&member.identity.name);
+            }
+
             if member.identity.name == self.identity.name {
                 self.observe_own(&member.identity);
             } else {
--- a/crates/lease/src/members.rs
+++ b/crates/lease/src/members.rs
@@ -33,6 +33,13 @@
             .collect();
     }
 
+    /// Returns whether a start of a node is later than the known one.
+    pub(crate) fn is_later_start(&self, start: &NodeIdentity) -> bool {
+        self.nodes
+            .get(&start.name)
+            .is_none_or(|known| known.identity.incarnation < start.incarnation)
+    }
+
     /// Returns a node.
     pub(crate) fn get(&self, name: &NodeName) -> Option<&MemberInfo> {
         self.nodes.get(name)
--- a/crates/lease/tests/lease/course.rs
+++ b/crates/lease/tests/lease/course.rs
@@ -307,6 +307,43 @@
     assert_settled(&world);
 }
 
+#[test]
+fn nodes_that_return_after_they_were_declared_gone_count_again() {
+    let mut world = served_world(WorldOptions {
+        nodes: 5,
+        slices: 5,
+        ..WorldOptions::default()
+    });
+
+    for node in 0..3 {
+        world.kill(node);
+    }
+    world.run_for(SECOND);
+    for survivor in 3..5 {
+        for gone in 0..3 {
+            let name = world.nodes[gone].name.clone();
+            world.tell(survivor, LeaseEvent::NodeGone { name });
+        }
+    }
+    world.run_for(20 * SECOND);
+
+    for node in 0..3 {
+        world.restart(node);
+    }
+    world.run_for(60 * SECOND);
+    assert_settled(&world);
+
+    // The returned nodes are a majority, the two others are none.
+    for survivor in 3..5 {
+        for node in 0..3 {
+            world.cut(survivor, node, 30 * SECOND);
+            world.cut(node, survivor, 30 * SECOND);
+        }
+    }
+    world.run_for(60 * SECOND);
+    assert_settled(&world);
+}
+
 #[test]
 fn the_slices_of_a_lost_node_spread_over_many() {
     let mut world = served_world(WorldOptions {
