Orders end with the lease again, also at targets that check fencing

Failed try, reverted: letting a fenced target's orders run on by renewed grants made the drain of a frozen target wait for the callers' deadlines, 3,954 ms unserved in standins/failures pause-target against 2,057 ms before. Ruled out: the detection, which took 1 s as before. It needs the agent to halt grants and to count a slice as drained once the last one has lapsed.

--- a/crates/daemon/src/agent/orders.rs
+++ b/crates/daemon/src/agent/orders.rs
@@ -46,10 +46,7 @@
                 });
                 return;
             };
-            // A target that checks fencing stops by itself when its grant is not renewed.
-            if !target.notice.fenced {
-                until = until.min(grant.until);
-            }
+            until = until.min(grant.until);
             epoch = Some(grant.epoch);
         }
 
