A moving slice refuses what waits; the crest over real processes

Ruled out: leases (none lapsed, no takeover). After the crest one node stays late: not mended, see docs/TUNING.md.

--- a/crates/admit/src/machine/slices.rs
+++ b/crates/admit/src/machine/slices.rs
@@ -42,18 +42,17 @@
         self.halted.remove(&slice);
     }
 
-    /// Refuses new work for a slice that is to move.
+    /// Refuses new work for a slice that is to move. What waits is refused too, as a standing queue
+    /// would keep the slice unserved for as long as it is; what runs is completed.
     pub(super) fn stop_slice(&mut self, slice: u32) {
         self.halted.entry(slice).or_insert(SliceHalt::Stopping);
+        self.refuse_queued_of(slice);
     }
 
-    /// Gives up the work of a slice whose lease has lapsed.
-    pub(super) fn lose_slice(&mut self, now: LocalMoment, slice: u32) {
-        self.halted.insert(slice, SliceHalt::Lost);
-
+    /// Refuses the waiting work of a slice as not run.
+    fn refuse_queued_of(&mut self, slice: u32) {
         let queued =
             self.tickets(|work| work.is_of_slice(slice) && work.state == WorkState::Queued);
-        let running = self.tickets(|work| work.is_of_slice(slice) && work.is_running());
 
         for ticket in queued {
             self.end(
@@ -63,6 +62,15 @@
                 Duration::ZERO,
             );
         }
+    }
+
+    /// Gives up the work of a slice whose lease has lapsed.
+    pub(super) fn lose_slice(&mut self, now: LocalMoment, slice: u32) {
+        self.halted.insert(slice, SliceHalt::Lost);
+
+        let running = self.tickets(|work| work.is_of_slice(slice) && work.is_running());
+
+        self.refuse_queued_of(slice);
 
         // A fenced target itself refuses to run past the grant.
         if self.options.fenced {
