Thin path on the users' platform: node beside each target, keys granted in heartbeat answers

Cause: the users' services, operators and VMs now meet through a platform with heartbeats, a configuration object and an object store; the product had no way to run there.

What it does: platform/ translates settings, header fields, heartbeats, configuration and the store; crates shard (ranges of keys), gate (slots) and route (hosts, pick) decide without input or output; crate sidecar owns sockets and tasks. The peer protocol is generic over its messages. A connection to a server now ends with its last holder, so that a cancelled request closes it.

Ruled out: the leases by witnesses of crate lease; with a store that every node reaches in milliseconds, a table read after each heartbeat is proof enough, and any number of VMs may be lost.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,13 +10,19 @@
 //! - [`request`]: a request and its answer between the processes.
 //! - [`verdict`]: whether a request may have run.
 //! - [`ports`]: the traits at the border to the platform and the targets.
+//! - [`objects`]: the object store of the platform.
+//! - [`routing`]: the routes, services and limits in force.
+//! - [`heartbeat`]: what a target says of itself, and the keys that it is granted.
 //! - [`errors`]: the central error enum.
 
 pub mod errors;
+pub mod heartbeat;
 pub mod ids;
 pub mod lease;
+pub mod objects;
 pub mod ports;
 pub mod request;
+pub mod routing;
 pub mod service;
 pub mod slice;
 pub mod units;
--- a/crates/daemon/src/inbound.rs
+++ b/crates/daemon/src/inbound.rs
@@ -9,11 +9,11 @@
 use std::time::Duration;
 use tracing::debug;
 use wagtail_core::{
-    ports::{LocalFuture, TargetAnswer},
-    request::RequestHead,
+    ports::LocalFuture,
+    request::{AnswerHead, RequestHead},
 };
 use wagtail_net::clock;
-use wagtail_peer::server::PeerHandler;
+use wagtail_peer::{answer::PeerAnswer, server::PeerHandler};
 
 /// `InboundHandler` passes what the peers send to the tasks that own it.
 #[derive(Debug)]
@@ -36,15 +36,17 @@
 
 impl PeerHandler for InboundHandler {
     type Message = ControlMessage;
+    type Request = RequestHead;
+    type Answer = AnswerHead;
 
-    fn request(&self, head: RequestHead, body: Bytes) -> LocalFuture<'_, TargetAnswer> {
+    fn request(&self, head: RequestHead, body: Bytes) -> LocalFuture<'_, PeerAnswer<AnswerHead>> {
         debug!(
             event = "request-received", request_id = %head.id, service = %head.service,
             attempt = head.attempt
         );
         let deadline = clock::now() + Duration::from_millis(head.time_left_ms);
 
-        Box::pin(self.agent.submit(head, body, deadline))
+        Box::pin(async move { self.agent.submit(head, body, deadline).await.into() })
     }
 
     fn control(&self, message: ControlMessage) {
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -1,7 +1,8 @@
 //! HTTP/1.1 connections to a server, kept and reused.
 
+use crate::clock;
 use bytes::Bytes;
-use compio::net::TcpStream;
+use compio::{net::TcpStream, runtime::JoinHandle, time::timeout};
 use cyper_core::HyperStream;
 use http_body_util::{BodyExt, Full};
 use hyper::{
@@ -9,32 +10,80 @@
     body::Incoming,
     client::conn::http1::{self, SendRequest},
 };
-use std::{cell::RefCell, net::SocketAddr, rc::Rc};
+use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
 use wagtail_core::{
     CoreError, Result,
     ports::{BodyStream, LocalFuture},
+    units::LocalMoment,
     verdict::RunVerdict,
 };
 
 /// The idle connections that a pool keeps.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 
+/// `PoolOptions` are the settings of the connections to one server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PoolOptions {
+    /// The longest time to open a connection.
+    pub connect_timeout: Duration,
+    /// The time after which an idle connection is not used again, as the server may be about to
+    /// close it.
+    pub max_idle: Duration,
+}
+
+impl Default for PoolOptions {
+    fn default() -> Self {
+        Self {
+            connect_timeout: Duration::from_secs(2),
+            max_idle: Duration::from_secs(4),
+        }
+    }
+}
+
+/// `PooledConnection` is one connection; dropping it closes the socket.
+#[derive(Debug)]
+struct PooledConnection {
+    sender: SendRequest<Full<Bytes>>,
+    /// The task that drives the connection; it ends when this is dropped.
+    driver: JoinHandle<()>,
+    idle_since: LocalMoment,
+}
+
 /// `HttpPool` holds the connections to one server.
 #[derive(Debug, Clone)]
 pub struct HttpPool {
     address: SocketAddr,
-    idle: Rc<RefCell<Vec<SendRequest<Full<Bytes>>>>>,
+    options: PoolOptions,
+    idle: Rc<RefCell<Vec<PooledConnection>>>,
 }
 
 impl HttpPool {
     /// Makes a pool without connections.
     pub fn new(address: SocketAddr) -> Self {
+        Self::with_options(address, PoolOptions::default())
+    }
+
+    /// Makes a pool with settings of its own.
+    pub fn with_options(address: SocketAddr, options: PoolOptions) -> Self {
         Self {
             address,
+            options,
             idle: Rc::default(),
         }
     }
 
+    /// Closes the idle connections.
+    pub fn clear(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
+    /// Returns whether the server's port refuses connections, as when its process has ended.
+    pub async fn is_refused(&self) -> bool {
+        let opening = timeout(self.options.connect_timeout, TcpStream::connect(self.address)).await;
+
+        matches!(opening, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
+    }
+
     /// Returns the address of the server.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -49,8 +98,8 @@
     /// Fails with the verdict `NotRun` when no connection could be made, and `Unknown` once
     /// bytes of the request may have left.
     pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<PooledAnswer> {
-        let mut sender = self.connection().await?;
-        let response = sender.send_request(request).await;
+        let mut connection = self.connection().await?;
+        let response = connection.sender.send_request(request).await;
 
         let response = response.map_err(|error| {
             // A canceled request was still in this process when its connection closed.
@@ -63,36 +112,56 @@
             CoreError::unavailable(format!("{}: {error}", self.address), verdict)
         })?;
 
-        Ok(PooledAnswer::new(response, sender, self.clone()))
+        Ok(PooledAnswer::new(response, connection, self.clone()))
     }
 
     /// Returns an idle connection that is still open, or a new one.
-    async fn connection(&self) -> Result<SendRequest<Full<Bytes>>> {
-        while let Some(mut sender) = self.take_idle() {
-            if sender.ready().await.is_ok() {
-                return Ok(sender);
+    async fn connection(&self) -> Result<PooledConnection> {
+        while let Some(mut connection) = self.take_idle() {
+            if connection.sender.ready().await.is_ok() {
+                return Ok(connection);
             }
         }
 
-        self.connect().await
+        let opening = timeout(self.options.connect_timeout, self.connect()).await;
+
+        opening.unwrap_or_else(|_elapsed| {
+            Err(CoreError::unavailable(
+                format!("{}: the connection timed out", self.address),
+                RunVerdict::NotRun,
+            ))
+        })
     }
 
-    /// Takes the connection that was used last.
-    fn take_idle(&self) -> Option<SendRequest<Full<Bytes>>> {
-        self.idle.borrow_mut().pop()
+    /// Takes the connection that was used last, unless it was idle for too long.
+    fn take_idle(&self) -> Option<PooledConnection> {
+        let mut idle = self.idle.borrow_mut();
+        let connection = idle.pop()?;
+
+        if clock::now().since(connection.idle_since) > self.options.max_idle {
+            // All others were used even earlier.
+            idle.clear();
+            return None;
+        }
+
+        Some(connection)
     }
 
     /// Keeps a connection whose answer was read whole.
-    fn keep(&self, sender: SendRequest<Full<Bytes>>) {
+    fn keep(&self, mut connection: PooledConnection) {
         let mut idle = self.idle.borrow_mut();
 
-        if !sender.is_closed() && idle.len() < MAX_IDLE_CONNECTIONS {
-            idle.push(sender);
+        if !connection.sender.is_closed()
+            && !connection.driver.is_finished()
+            && idle.len() < MAX_IDLE_CONNECTIONS
+        {
+            connection.idle_since = clock::now();
+            idle.push(connection);
         }
     }
 
     /// Opens a connection and spawns the task that drives it.
-    async fn connect(&self) -> Result<SendRequest<Full<Bytes>>> {
+    async fn connect(&self) -> Result<PooledConnection> {
         let refused = |error: &dyn std::fmt::Display| {
             CoreError::unavailable(format!("{}: {error}", self.address), RunVerdict::NotRun)
         };
@@ -106,10 +175,14 @@
             .await
             .map_err(|error| refused(&error))?;
 
-        // The task ends with the connection; the senders learn of its errors.
-        compio::runtime::spawn(async move { drop(connection.await) }).detach();
+        // The senders learn of the connection's errors.
+        let driver = compio::runtime::spawn(async move { drop(connection.await) });
 
-        Ok(sender)
+        Ok(PooledConnection {
+            sender,
+            driver,
+            idle_since: clock::now(),
+        })
     }
 }
 
@@ -118,19 +191,19 @@
 pub struct PooledAnswer {
     parts: http::response::Parts,
     body: Incoming,
-    sender: Option<SendRequest<Full<Bytes>>>,
+    connection: Option<PooledConnection>,
     pool: HttpPool,
 }
 
 impl PooledAnswer {
     /// Joins an answer with the connection that it came by.
-    fn new(response: Response<Incoming>, sender: SendRequest<Full<Bytes>>, pool: HttpPool) -> Self {
+    fn new(response: Response<Incoming>, connection: PooledConnection, pool: HttpPool) -> Self {
         let (parts, body) = response.into_parts();
 
         Self {
             parts,
             body,
-            sender: Some(sender),
+            connection: Some(connection),
             pool,
         }
     }
@@ -179,8 +252,8 @@
             }
 
             // Only a body read to its end leaves the connection ready for another request.
-            if let Some(sender) = self.sender.take() {
-                self.pool.keep(sender);
+            if let Some(connection) = self.connection.take() {
+                self.pool.keep(connection);
             }
 
             Ok(None)
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -16,7 +16,7 @@
     server::conn::http1,
     service::service_fn,
 };
-use std::{convert::Infallible, fmt::Debug, pin::pin, rc::Rc, time::Duration};
+use std::{convert::Infallible, fmt::Debug, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 use wagtail_core::{
     CoreError,
     ports::{BodyStream, LocalFuture},
@@ -35,6 +35,10 @@
 pub type ServerBody =
     EitherBody<Full<Bytes>, StreamBody<LocalBoxStream<'static, Result<Frame<Bytes>, CoreError>>>>;
 
+/// `CallerAddress` is the address from which a request came, an extension of the request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallerAddress(pub SocketAddr);
+
 /// `HttpHandler` answers the requests of one server.
 pub trait HttpHandler: Debug {
     /// Answers one request. The future is dropped when the client goes away.
@@ -85,9 +89,14 @@
         };
 
         match accepted {
-            Ok((stream, _)) => {
-                let connection =
-                    serve_connection(stream, Rc::clone(&handler), max_header_bytes, stop.clone());
+            Ok((stream, from)) => {
+                let connection = serve_connection(
+                    stream,
+                    CallerAddress(from),
+                    Rc::clone(&handler),
+                    max_header_bytes,
+                    stop.clone(),
+                );
                 connections.push(compio::runtime::spawn(connection));
             }
             Err(_) => compio::time::sleep(ACCEPT_PAUSE).await,
@@ -110,6 +119,7 @@
 /// answered.
 async fn serve_connection(
     stream: TcpStream,
+    from: CallerAddress,
     handler: Rc<dyn HttpHandler>,
     max_header_bytes: usize,
     stop: StopSignal,
@@ -118,8 +128,9 @@
         return;
     }
 
-    let service = service_fn(move |request| {
+    let service = service_fn(move |mut request: Request<Incoming>| {
         let handler = Rc::clone(&handler);
+        request.extensions_mut().insert(from);
 
         async move { Ok::<_, Infallible>(handler.handle(request).await) }
     });
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -5,12 +5,14 @@
 //! body. Control messages travel as frames on one long-lived stream of their own connection, so
 //! that no answer delays them.
 //!
+//! - [`answer`]: an answer on its way.
 //! - [`frame`]: the length-prefixed bincode frames.
 //! - [`stream`]: reading frames and bodies from an h2 stream.
 //! - [`link`]: the client side of one peer.
 //! - [`control`]: the task that sends control messages to one peer.
 //! - [`server`]: the server side.
 
+pub mod answer;
 pub mod control;
 pub mod frame;
 pub mod link;
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -1,6 +1,8 @@
 //! The client side of one peer.
 
-use crate::{PROTOCOL_VERSION, REQUEST_PATH, VERSION_HEADER, frame, stream::FrameReader};
+use crate::{
+    PROTOCOL_VERSION, REQUEST_PATH, VERSION_HEADER, answer::PeerAnswer, frame, stream::FrameReader,
+};
 use bytes::Bytes;
 use compio::{net::TcpStream, time::timeout};
 use cyper_core::HyperStream;
@@ -9,6 +11,7 @@
     client::{Builder, SendRequest},
 };
 use http::{Method, Request, StatusCode};
+use serde::{Serialize, de::DeserializeOwned};
 use std::{cell::RefCell, net::SocketAddr, time::Duration};
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 use wagtail_core::{
@@ -61,10 +64,30 @@
     /// Fails with the verdict `NotRun` when the request did not leave this process or the peer
     /// refused its stream, and `Unknown` otherwise.
     pub async fn request(&self, head: &RequestHead, body: Bytes) -> Result<TargetAnswer> {
+        let answer: PeerAnswer<AnswerHead> = self.exchange(head, head.class, body).await?;
+
+        Ok(TargetAnswer {
+            head: answer.head,
+            body: answer.body,
+        })
+    }
+
+    /// Sends a request of any type, as [`Self::request`].
+    ///
+    /// # Errors
+    ///
+    /// Fails with the verdict `NotRun` when the request did not leave this process or the peer
+    /// refused its stream, and `Unknown` otherwise.
+    pub async fn exchange<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        head: &Q,
+        class: WorkClass,
+        body: Bytes,
+    ) -> Result<PeerAnswer<A>> {
         let frame = frame::encode(head)?;
         let request = stream_request(REQUEST_PATH)?;
 
-        let mut sender = self.ready(head.class).await?;
+        let mut sender = self.ready(class).await?;
         let (response, mut stream) = sender
             .send_request(request, false)
             .map_err(|error| self.lost(&error))?;
@@ -97,7 +120,10 @@
     }
 
     /// Reads the head of an answer.
-    async fn answer(&self, response: http::Response<h2::RecvStream>) -> Result<TargetAnswer> {
+    async fn answer<A: DeserializeOwned>(
+        &self,
+        response: http::Response<h2::RecvStream>,
+    ) -> Result<PeerAnswer<A>> {
         if response.status() != StatusCode::OK {
             // The peer refuses a stream by its status before it reads the request.
             return Err(CoreError::unavailable(
@@ -111,14 +137,11 @@
         }
 
         let mut reader = FrameReader::new(response.into_body());
-        let head: AnswerHead = reader.message().await.map_err(|error| {
+        let head: A = reader.message().await.map_err(|error| {
             CoreError::unavailable(format!("{}: {error}", self.address), RunVerdict::Unknown)
         })?;
 
-        Ok(TargetAnswer {
-            head,
-            body: Box::new(reader),
-        })
+        Ok(PeerAnswer::new(head, Box::new(reader)))
     }
 
     /// Returns the open connection for a class of work, or a new one.
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -1,7 +1,9 @@
 //! The server side of the protocol.
 
 use crate::{
-    CONTROL_PATH, PROTOCOL_VERSION, REQUEST_PATH, VERSION_HEADER, frame,
+    CONTROL_PATH, PROTOCOL_VERSION, REQUEST_PATH, VERSION_HEADER,
+    answer::PeerAnswer,
+    frame,
     link::{CONNECTION_WINDOW_BYTES, STREAM_WINDOW_BYTES},
     stream::FrameReader,
 };
@@ -17,13 +19,12 @@
     server::{Builder, SendResponse},
 };
 use http::{Request, Response, StatusCode};
-use serde::de::DeserializeOwned;
+use serde::{Serialize, de::DeserializeOwned};
 use std::{fmt::Debug, future::poll_fn, pin::pin, rc::Rc, time::Duration};
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 use wagtail_core::{
     CoreError, Result,
-    ports::{LocalFuture, TargetAnswer},
-    request::RequestHead,
+    ports::LocalFuture,
     verdict::RunVerdict,
 };
 use wagtail_net::stop::StopSignal;
@@ -39,8 +40,18 @@
     /// The control messages.
     type Message: DeserializeOwned;
 
+    /// The heads of the requests.
+    type Request: DeserializeOwned;
+
+    /// The heads of the answers.
+    type Answer: Serialize;
+
     /// Answers a request. The future is dropped when the peer cancels.
-    fn request(&self, head: RequestHead, body: Bytes) -> LocalFuture<'_, TargetAnswer>;
+    fn request(
+        &self,
+        head: Self::Request,
+        body: Bytes,
+    ) -> LocalFuture<'_, PeerAnswer<Self::Answer>>;
 
     /// Takes a control message.
     fn control(&self, message: Self::Message);
@@ -183,7 +194,7 @@
     handler: &H,
 ) {
     let request = async {
-        let head: RequestHead = reader.message().await?;
+        let head: H::Request = reader.message().await?;
         let body = reader.read_body(handler.max_body_bytes()).await?;
 
         Ok::<_, CoreError>((head, body))
@@ -215,14 +226,17 @@
 
 /// Sends an answer; resets the stream when the body breaks, so that the peer never takes a part
 /// for the whole.
-async fn send_answer(mut stream: SendStream<Bytes>, answer: TargetAnswer) {
+async fn send_answer<A: Serialize>(mut stream: SendStream<Bytes>, answer: PeerAnswer<A>) {
     if send_parts(&mut stream, answer).await.is_err() {
         stream.send_reset(Reason::INTERNAL_ERROR);
     }
 }
 
 /// Sends the head and the parts of the body as the peer's window allows.
-async fn send_parts(stream: &mut SendStream<Bytes>, mut answer: TargetAnswer) -> Result<()> {
+async fn send_parts<A: Serialize>(
+    stream: &mut SendStream<Bytes>,
+    mut answer: PeerAnswer<A>,
+) -> Result<()> {
     let mut next = Some(frame::encode(&answer.head)?);
 
     while let Some(part) = next {
--- a/crates/peer/tests/protocol.rs
+++ b/crates/peer/tests/protocol.rs
@@ -16,13 +16,14 @@
 use wagtail_core::{
     CoreError,
     ids::{NodeName, OperationName, RequestId, ServiceName, TenantName},
-    ports::{BodyStream, LocalFuture, TargetAnswer},
+    ports::{BodyStream, LocalFuture},
     request::{AnswerHead, RequestHead},
     service::WorkClass,
     verdict::RunVerdict,
 };
 use wagtail_net::stop::StopSignal;
 use wagtail_peer::{
+    answer::PeerAnswer,
     control::ControlSender,
     frame::{self, MAX_MESSAGE_BYTES, PREFIX_BYTES},
     link::PeerLink,
@@ -52,8 +53,10 @@
 
 impl PeerHandler for EchoHandler {
     type Message = u64;
+    type Request = RequestHead;
+    type Answer = AnswerHead;
 
-    fn request(&self, head: RequestHead, body: Bytes) -> LocalFuture<'_, TargetAnswer> {
+    fn request(&self, head: RequestHead, body: Bytes) -> LocalFuture<'_, PeerAnswer<AnswerHead>> {
         Box::pin(async move {
             if &*head.path == "/hang" {
                 let _guard = CancelGuard(Rc::clone(&self.cancelled));
@@ -66,10 +69,7 @@
                 Box::new(WholeBody::new(body))
             };
 
-            TargetAnswer {
-                head: answer_head(&head),
-                body,
-            }
+            PeerAnswer::new(answer_head(&head), body)
         })
     }
 
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -5,11 +5,15 @@
 //! - [`home`]: the one target that may run a non-idempotent request.
 //! - [`retry`]: whether a failed attempt may be repeated.
 //! - [`budget`]: the retries that a service and tenant may still cause.
+//! - [`hosts`]: routes by host and path prefix.
+//! - [`pick`]: the choice among targets by their expected wait.
 //! - [`table`]: the owners of the slices of keyed services.
 
 pub mod budget;
 pub mod choice;
 pub mod home;
+pub mod hosts;
+pub mod pick;
 pub mod retry;
 pub mod standing;
 pub mod table;
--- /dev/null
+++ b/crates/sidecar/src/beats.rs
@@ -0,0 +1,477 @@
+//! The server for the target's heartbeats.
+
+use crate::{
+    door::TargetDoor,
+    messages::{StoreCall, StoreOutcome},
+    ports::{LocalCall, WireDialect},
+    relay::StoreRelay,
+    settings::SidecarSettings,
+    view::{FleetView, NodeRecord, read_table, record_name, table_name},
+};
+use bytes::Bytes;
+use compio::time::{sleep, timeout};
+use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
+use futures_util::StreamExt;
+use http_body_util::BodyExt;
+use hyper::{Request, Response, StatusCode, body::Incoming};
+use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
+use tracing::{info, warn};
+use wagtail_core::{
+    heartbeat::{HeartbeatReply, TargetHeartbeat},
+    objects::StoredObject,
+    ports::LocalFuture,
+    units::LocalMoment,
+};
+use wagtail_net::{
+    clock,
+    server::{HttpHandler, ServerBody, whole_body},
+};
+use wagtail_shard::{keeper::BeatVerdict, table::RangeTable};
+
+/// The time for reading the table after a heartbeat; the target waits for a second.
+const TABLE_TIME: Duration = Duration::from_millis(700);
+
+/// The largest heartbeat in bytes.
+const MAX_BEAT_BYTES: usize = 1 << 20;
+
+/// The writes that are tried for one heartbeat when others write too.
+const MAX_WRITES: u32 = 2;
+
+/// The pause between two tries to publish the node's record.
+const PUBLISH_PAUSE: Duration = Duration::from_millis(300);
+
+/// The time between two looks at a silent target.
+const LAPSE_LOOK: Duration = Duration::from_millis(100);
+
+/// `BeatHandler` answers the target beside the node.
+#[derive(Debug)]
+pub struct BeatHandler {
+    settings: Rc<SidecarSettings>,
+    dialect: Rc<dyn WireDialect>,
+    view: FleetView,
+    relay: StoreRelay,
+    door: TargetDoor,
+    record: RecordPublisher,
+    lapsing: Cell<bool>,
+}
+
+impl BeatHandler {
+    /// Makes the handler.
+    pub fn new(
+        settings: Rc<SidecarSettings>,
+        dialect: Rc<dyn WireDialect>,
+        view: FleetView,
+        relay: StoreRelay,
+        door: TargetDoor,
+        record: RecordPublisher,
+    ) -> Self {
+        Self {
+            settings,
+            dialect,
+            view,
+            relay,
+            door,
+            record,
+            lapsing: Cell::new(false),
+        }
+    }
+
+    /// Answers a call of the target.
+    async fn answer(&self, request: Request<Incoming>) -> Response<ServerBody> {
+        let call = self
+            .dialect
+            .local_call(request.method(), request.uri().path());
+
+        match call {
+            LocalCall::Heartbeat { target_id } => {
+                let arrived = clock::now();
+                let body = match read_limited(request.into_body()).await {
+                    Ok(body) => body,
+                    Err(reason) => return bad(&reason),
+                };
+                match self.dialect.read_heartbeat(&target_id, &body) {
+                    Ok(beat) => self.heartbeat(beat, arrived).await,
+                    Err(error) => {
+                        warn!(event = "heartbeat-ignored", target = %target_id, reason = %error);
+                        bad(&error.to_string())
+                    }
+                }
+            }
+            LocalCall::Leave { target_id } => {
+                self.leave(&target_id);
+                self.reply(&HeartbeatReply::default())
+            }
+            LocalCall::Metrics | LocalCall::Unknown => {
+                let mut response = Response::new(whole_body(Bytes::new()));
+                *response.status_mut() = StatusCode::NOT_FOUND;
+                response
+            }
+        }
+    }
+
+    /// Answers a heartbeat.
+    async fn heartbeat(&self, beat: TargetHeartbeat, arrived: LocalMoment) -> Response<ServerBody> {
+        if beat.service != self.settings.service {
+            warn!(
+                event = "heartbeat-ignored", target = %beat.life, service = %beat.service,
+                reason = "another service"
+            );
+            return self.reply(&HeartbeatReply::default());
+        }
+
+        let verdict = self.door.with_keeper(|keeper| keeper.accept(&beat, arrived));
+        match verdict {
+            BeatVerdict::Stale => {
+                info!(
+                    event = "heartbeat-stale", life = %beat.life, sequence = beat.sequence
+                );
+                return self.reply(&HeartbeatReply::default());
+            }
+            BeatVerdict::NewLife => self.door.begin_life(&beat),
+            BeatVerdict::Current => {}
+        }
+        self.door.note_beat(&beat, arrived);
+        self.record.publish(self.own_record());
+
+        let reply = if self.door.is_keyed() {
+            self.grant(&beat, arrived).await
+        } else {
+            HeartbeatReply::default()
+        };
+        self.reply(&reply)
+    }
+
+    /// Grants the target what a table read after the heartbeat names it for.
+    async fn grant(&self, beat: &TargetHeartbeat, arrived: LocalMoment) -> HeartbeatReply {
+        let settled = timeout(TABLE_TIME, self.settle(|table| {
+            self.door.with_keeper(|keeper| keeper.settle(beat, table))
+        }))
+        .await;
+
+        let table = match settled {
+            Ok(Ok(Some(table))) => table,
+            Ok(Ok(None)) => RangeTable::new(),
+            Ok(Err(reason)) => {
+                warn!(event = "grant-withheld", life = %beat.life, reason = %reason);
+                return HeartbeatReply::default();
+            }
+            Err(_elapsed) => {
+                warn!(event = "grant-withheld", life = %beat.life, reason = "the table came too late");
+                return HeartbeatReply::default();
+            }
+        };
+
+        self.door
+            .with_keeper(|keeper| keeper.reply(beat, &table, arrived, clock::now()))
+    }
+
+    /// Reads the table and writes what a change makes of it. Returns the table as it was read or
+    /// written last.
+    async fn settle(
+        &self,
+        change: impl Fn(&mut RangeTable) -> bool,
+    ) -> Result<Option<RangeTable>, Arc<str>> {
+        let name: Arc<str> = Arc::from(table_name(&self.settings.service));
+        let get = StoreCall::Get {
+            name: Arc::clone(&name),
+        };
+
+        for _ in 0..MAX_WRITES {
+            let object = match self.relay.call(&get).await {
+                StoreOutcome::Object(object) => object,
+                StoreOutcome::Absent => return Ok(None),
+                StoreOutcome::NotDone(reason) | StoreOutcome::Unknown(reason) => {
+                    return Err(reason);
+                }
+                StoreOutcome::Written(_) | StoreOutcome::Conflict(_) => {
+                    return Err(Arc::from("an unexpected answer"));
+                }
+            };
+            self.view.take_object(object.clone());
+            let table = read_table(&object).map_err(Arc::<str>::from)?;
+            let mut next = table.clone();
+            if !change(&mut next) {
+                return Ok(Some(table));
+            }
+
+            next.compact();
+            match self.write(&name, object.revision, &next).await {
+                StoreOutcome::Written(_) => return Ok(Some(next)),
+                StoreOutcome::Conflict(_) => {}
+                // The rows that are granted are the same before and after the change.
+                _ => return Ok(Some(table)),
+            }
+        }
+
+        Err(Arc::from("others changed the table meanwhile"))
+    }
+
+    /// Writes the table.
+    async fn write(&self, name: &Arc<str>, revision: u64, table: &RangeTable) -> StoreOutcome {
+        let Ok(content) = serde_json::to_string(table) else {
+            return StoreOutcome::NotDone(Arc::from("the table cannot be encoded"));
+        };
+        let content: Arc<str> = Arc::from(content);
+        let call = StoreCall::Replace {
+            name: Arc::clone(name),
+            revision,
+            content: Arc::clone(&content),
+        };
+
+        let outcome = self.relay.call(&call).await;
+        if let StoreOutcome::Written(revision) = outcome {
+            self.view.take_object(StoredObject {
+                name: Arc::clone(name),
+                revision,
+                content,
+            });
+        }
+        outcome
+    }
+
+    /// Frees the keys of a target that has ended, or that was silent until its holds lapsed.
+    pub async fn watch_target(&self) {
+        loop {
+            sleep(LAPSE_LOOK).await;
+            if !self.door.is_keyed() || !self.holds_rows() {
+                continue;
+            }
+
+            let now = clock::now();
+            let lapsed = self.door.with_keeper(|keeper| now >= keeper.lapses_at());
+            if lapsed || self.door.has_ended() {
+                let freed = self
+                    .settle(|table| {
+                        self.door.with_keeper(|keeper| {
+                            let ended = keeper.free_ended(table);
+                            let lapsed = keeper.free_lapsed(table, now);
+                            ended || lapsed
+                        })
+                    })
+                    .await;
+                match freed {
+                    Ok(_) => info!(event = "keys-freed", lapsed, ended = self.door.has_ended()),
+                    Err(reason) => {
+                        if !self.lapsing.replace(true) {
+                            warn!(event = "keys-not-freed", reason = %reason);
+                        }
+                        sleep(PUBLISH_PAUSE).await;
+                        continue;
+                    }
+                }
+                self.lapsing.set(false);
+                self.record.publish(self.own_record());
+            }
+        }
+    }
+
+    /// Returns whether the known table names this node's target for any key.
+    fn holds_rows(&self) -> bool {
+        self.view
+            .table(&self.settings.service)
+            .is_some_and(|versioned| {
+                versioned.table.rows.iter().any(|row| {
+                    row.holder
+                        .as_ref()
+                        .is_some_and(|holder| holder.node == self.settings.node)
+                })
+            })
+    }
+
+    /// Takes note that a target is leaving.
+    fn leave(&self, target_id: &str) {
+        let present = self
+            .door
+            .with_keeper(|keeper| keeper.life().is_some_and(|life| &*life.id == target_id));
+
+        if present {
+            self.door.leave(clock::now());
+            self.record.publish(self.own_record());
+        } else {
+            info!(event = "leave-ignored", target = target_id);
+        }
+    }
+
+    /// Returns the record of this node.
+    fn own_record(&self) -> NodeRecord {
+        own_record(&self.settings, &self.door)
+    }
+
+    /// Makes the HTTP answer.
+    fn reply(&self, reply: &HeartbeatReply) -> Response<ServerBody> {
+        let mut response = Response::new(whole_body(self.dialect.write_reply(reply)));
+        response.headers_mut().insert(
+            hyper::header::CONTENT_TYPE,
+            hyper::header::HeaderValue::from_static("application/json"),
+        );
+
+        response
+    }
+}
+
+impl HttpHandler for BeatHandler {
+    fn handle(&self, request: Request<Incoming>) -> LocalFuture<'_, Response<ServerBody>> {
+        Box::pin(self.answer(request))
+    }
+}
+
+/// Returns the record of a node.
+pub fn own_record(settings: &SidecarSettings, door: &TargetDoor) -> NodeRecord {
+    NodeRecord {
+        node: Arc::clone(&settings.node),
+        zone: Arc::clone(&settings.zone),
+        peers: settings.peers,
+        service: Arc::clone(&settings.service),
+        slots: door.slots(),
+        ready: door.is_ready(),
+    }
+}
+
+/// `RecordPublisher` passes the node's record to the task that writes it.
+#[derive(Debug, Clone)]
+pub struct RecordPublisher {
+    records: UnboundedSender<Option<NodeRecord>>,
+}
+
+impl RecordPublisher {
+    /// Spawns the task that writes the record when it differs from the stored one.
+    pub fn spawn(
+        settings: &SidecarSettings,
+        view: FleetView,
+        relay: StoreRelay,
+        store: Rc<dyn wagtail_core::objects::ObjectStore>,
+    ) -> Self {
+        let (sender, receiver) = unbounded();
+        let writer = RecordWriter {
+            name: Arc::from(record_name(&settings.node)),
+            view,
+            relay,
+            store,
+        };
+        compio::runtime::spawn(async move { writer.run(receiver).await }).detach();
+
+        Self { records: sender }
+    }
+
+    /// Publishes a record.
+    pub fn publish(&self, record: NodeRecord) {
+        // The task ends only with the process.
+        drop(self.records.unbounded_send(Some(record)));
+    }
+
+    /// Removes the record, as the VM is leaving.
+    pub fn remove(&self) {
+        drop(self.records.unbounded_send(None));
+    }
+}
+
+/// `RecordWriter` writes the node's record.
+#[derive(Debug)]
+struct RecordWriter {
+    name: Arc<str>,
+    view: FleetView,
+    relay: StoreRelay,
+    store: Rc<dyn wagtail_core::objects::ObjectStore>,
+}
+
+impl RecordWriter {
+    /// Writes the newest record until it is stored.
+    async fn run(&self, mut records: UnboundedReceiver<Option<NodeRecord>>) {
+        let mut written = None;
+
+        while let Some(mut newest) = records.next().await {
+            while let Ok(newer) = records.try_recv() {
+                newest = newer;
+            }
+            if written.as_ref() == Some(&newest) {
+                continue;
+            }
+
+            while !self.write(newest.as_ref()).await {
+                sleep(PUBLISH_PAUSE).await;
+                while let Ok(newer) = records.try_recv() {
+                    newest = newer;
+                }
+            }
+            written = Some(newest);
+        }
+    }
+
+    /// Writes a record once; returns whether it is stored.
+    async fn write(&self, record: Option<&NodeRecord>) -> bool {
+        let Some(record) = record else {
+            return self
+                .store
+                .delete(crate::view::FLEET_KIND, &self.name)
+                .await
+                .is_ok();
+        };
+        let Ok(content) = serde_json::to_string(record) else {
+            return true;
+        };
+        let content: Arc<str> = Arc::from(content);
+
+        let get = StoreCall::Get {
+            name: Arc::clone(&self.name),
+        };
+        let call = match self.relay.call(&get).await {
+            StoreOutcome::Object(object) => {
+                self.view.take_object(object.clone());
+                if object.content == content {
+                    return true;
+                }
+                StoreCall::Replace {
+                    name: Arc::clone(&self.name),
+                    revision: object.revision,
+                    content: Arc::clone(&content),
+                }
+            }
+            StoreOutcome::Absent => StoreCall::Create {
+                name: Arc::clone(&self.name),
+                content: Arc::clone(&content),
+            },
+            _ => return false,
+        };
+
+        match self.relay.call(&call).await {
+            StoreOutcome::Written(revision) => {
+                self.view.take_object(StoredObject {
+                    name: Arc::clone(&self.name),
+                    revision,
+                    content,
+                });
+                info!(event = "record-written", ready = record.ready, revision);
+                true
+            }
+            outcome => {
+                info!(event = "record-not-written", ready = record.ready, outcome = ?outcome);
+                false
+            }
+        }
+    }
+}
+
+/// Reads the body of a call.
+async fn read_limited(mut body: Incoming) -> Result<Bytes, String> {
+    let mut whole = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| error.to_string())?;
+        if let Ok(part) = frame.into_data() {
+            if whole.len() + part.len() > MAX_BEAT_BYTES {
+                return Err("the body is too large".to_owned());
+            }
+            whole.extend_from_slice(&part);
+        }
+    }
+
+    Ok(Bytes::from(whole))
+}
+
+/// Makes the answer to a call that cannot be read.
+fn bad(reason: &str) -> Response<ServerBody> {
+    let body = serde_json::json!({ "error": reason }).to_string();
+    let mut response = Response::new(whole_body(body));
+    *response.status_mut() = StatusCode::BAD_REQUEST;
+
+    response
+}
--- /dev/null
+++ b/crates/sidecar/src/directory.rs
@@ -0,0 +1,248 @@
+//! The task that follows the store.
+
+use crate::{
+    links::NodeLinks,
+    messages::{PeerRequest, ReplyBody},
+    ports::WireDialect,
+    view::{FLEET_KIND, FleetView},
+};
+use bytes::Bytes;
+use compio::time::{sleep, timeout};
+use futures_util::future::{Either, select};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::{cell::RefCell, pin::pin, rc::Rc, sync::Arc, time::Duration};
+use tracing::{info, warn};
+use wagtail_core::{
+    objects::{ObjectChanges, ObjectStore, Result, StoreError, StoredObject},
+    service::WorkClass,
+    units::LocalMoment,
+};
+use wagtail_net::clock;
+
+/// The longest wait of one watch. A newer version that another node knows ends it early.
+const WATCH_TIME: Duration = Duration::from_secs(20);
+
+/// The pause after changes, in which further ones gather.
+const GATHER_TIME: Duration = Duration::from_millis(40);
+
+/// The shortest pause after a failed call.
+const MIN_PAUSE: Duration = Duration::from_millis(100);
+
+/// The longest pause after a failed call.
+const MAX_PAUSE: Duration = Duration::from_millis(1_000);
+
+/// The time between two looks at what other nodes know.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The time that the store's own notice of a change may take before it is read anew.
+const NOTICE_TIME: Duration = Duration::from_millis(300);
+
+/// The time for asking one node for what it knows.
+const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// `DirectoryOptions` are the collaborators of the task.
+#[derive(Debug, Clone)]
+pub struct DirectoryOptions {
+    /// This node.
+    pub node: Arc<str>,
+    /// The store.
+    pub store: Rc<dyn ObjectStore>,
+    /// The format of the configuration.
+    pub dialect: Rc<dyn WireDialect>,
+    /// The view to keep up to date.
+    pub view: FleetView,
+    /// The other nodes, which are asked when the store gives no answer.
+    pub links: NodeLinks,
+    /// The seed of the pauses.
+    pub seed: u64,
+}
+
+/// `FollowedKind` is a kind of objects that the node follows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum FollowedKind {
+    Config,
+    Fleet,
+}
+
+/// `StoreFollower` follows one kind.
+#[derive(Debug)]
+struct StoreFollower {
+    options: DirectoryOptions,
+    followed: FollowedKind,
+    kind: &'static str,
+    random: RefCell<ChaCha8Rng>,
+}
+
+/// Spawns the tasks that follow the configuration and the fleet.
+pub fn spawn(options: &DirectoryOptions) {
+    let (config_kind, _) = options.dialect.config_object();
+    let kinds = [
+        (FollowedKind::Config, config_kind),
+        (FollowedKind::Fleet, FLEET_KIND),
+    ];
+
+    for (followed, kind) in kinds {
+        let follower = StoreFollower {
+            options: options.clone(),
+            followed,
+            kind,
+            random: RefCell::new(ChaCha8Rng::seed_from_u64(options.seed ^ kind.len() as u64)),
+        };
+        compio::runtime::spawn(async move { follower.run().await }).detach();
+    }
+}
+
+impl StoreFollower {
+    /// Follows the kind for ever.
+    async fn run(&self) {
+        let mut revision = None;
+        let mut failures = 0;
+
+        loop {
+            match self.step(revision).await {
+                Ok(next) => {
+                    if failures > 0 {
+                        info!(event = "store-followed", kind = self.kind, failures);
+                    }
+                    failures = 0;
+                    revision = Some(next);
+                }
+                Err(StoreError::HistoryGone) => revision = None,
+                Err(error) => {
+                    if failures == 0 {
+                        warn!(event = "store-not-followed", kind = self.kind, reason = %error);
+                    }
+                    failures += 1;
+                    revision = None;
+                    self.ask_peer().await;
+                    sleep(self.pause(failures)).await;
+                }
+            }
+        }
+    }
+
+    /// Reads everything, or waits for the next changes. Returns the revision to go on from.
+    async fn step(&self, revision: Option<u64>) -> Result<u64> {
+        let Some(revision) = revision else {
+            let list = self.options.store.list(self.kind).await?;
+            self.take_list(list.objects, list.revision);
+            return Ok(list.revision);
+        };
+
+        let changes = {
+            let watch = pin!(self.options.store.watch(self.kind, revision, WATCH_TIME));
+            let behind = pin!(self.until_behind());
+
+            match select(watch, behind).await {
+                Either::Left((changes, _)) => changes?,
+                // Another node knows more: the watch may have gone silent.
+                Either::Right(((), _)) => return Err(StoreError::HistoryGone),
+            }
+        };
+
+        let next = changes.revision.max(revision);
+        if !changes.changes.is_empty() {
+            self.take_changes(changes);
+            sleep(GATHER_TIME).await;
+        }
+
+        Ok(next)
+    }
+
+    /// Waits until other nodes have known more than this one for a while.
+    async fn until_behind(&self) {
+        loop {
+            sleep(LOOK_INTERVAL).await;
+            let since = match self.followed {
+                FollowedKind::Config => self.options.view.config_behind_since(),
+                FollowedKind::Fleet => self.options.view.fleet_behind_since(),
+            };
+            if since.is_some_and(|since: LocalMoment| clock::now().since(since) >= NOTICE_TIME) {
+                return;
+            }
+        }
+    }
+
+    /// Takes a whole list.
+    fn take_list(&self, objects: Vec<StoredObject>, revision: u64) {
+        match self.followed {
+            FollowedKind::Config => objects.iter().for_each(|object| self.take_config(object)),
+            FollowedKind::Fleet => self.options.view.take_list(objects, revision),
+        }
+    }
+
+    /// Takes changes.
+    fn take_changes(&self, changes: ObjectChanges) {
+        match self.followed {
+            FollowedKind::Config => {
+                let kept = changes.changes.iter().filter(|change| !change.deleted);
+                kept.for_each(|change| self.take_config(&change.object));
+            }
+            FollowedKind::Fleet => {
+                self.options
+                    .view
+                    .take_changes(changes.changes, changes.revision);
+            }
+        }
+    }
+
+    /// Puts a configuration in force when it is one and newer.
+    fn take_config(&self, object: &StoredObject) {
+        let (_, name) = self.options.dialect.config_object();
+        if *object.name != *name {
+            return;
+        }
+
+        match self.options.dialect.read_config(&object.content) {
+            Ok(config) => {
+                self.options.view.take_config(object, &config);
+            }
+            Err(error) => warn!(
+                event = "config-ignored", revision = object.revision, reason = %error
+            ),
+        }
+    }
+
+    /// Takes over what another node knows.
+    async fn ask_peer(&self) {
+        let nodes = self.options.view.nodes();
+        let others: Vec<&Arc<str>> = nodes
+            .iter()
+            .filter(|record| record.node != self.options.node)
+            .map(|record| &record.node)
+            .collect();
+        if others.is_empty() {
+            return;
+        }
+
+        let peer = others[self.random.borrow_mut().random_range(0..others.len())];
+        let request = PeerRequest::Snapshot {
+            kind: Arc::from(self.kind),
+        };
+        let asked = self
+            .options
+            .links
+            .ask(peer, &request, WorkClass::Short, Bytes::new());
+
+        if let Ok(Ok(answer)) = timeout(SNAPSHOT_TIMEOUT, asked).await
+            && let ReplyBody::Snapshot { revision, objects } = answer.head.body
+            && revision > 0
+        {
+            match self.followed {
+                FollowedKind::Config => objects.iter().for_each(|object| self.take_config(object)),
+                // The peer's list may be older than what this node knows of some objects.
+                FollowedKind::Fleet => objects
+                    .into_iter()
+                    .for_each(|object| self.options.view.take_object(object)),
+            }
+        }
+    }
+
+    /// Returns the pause after a number of failures in a row.
+    fn pause(&self, failures: u32) -> Duration {
+        let longest = (MIN_PAUSE * 2_u32.saturating_pow(failures.min(6))).min(MAX_PAUSE);
+
+        longest.mul_f64(self.random.borrow_mut().random_range(0.5..1.0))
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/inbound.rs
@@ -0,0 +1,105 @@
+//! The server for the other nodes.
+
+use crate::{
+    door::TargetDoor,
+    forward::RequestForwarder,
+    messages::{PeerReply, PeerRequest, ReplyBody},
+    planning::PlannerWatch,
+    relay::StoreRelay,
+    view::{FLEET_KIND, FleetView},
+};
+use bytes::Bytes;
+use std::rc::Rc;
+use wagtail_core::ports::LocalFuture;
+use wagtail_net::clock;
+use wagtail_peer::{answer::PeerAnswer, server::PeerHandler, stream::EmptyBody};
+
+/// The largest body of a request in bytes; what callers may send is checked where it arrives.
+const MAX_BODY_BYTES: usize = 128 << 20;
+
+/// `InboundHandler` answers the other nodes.
+#[derive(Debug)]
+pub struct InboundHandler {
+    door: TargetDoor,
+    view: FleetView,
+    relay: StoreRelay,
+    forwarder: Rc<RequestForwarder>,
+    planners: PlannerWatch,
+}
+
+impl InboundHandler {
+    /// Makes the handler.
+    pub fn new(
+        door: TargetDoor,
+        view: FleetView,
+        relay: StoreRelay,
+        forwarder: Rc<RequestForwarder>,
+        planners: PlannerWatch,
+    ) -> Self {
+        Self {
+            door,
+            view,
+            relay,
+            forwarder,
+            planners,
+        }
+    }
+
+    /// Answers what needs no target.
+    async fn answer(&self, request: PeerRequest) -> ReplyBody {
+        match request {
+            PeerRequest::Status { planner, .. } => {
+                self.planners.asked(&planner, clock::now());
+                ReplyBody::Status(Box::new(self.door.status()))
+            }
+            PeerRequest::Store(call) => ReplyBody::Store(self.relay.direct(&call).await),
+            PeerRequest::Snapshot { kind } => self.snapshot(&kind),
+            PeerRequest::Hello { node } => {
+                self.forwarder.node_started(&node);
+                ReplyBody::Noted
+            }
+            PeerRequest::Order(_) => ReplyBody::Noted,
+        }
+    }
+
+    /// Returns what this node knows of a kind.
+    fn snapshot(&self, kind: &str) -> ReplyBody {
+        let objects = if kind == FLEET_KIND {
+            self.view.fleet_objects()
+        } else {
+            self.view.config_object().into_iter().collect()
+        };
+        let revision = objects.iter().map(|object| object.revision).max();
+
+        ReplyBody::Snapshot {
+            revision: revision.unwrap_or(0),
+            objects,
+        }
+    }
+}
+
+impl PeerHandler for InboundHandler {
+    type Message = u64;
+    type Request = PeerRequest;
+    type Answer = PeerReply;
+
+    fn request(&self, request: PeerRequest, body: Bytes) -> LocalFuture<'_, PeerAnswer<PeerReply>> {
+        Box::pin(async move {
+            if let PeerRequest::Order(order) = &request {
+                return self.door.serve(order, body).await;
+            }
+
+            let reply = PeerReply {
+                body: self.answer(request).await,
+                versions: self.view.versions(),
+            };
+            PeerAnswer::new(reply, Box::new(EmptyBody))
+        })
+    }
+
+    fn control(&self, _message: u64) {}
+
+    fn max_body_bytes(&self) -> usize {
+        MAX_BODY_BYTES
+    }
+}
