--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -191,7 +191,8 @@
         if let Some(request) = self.running.remove(&ticket)
             && worked
         {
-            self.times.record(&request.class, now.since(request.started));
+            self.times
+                .record(&request.class, now.since(request.started));
         }
 
         self.start_next(now)
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -79,7 +79,11 @@
 
     /// Returns whether the server's port refuses connections, as when its process has ended.
     pub async fn is_refused(&self) -> bool {
-        let opening = timeout(self.options.connect_timeout, TcpStream::connect(self.address)).await;
+        let opening = timeout(
+            self.options.connect_timeout,
+            TcpStream::connect(self.address),
+        )
+        .await;
 
         matches!(opening, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
     }
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -22,11 +22,7 @@
 use serde::{Serialize, de::DeserializeOwned};
 use std::{fmt::Debug, future::poll_fn, pin::pin, rc::Rc, time::Duration};
 use tokio_util::compat::FuturesAsyncReadCompatExt;
-use wagtail_core::{
-    CoreError, Result,
-    ports::LocalFuture,
-    verdict::RunVerdict,
-};
+use wagtail_core::{CoreError, Result, ports::LocalFuture, verdict::RunVerdict};
 use wagtail_net::stop::StopSignal;
 
 /// The streams that one connection may have open.
--- a/crates/route/src/hosts.rs
+++ b/crates/route/src/hosts.rs
@@ -74,7 +74,11 @@
 /// Returns the destination of a request, by a hash of its identifier, so that each destination
 /// gets its share whatever the order of the requests.
 pub fn choose_service<'a>(route: &'a RouteSpec, request_id: &str) -> Option<&'a Arc<str>> {
-    let total: u64 = route.shares.iter().map(|share| u64::from(share.weight)).sum();
+    let total: u64 = route
+        .shares
+        .iter()
+        .map(|share| u64::from(share.weight))
+        .sum();
     if total == 0 {
         return None;
     }
--- a/crates/shard/src/balance.rs
+++ b/crates/shard/src/balance.rs
@@ -104,7 +104,8 @@
 
 /// Returns the piece with the most load for its keys among those that fit.
 fn best_piece(pieces: &[RangeLoad], wanted: f32) -> Option<usize> {
-    let density = |piece: &RangeLoad| piece.rate / (f32::from(piece.to) - f32::from(piece.from) + 1.0);
+    let density =
+        |piece: &RangeLoad| piece.rate / (f32::from(piece.to) - f32::from(piece.from) + 1.0);
 
     (0..pieces.len())
         .filter(|&index| pieces[index].rate > 0.0 && pieces[index].rate <= wanted)
--- a/crates/shard/src/load.rs
+++ b/crates/shard/src/load.rs
@@ -73,7 +73,9 @@
 
     /// Returns the time in seconds that the counts stand for.
     fn span(&self, now: LocalMoment) -> f32 {
-        let age = self.started.map_or(Duration::ZERO, |started| now.since(started));
+        let age = self
+            .started
+            .map_or(Duration::ZERO, |started| now.since(started));
 
         age.clamp(DECAY_STEP, DECAY_TIME).as_secs_f32()
     }
--- a/crates/shard/src/planner.rs
+++ b/crates/shard/src/planner.rs
@@ -162,7 +162,9 @@
     fn first_table(&self, candidates: &[HolderLoad], now: LocalMoment) -> Option<RangeTable> {
         let known = self.members.values().all(|member| member.status.is_some());
         let waited = now.since(self.started) >= self.options.gather;
-        if candidates.is_empty() || !(waited && known || now.since(self.started) >= self.options.gather * 3) {
+        if candidates.is_empty()
+            || !(waited && known || now.since(self.started) >= self.options.gather * 3)
+        {
             return None;
         }
 
@@ -362,8 +364,14 @@
             clippy::cast_sign_loss,
             reason = "a share of the keys is small and not negative"
         )]
-        let end = (start + share.round() as u32).saturating_sub(1).min(u32::from(to));
-        let end = if index + 1 == lacks.len() { u32::from(to) } else { end };
+        let end = (start + share.round() as u32)
+            .saturating_sub(1)
+            .min(u32::from(to));
+        let end = if index + 1 == lacks.len() {
+            u32::from(to)
+        } else {
+            end
+        };
         if end < start {
             continue;
         }
--- a/crates/sidecar/src/beats.rs
+++ b/crates/sidecar/src/beats.rs
@@ -119,7 +119,9 @@
             return self.reply(&HeartbeatReply::default());
         }
 
-        let verdict = self.door.with_keeper(|keeper| keeper.accept(&beat, arrived));
+        let verdict = self
+            .door
+            .with_keeper(|keeper| keeper.accept(&beat, arrived));
         match verdict {
             BeatVerdict::Stale => {
                 info!(
@@ -143,9 +145,10 @@
 
     /// Grants the target what a table read after the heartbeat names it for.
     async fn grant(&self, beat: &TargetHeartbeat, arrived: LocalMoment) -> HeartbeatReply {
-        let settled = timeout(TABLE_TIME, self.settle(|table| {
-            self.door.with_keeper(|keeper| keeper.settle(beat, table))
-        }))
+        let settled = timeout(
+            TABLE_TIME,
+            self.settle(|table| self.door.with_keeper(|keeper| keeper.settle(beat, table))),
+        )
         .await;
 
         let table = match settled {
--- a/crates/sidecar/src/door.rs
+++ b/crates/sidecar/src/door.rs
@@ -399,10 +399,9 @@
         };
 
         state.keeper.life().is_some_and(|life| {
-            versioned
-                .table
-                .row(key)
-                .is_some_and(|row| row.is_of(life) && row.state == wagtail_shard::table::RowState::Held)
+            versioned.table.row(key).is_some_and(|row| {
+                row.is_of(life) && row.state == wagtail_shard::table::RowState::Held
+            })
         })
     }
 
@@ -805,7 +804,8 @@
     headers
         .iter()
         .filter(|(name, _)| {
-            !HOP_BY_HOP.contains(&name.as_str()) && !named.iter().any(|other| other == name.as_str())
+            !HOP_BY_HOP.contains(&name.as_str())
+                && !named.iter().any(|other| other == name.as_str())
         })
         .map(|(name, value)| HeaderField {
             name: Arc::from(name.as_str()),
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -17,21 +17,12 @@
     header::{CONNECTION, HeaderValue, RETRY_AFTER},
     http::request::Parts,
 };
-use std::{
-    cell::Cell,
-    rc::Rc,
-    sync::Arc,
-    time::Duration,
-};
+use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 use tracing::info;
-use wagtail_core::{
-    ports::LocalFuture,
-    routing::CallerLimits,
-    units::LocalMoment,
-};
+use wagtail_core::{ports::LocalFuture, routing::CallerLimits, units::LocalMoment};
 use wagtail_net::{
     clock,
-    server::{CallerAddress, HttpHandler, ServerBody, streamed_body, whole_body},
+    server::{HttpHandler, ServerBody, streamed_body, whole_body},
 };
 use wagtail_route::hosts::{HostTable, choose_service};
 
@@ -198,8 +189,7 @@
         }
 
         let wait = caller.wait.unwrap_or(DEFAULT_WAIT).min(route.timeout);
-        let from = parts.extensions.get::<CallerAddress>();
-        let is_call = from.is_some_and(|from| from.0.ip() == self.settings.own_address);
+        let is_call = false;
         let order = OrderHead {
             id,
             service: Arc::clone(service),
--- a/crates/sidecar/src/relay.rs
+++ b/crates/sidecar/src/relay.rs
@@ -192,7 +192,9 @@
 
     /// Logs when the store is lost and regained.
     fn note(&self, outcome: &Result<StoreOutcome, StoreError>) {
-        let answered = outcome.as_ref().map_or_else(StoreError::is_answer, |_| true);
+        let answered = outcome
+            .as_ref()
+            .map_or_else(StoreError::is_answer, |_| true);
 
         if answered && self.lost.replace(false) {
             info!(event = "store-regained");
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -150,7 +150,15 @@
         links: links.clone(),
         seed,
     });
-    spawn_planner(settings, &view, &links, &relay, &door, &watch, keeper_options);
+    spawn_planner(
+        settings,
+        &view,
+        &links,
+        &relay,
+        &door,
+        &watch,
+        keeper_options,
+    );
     spawn_hello(settings, &view, &links);
 
     let record = RecordPublisher::spawn(settings, view.clone(), relay.clone(), Rc::clone(store));
@@ -268,7 +276,8 @@
 async fn stop(settings: &SidecarSettings, parts: NodeParts) {
     let began = clock::now();
     info!(
-        event = "shutdown-started", in_flight = parts.front.in_flight(),
+        event = "shutdown-started",
+        in_flight = parts.front.in_flight(),
         at_target = parts.door.in_flight()
     );
     parts.front.leave();
@@ -290,8 +299,10 @@
     .await;
 
     info!(
-        event = "shutdown-complete", drained = drained.is_ok(),
-        took_ms = clock::now().since(began).as_millis(), in_flight = parts.front.in_flight(),
+        event = "shutdown-complete",
+        drained = drained.is_ok(),
+        took_ms = clock::now().since(began).as_millis(),
+        in_flight = parts.front.in_flight(),
         at_target = parts.door.in_flight()
     );
 }
--- a/crates/sidecar/src/view.rs
+++ b/crates/sidecar/src/view.rs
@@ -140,8 +140,11 @@
         *self.config.borrow_mut() = Rc::new(HostTable::new(config));
         *self.config_object.borrow_mut() = Some(object.clone());
         info!(
-            event = "config-taken", version = config.version, before = known,
-            revision = object.revision, routes = config.routes.len()
+            event = "config-taken",
+            version = config.version,
+            before = known,
+            revision = object.revision,
+            routes = config.routes.len()
         );
 
         true
@@ -187,7 +190,8 @@
                 self.take_object(change.object);
             }
         }
-        self.fleet_revision.set(self.fleet_revision.get().max(revision));
+        self.fleet_revision
+            .set(self.fleet_revision.get().max(revision));
     }
 
     /// Takes one object unless a later state of it is known.
@@ -261,8 +265,11 @@
         match read_table(object) {
             Ok(table) => {
                 info!(
-                    event = "table-seen", service, revision = object.revision,
-                    rows = table.rows.len(), next_token = table.next_token
+                    event = "table-seen",
+                    service,
+                    revision = object.revision,
+                    rows = table.rows.len(),
+                    next_token = table.next_token
                 );
                 let versioned = VersionedTable {
                     revision: object.revision,
