Tests of the ranges of keys: moves, restarts, lapses, and storms in virtual time

Free rows stay whole unless they are a large part of all keys: dividing each among all targets made the table grow with every loss (found by a storm that did not end in a debug build).

--- a/crates/shard/src/planner.rs
+++ b/crates/shard/src/planner.rs
@@ -9,6 +9,9 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 use wagtail_core::{heartbeat::TargetLife, units::LocalMoment};
 
+/// The keys from which on a row without a holder is divided among several targets.
+const DIVIDED_KEYS: u16 = 4_096;
+
 /// `TargetStatus` is what the node beside a target says of it.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -322,17 +325,23 @@
     }
 }
 
-/// Gives the rows without a holder to the targets with the fewest keys for their capacity.
+/// Gives the rows without a holder to the targets with the fewest keys for their capacity. Only a
+/// row with a large part of all keys is divided, so that rows stay few.
 fn assign_free(table: &mut RangeTable, candidates: &[HolderLoad]) {
-    let free: Vec<(u16, u16)> = table
+    let mut free: Vec<(u16, u16)> = table
         .rows
         .iter()
         .filter(|row| row.holder.is_none())
         .map(|row| (row.from, row.to))
         .collect();
+    free.sort_by_key(|(from, to)| std::cmp::Reverse(to - from));
 
     for (from, to) in free {
-        assign_by_capacity(table, from, to, candidates);
+        if to - from >= DIVIDED_KEYS {
+            assign_by_capacity(table, from, to, candidates);
+        } else if let Some(next) = emptiest(table, candidates) {
+            table.assign(from, to, &next);
+        }
     }
 }
 
--- /dev/null
+++ b/crates/shard/tests/shard/decisions.rs
@@ -0,0 +1,256 @@
+//! Tests of the table, the keeper, the planner and the balance.
+
+use crate::support::{beat, holder, life, status};
+use assert_matches::assert_matches;
+use std::{sync::Arc, time::Duration};
+use wagtail_core::{
+    heartbeat::{HeldRange, ReleasedRange},
+    units::LocalMoment,
+};
+use wagtail_shard::{
+    balance::{BalanceOptions, HolderLoad, even_out},
+    keeper::{BeatVerdict, HoldKeeper, KeeperOptions},
+    load::{KeyCounter, RangeLoad},
+    planner::{PlannerOptions, RangePlanner},
+    table::{LAST_KEY, RangeTable, RowState},
+};
+
+/// Returns a moment in milliseconds.
+fn at(millis: u64) -> LocalMoment {
+    LocalMoment::from_millis(millis)
+}
+
+/// Returns the options of a planner.
+fn planner_options() -> PlannerOptions {
+    PlannerOptions {
+        suspicion: Duration::from_millis(1_500),
+        lapse: KeeperOptions::default().lapse(),
+        gather: Duration::from_secs(1),
+        pause: Duration::from_secs(1),
+        balance: BalanceOptions::default(),
+    }
+}
+
+#[test]
+fn a_move_waits_for_the_release() {
+    let mut table = RangeTable::new();
+    table.assign(0, LAST_KEY, &holder("a", 1));
+    table.start_move(100, 200, &holder("b", 1));
+    assert!(table.is_sound());
+    let token = table.row(150).unwrap().token;
+
+    let mut keeper = HoldKeeper::new(Arc::from("a"), KeeperOptions::default(), at(0));
+    let holds = |from, to| vec![HeldRange { from, to, token }];
+    let first = beat("a", 1, 1, holds(0, LAST_KEY), Vec::new());
+    assert_eq!(keeper.accept(&first, at(10)), BeatVerdict::NewLife);
+    assert!(!keeper.settle(&first, &mut table));
+    let reply = keeper.reply(&first, &table, at(10), at(12));
+    assert_eq!(reply.grant.unwrap().ranges.len(), 2);
+
+    // The target still works on the range.
+    let second = beat("a", 1, 2, holds(0, LAST_KEY), Vec::new());
+    assert_eq!(keeper.accept(&second, at(100)), BeatVerdict::Current);
+    assert!(!keeper.settle(&second, &mut table));
+
+    let released = vec![ReleasedRange {
+        from: 100,
+        to: 200,
+        handover: Arc::from("warm"),
+    }];
+    let third = beat("a", 1, 3, holds(0, 99), released);
+    assert_eq!(keeper.accept(&third, at(200)), BeatVerdict::Current);
+    assert!(keeper.settle(&third, &mut table));
+
+    let row = table.row(150).unwrap();
+    assert!(row.is_of(&life("b", 1)));
+    assert!(row.token > token);
+    assert_eq!(&*row.handover, "warm");
+    assert!(table.is_sound());
+}
+
+#[test]
+fn a_restarted_node_passes_nothing_on_by_its_first_heartbeat() {
+    let mut table = RangeTable::new();
+    table.assign(0, LAST_KEY, &holder("a", 1));
+    table.start_move(0, LAST_KEY, &holder("b", 1));
+
+    // The process before may have granted the row by an answer that is still on its way.
+    let mut keeper = HoldKeeper::new(Arc::from("a"), KeeperOptions::default(), at(0));
+    let first = beat("a", 1, 7, Vec::new(), Vec::new());
+    keeper.accept(&first, at(10));
+    assert!(!keeper.settle(&first, &mut table));
+    keeper.reply(&first, &table, at(10), at(11));
+
+    let second = beat("a", 1, 8, Vec::new(), Vec::new());
+    keeper.accept(&second, at(110));
+    assert!(keeper.settle(&second, &mut table));
+}
+
+#[test]
+fn a_new_life_frees_the_rows_of_the_former_one() {
+    let mut table = RangeTable::new();
+    table.assign(0, LAST_KEY, &holder("a", 1));
+
+    let mut keeper = HoldKeeper::new(Arc::from("a"), KeeperOptions::default(), at(0));
+    let reborn = beat("a", 2, 1, Vec::new(), Vec::new());
+    assert_eq!(keeper.accept(&reborn, at(10)), BeatVerdict::NewLife);
+    assert!(keeper.settle(&reborn, &mut table));
+    assert_eq!(table.row(5).unwrap().holder, None);
+
+    // A heartbeat of the former life that was held up changes nothing.
+    let late = beat("a", 1, 9, Vec::new(), Vec::new());
+    assert_eq!(keeper.accept(&late, at(20)), BeatVerdict::Stale);
+}
+
+#[test]
+fn a_life_with_an_earlier_clock_prevails_when_it_alone_sends() {
+    let mut keeper = HoldKeeper::new(Arc::from("a"), KeeperOptions::default(), at(0));
+    keeper.accept(&beat("a", 5_000, 1, Vec::new(), Vec::new()), at(0));
+
+    let mut verdicts = Vec::new();
+    for step in 1..=5 {
+        let beat = beat("a", 4_000, step, Vec::new(), Vec::new());
+        verdicts.push(keeper.accept(&beat, at(870 * step)));
+    }
+
+    assert_eq!(verdicts[..2], [BeatVerdict::Stale, BeatVerdict::Stale]);
+    assert!(verdicts.contains(&BeatVerdict::NewLife));
+}
+
+#[test]
+fn an_answer_that_comes_too_late_grants_nothing() {
+    let mut table = RangeTable::new();
+    table.assign(0, LAST_KEY, &holder("a", 1));
+    let mut keeper = HoldKeeper::new(Arc::from("a"), KeeperOptions::default(), at(0));
+    let first = beat("a", 1, 1, Vec::new(), Vec::new());
+    keeper.accept(&first, at(0));
+
+    assert_matches!(keeper.reply(&first, &table, at(0), at(900)).grant, None);
+    assert_matches!(keeper.reply(&first, &table, at(0), at(700)).grant, Some(_));
+}
+
+#[test]
+fn a_silent_target_keeps_its_keys_until_its_holds_have_lapsed() {
+    let mut table = RangeTable::new();
+    table.assign(0, LAST_KEY, &holder("a", 1));
+    let options = KeeperOptions::default();
+    let mut keeper = HoldKeeper::new(Arc::from("a"), options, at(0));
+    let first = beat("a", 1, 1, Vec::new(), Vec::new());
+    keeper.accept(&first, at(1_000));
+    keeper.reply(&first, &table, at(1_000), at(1_001));
+
+    assert!(!keeper.free_lapsed(&mut table, at(1_000) + options.hold));
+    assert!(keeper.free_lapsed(&mut table, at(1_000) + options.lapse()));
+}
+
+#[test]
+fn the_first_table_covers_all_keys_by_capacity() {
+    let mut planner = RangePlanner::new(planner_options(), at(0));
+    planner.set_members(&[Arc::from("a"), Arc::from("b")], at(0));
+    planner.answered(status("a", 1, 100.0), at(100));
+    assert_eq!(planner.plan(None, at(500)), None);
+
+    planner.answered(status("b", 1, 300.0), at(1_100));
+    planner.answered(status("a", 1, 100.0), at(1_100));
+    let table = planner.plan(None, at(1_200)).unwrap();
+
+    assert!(table.is_sound());
+    let keys = |name| -> u32 {
+        let rows = table.rows.iter().filter(|row| row.is_of(&life(name, 1)));
+        rows.map(wagtail_shard::table::RangeRow::keys).sum()
+    };
+    assert_eq!(keys("a") + keys("b"), 65_536);
+    assert!(keys("b").abs_diff(keys("a") * 3) < 10);
+}
+
+#[test]
+fn the_keys_of_a_silent_node_are_revoked_and_free_only_after_the_wait() {
+    let mut table = RangeTable::new();
+    table.assign(0, 999, &holder("a", 1));
+    table.assign(1_000, LAST_KEY, &holder("b", 1));
+    let mut planner = RangePlanner::new(planner_options(), at(0));
+    planner.set_members(&[Arc::from("a"), Arc::from("b")], at(0));
+
+    let mut revoked_at = None;
+    let mut freed_at = None;
+    for step in 0..100 {
+        let now = at(step * 100);
+        planner.answered(status("a", 1, 100.0), now);
+        let Some(next) = planner.plan(Some(&table), now) else {
+            continue;
+        };
+        let row = next.row(5_000).unwrap();
+        if row.state == RowState::Revoked {
+            revoked_at.get_or_insert(now);
+        }
+        if row.is_of(&life("a", 1)) {
+            freed_at.get_or_insert(now);
+        }
+        table = next;
+    }
+
+    let (revoked_at, freed_at) = (revoked_at.unwrap(), freed_at.unwrap());
+    assert!(revoked_at <= at(1_700));
+    assert!(freed_at.since(revoked_at) >= KeeperOptions::default().lapse());
+}
+
+#[test]
+fn a_leaving_target_hands_its_keys_over() {
+    let mut table = RangeTable::new();
+    table.assign(0, 999, &holder("a", 1));
+    table.assign(1_000, LAST_KEY, &holder("b", 1));
+    let mut planner = RangePlanner::new(planner_options(), at(0));
+    planner.set_members(&[Arc::from("a"), Arc::from("b")], at(0));
+    planner.answered(status("a", 1, 100.0), at(0));
+    let mut leaving = status("b", 1, 100.0);
+    leaving.ready = false;
+    planner.answered(leaving, at(0));
+
+    let next = planner.plan(Some(&table), at(10)).unwrap();
+
+    assert_matches!(&next.row(5_000).unwrap().state, RowState::Moving { to } if to.node.as_ref() == "a");
+    assert_eq!(next.row(5).unwrap().state, RowState::Held);
+}
+
+/// The pattern: a few neighbouring keys get a large part of the load all at once.
+#[test]
+fn hot_neighbouring_keys_are_spread_by_moving_few_keys() {
+    let mut counter = KeyCounter::default();
+    let mut now = at(0);
+    for step in 0..1_000_u32 {
+        now = at(u64::from(step) * 4);
+        let hot = u16::try_from(30_000 + step % 60).unwrap();
+        let cold = u16::try_from(step * 13 % 13_000).unwrap();
+        counter.count(if step % 5 < 3 { hot } else { cold + 26_000 }, now);
+    }
+    let busy = HolderLoad {
+        holder: holder("a", 1),
+        capacity: 100.0,
+        pieces: counter.pieces(26_000, 39_000, 24, now),
+    };
+    let idle = |name: &str| HolderLoad {
+        holder: holder(name, 1),
+        capacity: 100.0,
+        pieces: vec![RangeLoad {
+            from: 0,
+            to: 1_000,
+            rate: 20.0,
+        }],
+    };
+    let loads = [busy.clone(), idle("b"), idle("c")];
+
+    let moves = even_out(&loads, &BalanceOptions::default());
+
+    let keys: u32 = moves
+        .iter()
+        .map(|change| u32::from(change.to - change.from) + 1)
+        .sum();
+    let rate: f32 = busy
+        .pieces
+        .iter()
+        .filter(|piece| moves.iter().any(|change| change.from == piece.from))
+        .map(|piece| piece.rate)
+        .sum();
+    assert!(rate > 80.0, "{rate} of {} moved", busy.rate());
+    assert!(keys < 6_554, "{keys} keys moved, over a tenth of all");
+}
--- /dev/null
+++ b/crates/shard/tests/shard/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the ranges of keys.
+
+mod decisions;
+mod storms;
+mod support;
--- a/crates/sidecar/src/beats.rs
+++ b/crates/sidecar/src/beats.rs
@@ -90,7 +90,7 @@
                     Err(reason) => return bad(&reason),
                 };
                 match self.dialect.read_heartbeat(&target_id, &body) {
-                    Ok(beat) => self.heartbeat(beat, arrived).await,
+                    Ok(beat) => Box::pin(self.heartbeat(beat, arrived)).await,
                     Err(error) => {
                         warn!(event = "heartbeat-ignored", target = %target_id, reason = %error);
                         bad(&error.to_string())
@@ -136,7 +136,7 @@
         self.record.publish(self.own_record());
 
         let reply = if self.door.is_keyed() {
-            self.grant(&beat, arrived).await
+            Box::pin(self.grant(&beat, arrived)).await
         } else {
             HeartbeatReply::default()
         };
@@ -147,7 +147,9 @@
     async fn grant(&self, beat: &TargetHeartbeat, arrived: LocalMoment) -> HeartbeatReply {
         let settled = timeout(
             TABLE_TIME,
-            self.settle(|table| self.door.with_keeper(|keeper| keeper.settle(beat, table))),
+            Box::pin(
+                self.settle(|table| self.door.with_keeper(|keeper| keeper.settle(beat, table))),
+            ),
         )
         .await;
 
--- a/crates/sidecar/src/directory.rs
+++ b/crates/sidecar/src/directory.rs
@@ -30,7 +30,7 @@
 const MIN_PAUSE: Duration = Duration::from_millis(100);
 
 /// The longest pause after a failed call.
-const MAX_PAUSE: Duration = Duration::from_millis(1_000);
+const MAX_PAUSE: Duration = Duration::from_secs(1);
 
 /// The time between two looks at what other nodes know.
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -345,7 +345,7 @@
 
         BudgetOptions {
             percent: (self.settings.retry_ratio * 100.0 * BUDGET_SHARE) as u32,
-            burst: ((self.settings.retry_slack as f32 * BUDGET_SHARE / nodes) as u32).max(1),
+            burst: ((self.settings.retry_slack * BUDGET_SHARE / nodes) as u32).max(1),
         }
     }
 
--- a/crates/sidecar/src/inbound.rs
+++ b/crates/sidecar/src/inbound.rs
@@ -83,14 +83,14 @@
     type Request = PeerRequest;
     type Answer = PeerReply;
 
-    fn request(&self, request: PeerRequest, body: Bytes) -> LocalFuture<'_, PeerAnswer<PeerReply>> {
+    fn request(&self, head: PeerRequest, body: Bytes) -> LocalFuture<'_, PeerAnswer<PeerReply>> {
         Box::pin(async move {
-            if let PeerRequest::Order(order) = &request {
+            if let PeerRequest::Order(order) = &head {
                 return self.door.serve(order, body).await;
             }
 
             let reply = PeerReply {
-                body: self.answer(request).await,
+                body: self.answer(head).await,
                 versions: self.view.versions(),
             };
             PeerAnswer::new(reply, Box::new(EmptyBody))
--- a/crates/sidecar/src/planning.rs
+++ b/crates/sidecar/src/planning.rs
@@ -28,7 +28,7 @@
 const STATUS_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// The silence of a planner of a better rank after which the next one acts.
-const RANK_SILENCE: Duration = Duration::from_millis(1_000);
+const RANK_SILENCE: Duration = Duration::from_secs(1);
 
 /// The age of the last answer of the store at which a planner leaves its work to others.
 const STORE_SILENCE: Duration = Duration::from_secs(3);
--- a/crates/sidecar/src/relay.rs
+++ b/crates/sidecar/src/relay.rs
@@ -139,8 +139,7 @@
                         .await
                         .unwrap_or_else(|| StoreOutcome::NotDone(Arc::from("no peer answered")))
                 }
-                Either::Left((outcome, _)) => outcome,
-                Either::Right((Some(outcome), _)) => outcome,
+                Either::Left((outcome, _)) | Either::Right((Some(outcome), _)) => outcome,
                 Either::Right((None, direct)) => direct.await,
             },
         }
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -25,7 +25,11 @@
 use thiserror::Error;
 use tracing::{info, warn};
 use wagtail_core::{objects::ObjectStore, service::WorkClass};
-use wagtail_net::{clock, server, stop::StopSignal};
+use wagtail_net::{
+    clock,
+    server::{self, HttpHandler},
+    stop::StopSignal,
+};
 use wagtail_shard::keeper::KeeperOptions;
 
 /// The number of the signal that asks a process to end.
@@ -68,8 +72,6 @@
 /// `NodeParts` are the running parts that the shutdown needs.
 #[derive(Debug)]
 struct NodeParts {
-    door: TargetDoor,
-    front: FrontState,
     callers: JoinHandle<()>,
     callers_stop: StopSignal,
     peers: JoinHandle<()>,
@@ -88,7 +90,8 @@
     seed: u64,
 ) -> Result<()> {
     let settings = Rc::new(settings);
-    let parts = start(&settings, &dialect, &store, seed).await?;
+    let base = NodeBase::new(Rc::clone(&settings), dialect, store, seed);
+    let parts = start(&base).await?;
     info!(
         event = "node-started", node = %settings.node, zone = %settings.zone,
         service = %settings.service, target = %settings.target
@@ -97,123 +100,202 @@
     if let Err(error) = compio::signal::unix::signal(SIGTERM).await {
         warn!(event = "signal-not-received", reason = %error);
     }
-    stop(&settings, parts).await;
+    stop(&base, parts).await;
 
     Ok(())
 }
 
-/// Starts every part of the node.
-async fn start(
-    settings: &Rc<SidecarSettings>,
-    dialect: &Rc<dyn WireDialect>,
-    store: &Rc<dyn ObjectStore>,
+/// `NodeListeners` are the sockets on which the node listens.
+#[derive(Debug)]
+struct NodeListeners {
+    callers: TcpListener,
+    peers: TcpListener,
+    local: TcpListener,
+    readiness: TcpListener,
+}
+
+impl NodeListeners {
+    /// Binds every address before any part starts.
+    async fn bind(settings: &SidecarSettings) -> Result<Self> {
+        Ok(Self {
+            callers: bind("callers", settings.callers).await?,
+            peers: bind("peers", settings.peers).await?,
+            local: bind("heartbeats", settings.local).await?,
+            readiness: bind("readiness", settings.readiness).await?,
+        })
+    }
+}
+
+/// `NodeBase` is what the parts of the node share.
+#[derive(Debug)]
+struct NodeBase {
+    settings: Rc<SidecarSettings>,
+    dialect: Rc<dyn WireDialect>,
+    store: Rc<dyn ObjectStore>,
+    view: FleetView,
+    links: NodeLinks,
+    relay: StoreRelay,
+    door: TargetDoor,
+    forwarder: Rc<RequestForwarder>,
+    watch: PlannerWatch,
+    front: FrontState,
     seed: u64,
-) -> Result<NodeParts> {
-    let callers_listener = bind("callers", settings.callers).await?;
-    let peers_listener = bind("peers", settings.peers).await?;
-    let local_listener = bind("heartbeats", settings.local).await?;
-    let readiness_listener = bind("readiness", settings.readiness).await?;
-
-    let view = FleetView::default();
-    let links = NodeLinks::new(view.clone());
-    let relay = StoreRelay::new(
-        Arc::clone(&settings.node),
-        Rc::clone(store),
-        links.clone(),
-        view.clone(),
-    );
-    let keeper_options = KeeperOptions::default();
-    let keeper_options = KeeperOptions {
-        hold: keeper_options.hold.min(settings.max_hold),
-        ..keeper_options
-    };
-    let door = TargetDoor::new(
-        Rc::clone(settings),
-        Rc::clone(dialect),
-        view.clone(),
-        keeper_options,
-    );
-    let forwarder = Rc::new(RequestForwarder::new(
-        Rc::clone(settings),
-        view.clone(),
-        links.clone(),
-        door.clone(),
-        seed,
-    ));
-    let watch = PlannerWatch::default();
-
-    directory::spawn(&DirectoryOptions {
-        node: Arc::clone(&settings.node),
-        store: Rc::clone(store),
-        dialect: Rc::clone(dialect),
-        view: view.clone(),
-        links: links.clone(),
-        seed,
-    });
-    spawn_planner(
-        settings,
-        &view,
-        &links,
-        &relay,
-        &door,
-        &watch,
-        keeper_options,
-    );
-    spawn_hello(settings, &view, &links);
-
-    let record = RecordPublisher::spawn(settings, view.clone(), relay.clone(), Rc::clone(store));
-    let beats = Rc::new(BeatHandler::new(
-        Rc::clone(settings),
-        Rc::clone(dialect),
-        view.clone(),
-        relay.clone(),
-        door.clone(),
-        record,
-    ));
-    let watched = Rc::clone(&beats);
-    compio::runtime::spawn(async move { watched.watch_target().await }).detach();
-
-    let front = FrontState::default();
-    let handler = Rc::new(FrontHandler::new(
-        Rc::clone(settings),
-        Rc::clone(dialect),
-        view.clone(),
-        Rc::clone(&forwarder),
-        front.clone(),
-    ));
-    let inbound = Rc::new(InboundHandler::new(
-        door.clone(),
-        view.clone(),
-        relay,
-        forwarder,
-        watch,
-    ));
-    let readiness = Rc::new(ReadinessHandler::new(view, front.clone()));
+}
+
+impl NodeBase {
+    /// Makes the shared parts; nothing runs yet.
+    fn new(
+        settings: Rc<SidecarSettings>,
+        dialect: Rc<dyn WireDialect>,
+        store: Rc<dyn ObjectStore>,
+        seed: u64,
+    ) -> Self {
+        let view = FleetView::default();
+        let links = NodeLinks::new(view.clone());
+        let relay = StoreRelay::new(
+            Arc::clone(&settings.node),
+            Rc::clone(&store),
+            links.clone(),
+            view.clone(),
+        );
+        let door = TargetDoor::new(
+            Rc::clone(&settings),
+            Rc::clone(&dialect),
+            view.clone(),
+            keeper_options(&settings),
+        );
+        let forwarder = Rc::new(RequestForwarder::new(
+            Rc::clone(&settings),
+            view.clone(),
+            links.clone(),
+            door.clone(),
+            seed,
+        ));
+
+        Self {
+            settings,
+            dialect,
+            store,
+            view,
+            links,
+            relay,
+            door,
+            forwarder,
+            watch: PlannerWatch::default(),
+            front: FrontState::default(),
+            seed,
+        }
+    }
+
+    /// Spawns the tasks that no socket belongs to.
+    fn spawn_tasks(&self) {
+        directory::spawn(&DirectoryOptions {
+            node: Arc::clone(&self.settings.node),
+            store: Rc::clone(&self.store),
+            dialect: Rc::clone(&self.dialect),
+            view: self.view.clone(),
+            links: self.links.clone(),
+            seed: self.seed,
+        });
+
+        let planner = PlannerTask::new(
+            Rc::clone(&self.settings),
+            self.view.clone(),
+            self.links.clone(),
+            self.relay.clone(),
+            self.door.clone(),
+            self.watch.clone(),
+        );
+        let lapse = keeper_options(&self.settings).lapse();
+        compio::runtime::spawn(async move { planner.run(lapse).await }).detach();
+
+        spawn_hello(&self.settings, &self.view, &self.links);
+    }
+
+    /// Starts the handler of the target's heartbeats.
+    fn spawn_beats(&self) -> Rc<BeatHandler> {
+        let record = RecordPublisher::spawn(
+            &self.settings,
+            self.view.clone(),
+            self.relay.clone(),
+            Rc::clone(&self.store),
+        );
+        let beats = Rc::new(BeatHandler::new(
+            Rc::clone(&self.settings),
+            Rc::clone(&self.dialect),
+            self.view.clone(),
+            self.relay.clone(),
+            self.door.clone(),
+            record,
+        ));
+        let watched = Rc::clone(&beats);
+        compio::runtime::spawn(async move { watched.watch_target().await }).detach();
+
+        beats
+    }
+
+    /// Makes the handler of callers.
+    fn front_handler(&self) -> Rc<FrontHandler> {
+        Rc::new(FrontHandler::new(
+            Rc::clone(&self.settings),
+            Rc::clone(&self.dialect),
+            self.view.clone(),
+            Rc::clone(&self.forwarder),
+            self.front.clone(),
+        ))
+    }
+
+    /// Makes the handler of the other nodes.
+    fn inbound_handler(&self) -> Rc<InboundHandler> {
+        Rc::new(InboundHandler::new(
+            self.door.clone(),
+            self.view.clone(),
+            self.relay.clone(),
+            Rc::clone(&self.forwarder),
+            self.watch.clone(),
+        ))
+    }
+}
+
+/// Returns the settings of the grants.
+fn keeper_options(settings: &SidecarSettings) -> KeeperOptions {
+    let options = KeeperOptions::default();
+
+    KeeperOptions {
+        hold: options.hold.min(settings.max_hold),
+        ..options
+    }
+}
+
+/// Starts every part of the node.
+async fn start(base: &NodeBase) -> Result<NodeParts> {
+    let listeners = NodeListeners::bind(&base.settings).await?;
+    base.spawn_tasks();
 
     let callers_stop = StopSignal::new();
     let peers_stop = StopSignal::new();
     let callers = compio::runtime::spawn(server::serve(
-        callers_listener,
-        handler,
+        listeners.callers,
+        base.front_handler(),
         HEAD_BYTES,
         callers_stop.clone(),
     ));
     let peers = compio::runtime::spawn(wagtail_peer::server::serve(
-        peers_listener,
-        inbound,
+        listeners.peers,
+        base.inbound_handler(),
         peers_stop.clone(),
     ));
+
+    let readiness = Rc::new(ReadinessHandler::new(base.view.clone(), base.front.clone()));
     for (listener, handler) in [
-        (local_listener, beats as Rc<dyn server::HttpHandler>),
-        (readiness_listener, readiness),
+        (listeners.local, base.spawn_beats() as Rc<dyn HttpHandler>),
+        (listeners.readiness, readiness),
     ] {
         let served = server::serve(listener, handler, HEAD_BYTES, peers_stop.clone());
         compio::runtime::spawn(served).detach();
     }
 
     Ok(NodeParts {
-        door,
-        front,
         callers,
         callers_stop,
         peers,
@@ -221,28 +303,6 @@
     })
 }
 
-/// Spawns the task that spreads the keys of the target's service.
-fn spawn_planner(
-    settings: &Rc<SidecarSettings>,
-    view: &FleetView,
-    links: &NodeLinks,
-    relay: &StoreRelay,
-    door: &TargetDoor,
-    watch: &PlannerWatch,
-    options: KeeperOptions,
-) {
-    let task = PlannerTask::new(
-        Rc::clone(settings),
-        view.clone(),
-        links.clone(),
-        relay.clone(),
-        door.clone(),
-        watch.clone(),
-    );
-
-    compio::runtime::spawn(async move { task.run(options.lapse()).await }).detach();
-}
-
 /// Tells the other nodes that this one can be reached again.
 fn spawn_hello(settings: &Rc<SidecarSettings>, view: &FleetView, links: &NodeLinks) {
     let (settings, view, links) = (Rc::clone(settings), view.clone(), links.clone());
@@ -273,24 +333,24 @@
 }
 
 /// Stops in order: callers go elsewhere, then what is in flight is answered.
-async fn stop(settings: &SidecarSettings, parts: NodeParts) {
+async fn stop(base: &NodeBase, parts: NodeParts) {
     let began = clock::now();
     info!(
         event = "shutdown-started",
-        in_flight = parts.front.in_flight(),
-        at_target = parts.door.in_flight()
+        in_flight = base.front.in_flight(),
+        at_target = base.door.in_flight()
     );
-    parts.front.leave();
-    parts.door.stop();
+    base.front.leave();
+    base.door.stop();
 
-    let last = settings.grace.saturating_sub(END_MARGIN);
+    let last = base.settings.grace.saturating_sub(END_MARGIN);
     let drained = timeout(last, async {
         sleep(CALLERS_LEAVE.min(last / 2)).await;
         parts.callers_stop.give();
         // A server that panicked has nothing left in flight.
         drop(parts.callers.await);
 
-        while parts.door.in_flight() > 0 {
+        while base.door.in_flight() > 0 {
             sleep(DRAIN_LOOK).await;
         }
         parts.peers_stop.give();
@@ -302,8 +362,8 @@
         event = "shutdown-complete",
         drained = drained.is_ok(),
         took_ms = clock::now().since(began).as_millis(),
-        in_flight = parts.front.in_flight(),
-        at_target = parts.door.in_flight()
+        in_flight = base.front.in_flight(),
+        at_target = base.door.in_flight()
     );
 }
 
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -40,5 +40,5 @@
     /// The retries of all nodes together, as a share of the requests.
     pub retry_ratio: f32,
     /// The retries of all nodes together that come on top, in the time of the budget.
-    pub retry_slack: u32,
+    pub retry_slack: f32,
 }
