Work whose calls would wait begins less often; a new life inherits its keys

Routes of calls are told by where their requests begin; calls are refused only when they cannot be answered in time; the called service tells its callers the share of new work to begin.

--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -5,8 +5,12 @@
 //!
 //! - [`machine`]: the queue and the slots.
 //! - [`estimate`]: the time that requests hold a slot.
+//! - [`origins`]: which requests are calls of work that already runs.
+//! - [`pressure`]: how much new work the callers of a busy service should begin.
 
 pub mod estimate;
 pub mod machine;
+pub mod origins;
+pub mod pressure;
 
 pub use machine::{AdmissionGate, GateAction, GateArrival, GateOptions, GateRefusal};
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -64,6 +64,8 @@
     QueueFull,
     /// The target takes no new work.
     Closed,
+    /// A service that the work would call is too busy.
+    CalleeBusy,
 }
 
 impl GateRefusal {
@@ -74,6 +76,7 @@
             Self::DeadlineTooNear => "deadline-too-near",
             Self::QueueFull => "queue-full",
             Self::Closed => "target-leaving",
+            Self::CalleeBusy => "callee-busy",
         }
     }
 }
--- a/crates/route/src/pick.rs
+++ b/crates/route/src/pick.rs
@@ -23,8 +23,9 @@
     pub service_ms: f32,
     /// The share of recent requests that the target failed.
     pub failed_share: f32,
-    /// The share of new work that callers of this service should admit, from 0 to 1.
-    pub admit_share: f32,
+    /// The share of new work that the callers of this service should begin, from 0 to 1; told to
+    /// callers alone.
+    pub begin_share: Option<f32>,
 }
 
 /// `PickOptions` are the settings of the choice.
--- a/crates/shard/src/keeper.rs
+++ b/crates/shard/src/keeper.rs
@@ -1,6 +1,6 @@
 //! Heartbeats and grants beside a target.
 
-use crate::table::{RangeRow, RangeTable, RowState};
+use crate::table::{RangeHolder, RangeRow, RangeTable, RowState};
 use std::{sync::Arc, time::Duration};
 use wagtail_core::{
     heartbeat::{GrantedRange, HeartbeatReply, RangeGrant, TargetHeartbeat, TargetLife},
@@ -168,8 +168,8 @@
         self.granted.clear();
     }
 
-    /// Changes the table by what the heartbeat shows: released rows pass on, and rows of an
-    /// earlier life of this node's target are free. Returns whether anything changed.
+    /// Changes the table by what the heartbeat shows: released rows pass on, and the life that
+    /// sends it inherits the rows of the lives before it. Returns whether anything changed.
     pub fn settle(&self, beat: &TargetHeartbeat, table: &mut RangeTable) -> bool {
         let settled = |row: &RangeRow| {
             self.left_out.iter().any(|range| {
@@ -177,18 +177,28 @@
             })
         };
         let passed = table.release(&beat.life, &beat.holds, &beat.released, settled);
-        let freed = self.free_ended(table);
+        let heir = RangeHolder {
+            node: Arc::clone(&self.node),
+            life: beat.life.clone(),
+        };
+        let stays = !beat.draining && !self.ended;
+        let inherited = self.pass_ended(table, stays.then_some(&heir));
 
-        passed || freed
+        passed || inherited
     }
 
     /// Frees the rows of lives of this node's target that have ended for certain.
     pub fn free_ended(&self, table: &mut RangeTable) -> bool {
+        self.pass_ended(table, None)
+    }
+
+    /// Passes on the rows of lives of this node's target that have ended for certain.
+    fn pass_ended(&self, table: &mut RangeTable, heir: Option<&RangeHolder>) -> bool {
         let Some(life) = &self.life else {
             return false;
         };
 
-        table.take_away(|row| {
+        table.take_away(heir, |row| {
             row.holder.as_ref().is_some_and(|holder| {
                 let earlier = holder.life.started_ms < life.started_ms
                     || self.replaced.contains(&holder.life);
@@ -204,7 +214,7 @@
             return false;
         }
 
-        table.take_away(|row| {
+        table.take_away(None, |row| {
             row.holder
                 .as_ref()
                 .is_some_and(|holder| holder.node == self.node)
--- a/crates/shard/src/planner.rs
+++ b/crates/shard/src/planner.rs
@@ -196,7 +196,7 @@
 
     /// Frees the revoked rows whose last possible hold has ended.
     fn free_waited(&self, table: &mut RangeTable, now: LocalMoment) {
-        table.take_away(|row| {
+        table.take_away(None, |row| {
             row.state == RowState::Revoked
                 && self
                     .revoked
--- a/crates/shard/src/table.rs
+++ b/crates/shard/src/table.rs
@@ -205,9 +205,14 @@
         true
     }
 
-    /// Takes the rows away from lives that cannot hold them any more. Returns whether anything
+    /// Takes the rows away from lives that cannot hold them any more. A row that was to move goes
+    /// to its next holder, any other one to the heir when there is one. Returns whether anything
     /// changed.
-    pub fn take_away(&mut self, ended: impl Fn(&RangeRow) -> bool) -> bool {
+    pub fn take_away(
+        &mut self,
+        heir: Option<&RangeHolder>,
+        ended: impl Fn(&RangeRow) -> bool,
+    ) -> bool {
         let taken = |row: &RangeRow| row.holder.is_some() && ended(row);
         if !self.rows.iter().any(taken) {
             return false;
@@ -217,7 +222,7 @@
         for row in self.rows.iter_mut().filter(|row| taken(row)) {
             let next = match &row.state {
                 RowState::Moving { to } => Some(to.clone()),
-                RowState::Held | RowState::Revoked => None,
+                RowState::Held | RowState::Revoked => heir.cloned(),
             };
 
             row.holder = next;
--- a/crates/sidecar/src/directory.rs
+++ b/crates/sidecar/src/directory.rs
@@ -23,8 +23,9 @@
 /// The longest wait of one watch. A newer version that another node knows ends it early.
 const WATCH_TIME: Duration = Duration::from_secs(20);
 
-/// The pause after changes, in which further ones gather.
-const GATHER_TIME: Duration = Duration::from_millis(40);
+/// The pause after changes, in which further ones gather. A node that acts on an old table is told
+/// so by the node that it asks.
+const GATHER_TIME: Duration = Duration::from_millis(150);
 
 /// The shortest pause after a failed call.
 const MIN_PAUSE: Duration = Duration::from_millis(100);
--- a/crates/sidecar/src/door.rs
+++ b/crates/sidecar/src/door.rs
@@ -27,7 +27,11 @@
     units::LocalMoment,
     verdict::RunVerdict,
 };
-use wagtail_gate::{AdmissionGate, GateAction, GateArrival, GateOptions, GateRefusal};
+use wagtail_gate::{
+    AdmissionGate, GateAction, GateArrival, GateOptions, GateRefusal,
+    origins::RouteOrigins,
+    pressure::{CallPressure, WorkThrottle},
+};
 use wagtail_net::{
     client::{HttpPool, PoolOptions, PooledAnswer},
     clock,
@@ -43,6 +47,9 @@
     planner::TargetStatus,
 };
 
+/// The reason of a refusal by a node that is about to stop.
+pub const NODE_STOPPING: &str = "node-stopping";
+
 /// The longest time to open a connection to the target.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -88,6 +95,10 @@
     gate: AdmissionGate,
     keeper: HoldKeeper,
     keys: KeyCounter,
+    origins: RouteOrigins,
+    pressure: CallPressure,
+    throttle: WorkThrottle,
+    work_priority: u32,
     waiters: HashMap<u64, oneshot::Sender<Admission>>,
     next_ticket: u64,
     failed_share: f32,
@@ -168,6 +179,10 @@
             gate: AdmissionGate::new(GateOptions::default()),
             keeper: HoldKeeper::new(Arc::clone(&settings.node), options, clock::now()),
             keys: KeyCounter::default(),
+            origins: RouteOrigins::default(),
+            pressure: CallPressure::default(),
+            throttle: WorkThrottle::default(),
+            work_priority: u32::MAX,
             waiters: HashMap::new(),
             next_ticket: 0,
             failed_share: 0.0,
@@ -277,7 +292,8 @@
     pub fn is_ready(&self) -> bool {
         let state = self.state.borrow();
 
-        state.beat_at.is_some() && state.leaving_since.is_none() && !state.ended && !state.stopping
+        // A node that stops says so to who asks; it is back before a record would be of use.
+        state.beat_at.is_some() && state.leaving_since.is_none() && !state.ended
     }
 
     /// Returns the requests that the target runs at a time.
@@ -285,6 +301,26 @@
         self.state.borrow().slots
     }
 
+    /// Returns the rank of the work that the target runs lately.
+    pub fn work_priority(&self) -> u32 {
+        self.state.borrow().work_priority
+    }
+
+    /// Takes note of the share of new work that a service asks for which the target called.
+    pub fn note_callee(&self, share: f32) {
+        self.state.borrow_mut().throttle.report(share, clock::now());
+    }
+
+    /// Returns the load that is told to the caller of a request.
+    fn load_for(&self, is_call: bool) -> LoadReport {
+        let begin_share = is_call.then(|| self.state.borrow_mut().pressure.share(clock::now()));
+
+        LoadReport {
+            begin_share,
+            ..self.load()
+        }
+    }
+
     /// Returns the load that is told with each answer.
     pub fn load(&self) -> LoadReport {
         let state = self.state.borrow();
@@ -295,7 +331,7 @@
             slots: state.gate.slots(),
             service_ms: state.gate.service_seconds() * 1_000.0,
             failed_share: state.failed_share,
-            admit_share: 1.0,
+            begin_share: None,
         }
     }
 
@@ -332,13 +368,15 @@
         if let Some(refusal) = self.check(order) {
             return self.not_run(order, refusal);
         }
+        let is_call = self.observe(order);
         if let Some(key) = order.key
             && let Some(refusal) = self.wait_for_key(key, deadline).await
         {
             return self.not_run(order, refusal);
         }
 
-        let guard = match self.admit(order, deadline).await {
+        let admitted = self.admit(order, is_call, deadline).await;
+        let guard = match admitted {
             Ok(guard) => guard,
             Err(refusal) => return self.not_run(order, refusal),
         };
@@ -348,7 +386,32 @@
             return self.not_run(order, self.other_holder(key));
         }
 
-        self.dispatch(order, body, deadline, guard).await
+        let mut answer = self.dispatch(order, body, deadline, guard).await;
+        if is_call {
+            tell_load(&mut answer.head.body, self.load_for(true));
+        }
+        answer
+    }
+
+    /// Takes note of where a request began; returns whether it is a call of running work.
+    fn observe(&self, order: &OrderHead) -> bool {
+        let mut state = self.state.borrow_mut();
+        let is_call = state.origins.observe(&order.route, &order.caller_service);
+
+        if is_call {
+            state.pressure.called(order.caller_priority);
+        } else {
+            state.work_priority = order.priority;
+        }
+
+        let wait = state
+            .gate
+            .expected_wait(is_call, order.priority, clock::now());
+        let objective = Duration::from_millis(u64::from(order.objective_ms));
+        state
+            .pressure
+            .arrived(is_call, order.priority, wait, objective);
+        is_call
     }
 
     /// Returns why a request cannot run here at all.
@@ -359,7 +422,7 @@
         } else if state.ended || state.keeper.life().is_none() {
             "target-down"
         } else if state.stopping && order.key.is_none() {
-            "node-stopping"
+            NODE_STOPPING
         } else {
             return None;
         };
@@ -430,9 +493,15 @@
     async fn admit(
         &self,
         order: &OrderHead,
+        is_call: bool,
         deadline: LocalMoment,
     ) -> std::result::Result<SlotGuard, NotRunFields> {
         let now = clock::now();
+        if !is_call && !self.state.borrow_mut().throttle.admit(now) {
+            let pause = GateOptions::default().min_pause * 2;
+            return Err(self.refused(order, is_call, GateRefusal::CalleeBusy, pause));
+        }
+
         let (sender, receiver) = oneshot::channel();
         let (ticket, actions) = {
             let mut state = self.state.borrow_mut();
@@ -445,7 +514,7 @@
             let arrival = GateArrival {
                 ticket,
                 class: Arc::clone(&order.route),
-                is_call: order.is_call,
+                is_call,
                 priority: order.priority,
                 objective_left: objective.saturating_sub(elapsed),
                 objective,
@@ -466,21 +535,29 @@
                 guard.started.set(true);
                 Ok(guard)
             }
-            Ok(Admission::Refused { refusal, pause }) => Err(self.refused(order, refusal, pause)),
+            Ok(Admission::Refused { refusal, pause }) => {
+                Err(self.refused(order, is_call, refusal, pause))
+            }
             // The gate always answers; a lost answer is a refusal.
             Err(_canceled) => Err(elsewhere("gate-lost")),
         }
     }
 
     /// Makes the refusal of the gate.
-    fn refused(&self, order: &OrderHead, refusal: GateRefusal, pause: Duration) -> NotRunFields {
+    fn refused(
+        &self,
+        order: &OrderHead,
+        is_call: bool,
+        refusal: GateRefusal,
+        pause: Duration,
+    ) -> NotRunFields {
         NotRunFields {
             reason: Arc::from(refusal.as_str()),
             pause_ms: u32::try_from(pause.as_millis()).unwrap_or(u32::MAX),
             reached_target: false,
             elsewhere: order.key.is_none(),
             holder: None,
-            load: Some(self.load()),
+            load: Some(self.load_for(is_call)),
         }
     }
 
@@ -745,6 +822,19 @@
     }
 }
 
+/// Replaces the load that an answer tells.
+fn tell_load(body: &mut ReplyBody, told: LoadReport) {
+    match body {
+        ReplyBody::Answer(fields) => fields.load = told,
+        ReplyBody::NotRun(fields) => fields.load = Some(told),
+        ReplyBody::Failed { load, .. } => *load = told,
+        ReplyBody::Status(_)
+        | ReplyBody::Store(_)
+        | ReplyBody::Snapshot { .. }
+        | ReplyBody::Noted => {}
+    }
+}
+
 /// Makes a refusal of a request that another target may run.
 fn elsewhere(reason: &str) -> NotRunFields {
     NotRunFields {
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -1,7 +1,7 @@
 //! The way of a caller's request.
 
 use crate::{
-    door::TargetDoor,
+    door::{NODE_STOPPING, TargetDoor},
     links::NodeLinks,
     messages::{AnswerFields, NotRunFields, OrderHead, PeerReply, PeerRequest, ReplyBody},
     settings::SidecarSettings,
@@ -23,7 +23,7 @@
 use wagtail_peer::answer::PeerAnswer;
 use wagtail_route::{
     BudgetOptions, RetryBudget,
-    pick::{PickCandidate, PickOptions, TargetPicker},
+    pick::{LoadReport, PickCandidate, PickOptions, TargetPicker},
 };
 
 /// The nodes that are asked for one request before it is refused.
@@ -181,7 +181,7 @@
 
         match answer.head.body {
             ReplyBody::Answer(fields) => {
-                self.picker.borrow_mut().reported(node, fields.load);
+                self.note_load(node, fields.load);
                 self.note_size(job, &fields);
                 Some(ForwardOutcome::Answer {
                     fields,
@@ -190,7 +190,10 @@
             }
             ReplyBody::NotRun(fields) => {
                 if let Some(load) = fields.load {
-                    self.picker.borrow_mut().reported(node, load);
+                    self.note_load(node, load);
+                }
+                if &*fields.reason == NODE_STOPPING {
+                    self.picker.borrow_mut().unreachable(node, clock::now());
                 }
                 attempts.reached += u32::from(fields.reached_target);
                 attempts.hint.clone_from(&fields.holder);
@@ -198,7 +201,7 @@
                 None
             }
             ReplyBody::Failed { reason, load } => {
-                self.picker.borrow_mut().reported(node, load);
+                self.note_load(node, load);
                 attempts.reached += 1;
                 attempts.may_have_run = Some(reason);
                 None
@@ -211,6 +214,14 @@
         }
     }
 
+    /// Takes note of the load that came with an answer.
+    fn note_load(&self, node: &Arc<str>, load: LoadReport) {
+        self.picker.borrow_mut().reported(node, load);
+        if let Some(share) = load.begin_share {
+            self.door.note_callee(share);
+        }
+    }
+
     /// Sends a request to a node, which may be this one.
     async fn send(
         &self,
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -1,7 +1,7 @@
 //! The server for callers, and the one that tells whether the node is ready.
 
 use crate::{
-    door::end_to_end,
+    door::{TargetDoor, end_to_end},
     forward::{ForwardJob, ForwardOutcome, RequestForwarder},
     messages::OrderHead,
     ports::WireDialect,
@@ -78,6 +78,7 @@
     dialect: Rc<dyn WireDialect>,
     view: FleetView,
     forwarder: Rc<RequestForwarder>,
+    door: TargetDoor,
     state: FrontState,
 }
 
@@ -107,6 +108,7 @@
         dialect: Rc<dyn WireDialect>,
         view: FleetView,
         forwarder: Rc<RequestForwarder>,
+        door: TargetDoor,
         state: FrontState,
     ) -> Self {
         Self {
@@ -114,6 +116,7 @@
             dialect,
             view,
             forwarder,
+            door,
             state,
         }
     }
@@ -189,7 +192,6 @@
         }
 
         let wait = caller.wait.unwrap_or(DEFAULT_WAIT).min(route.timeout);
-        let is_call = false;
         let order = OrderHead {
             id,
             service: Arc::clone(service),
@@ -197,7 +199,7 @@
             route: Arc::clone(&route.name),
             kind: route.kind,
             priority: route.priority,
-            is_call,
+            caller_priority: self.door.work_priority(),
             objective_ms: u32::try_from(route.objective.as_millis()).unwrap_or(u32::MAX),
             elapsed_ms: 0,
             time_left_ms: 0,
@@ -252,7 +254,7 @@
 
         info!(
             event = "request-ended", request_id = %job.order.id, route = %job.order.route,
-            service = %job.order.service, key = job.order.key, is_call = job.order.is_call,
+            service = %job.order.service, key = job.order.key,
             status = response.status().as_u16(), reason = %reason,
             took_ms = clock::now().since(job.began).as_millis(),
             config = self.view.versions().config, fleet = self.view.versions().fleet
--- a/crates/sidecar/src/messages.rs
+++ b/crates/sidecar/src/messages.rs
@@ -26,8 +26,8 @@
     pub kind: RequestKind,
     /// The rank; 0 is the most urgent.
     pub priority: u32,
-    /// Whether a target called while it runs another request.
-    pub is_call: bool,
+    /// The rank of the work that runs at the target beside which the request began.
+    pub caller_priority: u32,
     /// The time in milliseconds within which an answer is worth most.
     pub objective_ms: u32,
     /// The time in milliseconds since the request began.
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -241,6 +241,7 @@
             Rc::clone(&self.dialect),
             self.view.clone(),
             Rc::clone(&self.forwarder),
+            self.door.clone(),
             self.front.clone(),
         ))
     }
@@ -341,7 +342,6 @@
         at_target = base.door.in_flight()
     );
     base.front.leave();
-    base.door.stop();
 
     let last = base.settings.grace.saturating_sub(END_MARGIN);
     let drained = timeout(last, async {
@@ -350,6 +350,7 @@
         // A server that panicked has nothing left in flight.
         drop(parts.callers.await);
 
+        base.door.stop();
         while base.door.in_flight() > 0 {
             sleep(DRAIN_LOOK).await;
         }
