--- a/crates/route/src/pick.rs
+++ b/crates/route/src/pick.rs
@@ -45,7 +45,7 @@
     fn default() -> Self {
         Self {
             avoid: Duration::from_millis(700),
-            zone_ms: 2.0,
+            zone_ms: 8.0,
             zone_ms_per_kb: 1.5,
             unknown_ms: 50.0,
         }
--- /dev/null
+++ b/crates/route/tests/hosts_and_picks.rs
@@ -0,0 +1,155 @@
+//! Tests of the routes by host and prefix, and of the choice among targets.
+
+use std::{sync::Arc, time::Duration};
+use wagtail_core::{
+    routing::{RequestKind, RouteSpec, RoutingConfig, ServiceShare},
+    units::LocalMoment,
+};
+use wagtail_route::{
+    hosts::{HostTable, choose_service},
+    pick::{LoadReport, PickCandidate, PickOptions, TargetPicker},
+};
+
+/// Returns a moment in milliseconds.
+fn at(millis: u64) -> LocalMoment {
+    LocalMoment::from_millis(millis)
+}
+
+/// Makes a route.
+fn route(name: &str, prefix: &str, shares: &[(&str, u32)]) -> RouteSpec {
+    RouteSpec {
+        name: Arc::from(name),
+        host: Arc::from("shop.example"),
+        prefix: Arc::from(prefix),
+        kind: RequestKind::Idempotent,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(200),
+        priority: 1,
+        max_attempts: 2,
+        shares: shares
+            .iter()
+            .map(|(service, weight)| ServiceShare {
+                service: Arc::from(*service),
+                weight: *weight,
+            })
+            .collect(),
+    }
+}
+
+/// Makes a candidate with six slots.
+fn candidate(node: &str, remote: bool) -> PickCandidate {
+    PickCandidate {
+        node: Arc::from(node),
+        remote,
+        slots: 6,
+        cold: false,
+    }
+}
+
+/// Makes a report of a target with six slots.
+fn report(running: u32, waiting: u32, service_ms: f32) -> LoadReport {
+    LoadReport {
+        running,
+        waiting,
+        slots: 6,
+        service_ms,
+        failed_share: 0.0,
+        begin_share: None,
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_a_host_wins() {
+    let table = HostTable::new(&RoutingConfig {
+        version: 3,
+        routes: vec![
+            route("all", "/", &[("a", 1)]),
+            route("books", "/books/", &[("b", 1)]),
+            route("old", "/books/old/", &[("c", 1)]),
+        ],
+        ..RoutingConfig::default()
+    });
+    let name = |host, path| table.find(host, path).map(|route| route.name.to_string());
+
+    assert_eq!(name("shop.example", "/books/old/7").as_deref(), Some("old"));
+    assert_eq!(
+        name("Shop.Example:80", "/books/7").as_deref(),
+        Some("books")
+    );
+    assert_eq!(name("shop.example", "/x").as_deref(), Some("all"));
+    assert_eq!(name("other.example", "/x"), None);
+}
+
+#[test]
+fn each_destination_gets_its_share() {
+    let split = route("split", "/", &[("a", 90), ("b", 10)]);
+
+    let to_b = (0..10_000)
+        .filter(|id| {
+            choose_service(&split, &format!("request-{id}"))
+                .unwrap()
+                .as_ref()
+                == "b"
+        })
+        .count();
+
+    assert!((900..1_100).contains(&to_b), "{to_b} of 10,000");
+}
+
+#[test]
+fn a_target_of_the_own_zone_is_preferred_while_it_has_room() {
+    let mut picker = TargetPicker::new(PickOptions::default(), 7);
+    let (near, far): (Arc<str>, Arc<str>) = (Arc::from("near"), Arc::from("far"));
+    let candidates = [candidate("near", false), candidate("far", true)];
+    picker.reported(&near, report(1, 0, 50.0));
+    picker.reported(&far, report(0, 0, 48.0));
+    assert_eq!(
+        picker.pick(&candidates, &[], 0.5, at(0)),
+        Some(Arc::clone(&near))
+    );
+
+    // The pattern: one zone's target is full while another's is idle.
+    picker.reported(&near, report(6, 6, 50.0));
+    assert_eq!(picker.pick(&candidates, &[], 0.5, at(0)), Some(far));
+}
+
+#[test]
+fn an_unreachable_target_is_avoided_for_longer_and_longer() {
+    let mut picker = TargetPicker::new(PickOptions::default(), 7);
+    let lost: Arc<str> = Arc::from("lost");
+
+    let mut avoided = Vec::new();
+    let mut now = 0;
+    for _ in 0..3 {
+        picker.unreachable(&lost, at(now));
+        let until = (now..)
+            .step_by(10)
+            .find(|&now| !picker.is_avoided("lost", at(now)));
+        avoided.push(until.unwrap() - now);
+        now = until.unwrap();
+    }
+
+    assert!(
+        avoided[0] < avoided[1] && avoided[1] < avoided[2],
+        "{avoided:?}"
+    );
+    picker.forget("lost");
+    assert!(!picker.is_avoided("lost", at(now)));
+}
+
+/// The pattern: a target fails a part of its requests while it looks idle.
+#[test]
+fn a_target_that_fails_is_chosen_less() {
+    let mut picker = TargetPicker::new(PickOptions::default(), 7);
+    let candidates = [candidate("grey", false), candidate("sound", false)];
+    let grey = LoadReport {
+        failed_share: 0.5,
+        ..report(0, 0, 50.0)
+    };
+    picker.reported(&Arc::from("grey"), grey);
+    picker.reported(&Arc::from("sound"), report(3, 0, 50.0));
+
+    let picked = picker.pick(&candidates, &[], 0.0, at(0));
+
+    assert_eq!(picked.as_deref(), Some("sound"));
+}
