--- a/crates/gate/src/pressure.rs
+++ b/crates/gate/src/pressure.rs
@@ -6,41 +6,29 @@
 use std::time::Duration;
 use wagtail_core::units::LocalMoment;
 
-/// The time between two changes of the share.
-const STEP_TIME: Duration = Duration::from_millis(100);
+/// The weight of the latest wait.
+const WAIT_WEIGHT: f32 = 0.06;
 
-/// The wait, as a share of a request's objective, from which on the request meets a crowd.
-const CROWDED_WAIT: f32 = 0.5;
+/// The mean wait, as a share of the objective, up to which callers begin all work.
+const FREE_WAIT: f32 = 0.6;
 
-/// The share of the arrivals that may meet a crowd while callers still begin more.
-const CROWDED_LIMIT: f32 = 0.3;
-
-/// What the share loses, relatively, in a step in which every arrival meets a crowd.
-const FALL: f32 = 0.2;
-
-/// What the share gains in a step without a crowd.
-const RISE: f32 = 0.025;
+/// The mean wait, as a share of the objective, from which on callers begin the least.
+const FULL_WAIT: f32 = 2.0;
 
 /// The lowest share; some work goes on, by whose calls the state is told.
-const LOWEST: f32 = 0.05;
+const LOWEST: f32 = 0.1;
 
 /// `CallPressure` is the share of new work that callers should begin.
 #[derive(Debug)]
 pub struct CallPressure {
-    share: f32,
-    stepped: LocalMoment,
-    arrivals: f32,
-    crowded: f32,
+    wait: f32,
     caller_priority: u32,
 }
 
 impl Default for CallPressure {
     fn default() -> Self {
         Self {
-            share: 1.0,
-            stepped: LocalMoment::ZERO,
-            arrivals: 0.0,
-            crowded: 0.0,
+            wait: 0.0,
             caller_priority: u32::MAX,
         }
     }
@@ -59,35 +47,23 @@
             return;
         }
 
-        self.arrivals += 1.0;
-        if wait > CROWDED_WAIT * objective.as_secs_f32() {
-            self.crowded += 1.0;
-        }
+        let relative = (wait / objective.as_secs_f32().max(0.001)).min(FULL_WAIT * 2.0);
+        self.wait += (relative - self.wait) * WAIT_WEIGHT;
     }
 
     /// Returns the share.
-    pub fn share(&mut self, now: LocalMoment) -> f32 {
-        if now.since(self.stepped) >= STEP_TIME {
-            let crowded = self.crowded / self.arrivals.max(1.0);
-            self.share = if crowded > CROWDED_LIMIT {
-                (self.share * (1.0 - FALL * crowded)).max(LOWEST)
-            } else {
-                (self.share + RISE).min(1.0)
-            };
-            self.stepped = now;
-            self.arrivals = 0.0;
-            self.crowded = 0.0;
-        }
+    pub fn share(&self) -> f32 {
+        let over = (self.wait - FREE_WAIT) / (FULL_WAIT - FREE_WAIT);
 
-        self.share
+        (1.0 - over).clamp(LOWEST, 1.0)
     }
 }
 
 /// The weight of the latest report.
-const REPORT_WEIGHT: f32 = 0.1;
+const REPORT_WEIGHT: f32 = 0.25;
 
 /// The time without reports after which the share counts no more.
-const REPORT_LIFE: Duration = Duration::from_millis(1_500);
+const REPORT_LIFE: Duration = Duration::from_millis(500);
 
 /// `WorkThrottle` lets a share of new work begin, by what the called services report.
 #[derive(Debug)]
--- a/crates/sidecar/src/door.rs
+++ b/crates/sidecar/src/door.rs
@@ -313,7 +313,7 @@
 
     /// Returns the load that is told to the caller of a request.
     fn load_for(&self, is_call: bool) -> LoadReport {
-        let begin_share = is_call.then(|| self.state.borrow_mut().pressure.share(clock::now()));
+        let begin_share = is_call.then(|| self.state.borrow().pressure.share());
 
         LoadReport {
             begin_share,
