Pings find silent connections; probes find nodes again; a stopping node takes nothing more

Pings go out only while answers are awaited; a node that could not be reached is refused at once until a probe finds it.

--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -4,15 +4,25 @@
     PROTOCOL_VERSION, REQUEST_PATH, VERSION_HEADER, answer::PeerAnswer, frame, stream::FrameReader,
 };
 use bytes::Bytes;
-use compio::{net::TcpStream, time::timeout};
+use compio::{
+    net::TcpStream,
+    time::{sleep, timeout},
+};
 use cyper_core::HyperStream;
+use futures_util::future::select;
 use h2::{
-    Reason,
+    Ping, PingPong, Reason,
     client::{Builder, SendRequest},
 };
 use http::{Method, Request, StatusCode};
 use serde::{Serialize, de::DeserializeOwned};
-use std::{cell::RefCell, net::SocketAddr, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    pin::pin,
+    rc::Rc,
+    time::Duration,
+};
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 use wagtail_core::{
     CoreError, Result,
@@ -21,10 +31,18 @@
     service::WorkClass,
     verdict::RunVerdict,
 };
+use wagtail_net::clock;
 
 /// The longest time to open a connection to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// The time between two looks at a connection on which answers are awaited.
+const PING_INTERVAL: Duration = Duration::from_millis(150);
+
+/// The time after which a connection whose peer does not answer a ping is given up. Connections
+/// may go silent without a reset.
+const PING_TIMEOUT: Duration = Duration::from_millis(450);
+
 /// The flow-control window of one stream in bytes.
 pub(crate) const STREAM_WINDOW_BYTES: u32 = 256 << 10;
 
@@ -39,6 +57,36 @@
     address: SocketAddr,
     short: RefCell<Option<SendRequest<Bytes>>>,
     long: RefCell<Option<SendRequest<Bytes>>>,
+    awaited: AwaitedAnswers,
+}
+
+/// `AwaitedAnswers` counts the answers for which the senders on a link wait.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct AwaitedAnswers(Rc<Cell<usize>>);
+
+impl AwaitedAnswers {
+    /// Counts an answer until the guard is dropped.
+    fn begin(&self) -> AwaitedGuard {
+        self.0.set(self.0.get() + 1);
+
+        AwaitedGuard(self.clone())
+    }
+
+    /// Returns whether any answer is awaited.
+    fn any(&self) -> bool {
+        self.0.get() > 0
+    }
+}
+
+/// `AwaitedGuard` counts one awaited answer.
+#[derive(Debug)]
+struct AwaitedGuard(AwaitedAnswers);
+
+impl Drop for AwaitedGuard {
+    fn drop(&mut self) {
+        let count = &self.0.0;
+        count.set(count.get() - 1);
+    }
 }
 
 impl PeerLink {
@@ -48,6 +96,7 @@
             address,
             short: RefCell::default(),
             long: RefCell::default(),
+            awaited: AwaitedAnswers::default(),
         }
     }
 
@@ -86,6 +135,7 @@
     ) -> Result<PeerAnswer<A>> {
         let frame = frame::encode(head)?;
         let request = stream_request(REQUEST_PATH)?;
+        let _awaited = self.awaited.begin();
 
         let mut sender = self.ready(class).await?;
         let (response, mut stream) = sender
@@ -156,7 +206,7 @@
             return Ok(sender);
         }
 
-        let sender = connect(self.address).await?;
+        let sender = connect(self.address, self.awaited.clone()).await?;
         *place.borrow_mut() = Some(sender.clone());
 
         Ok(sender)
@@ -199,8 +249,11 @@
 /// # Errors
 ///
 /// Fails with the verdict `NotRun`.
-pub(crate) async fn connect(address: SocketAddr) -> Result<SendRequest<Bytes>> {
-    let opening = timeout(CONNECT_TIMEOUT, open(address)).await;
+pub(crate) async fn connect(
+    address: SocketAddr,
+    awaited: AwaitedAnswers,
+) -> Result<SendRequest<Bytes>> {
+    let opening = timeout(CONNECT_TIMEOUT, open(address, awaited)).await;
 
     opening
         .unwrap_or_else(|_elapsed| Err("the connection timed out".to_owned()))
@@ -210,7 +263,10 @@
 }
 
 /// Opens a connection to a peer without a time limit.
-async fn open(address: SocketAddr) -> std::result::Result<SendRequest<Bytes>, String> {
+async fn open(
+    address: SocketAddr,
+    awaited: AwaitedAnswers,
+) -> std::result::Result<SendRequest<Bytes>, String> {
     let stream = TcpStream::connect(address)
         .await
         .map_err(|error| error.to_string())?;
@@ -218,19 +274,46 @@
         .set_nodelay(true)
         .map_err(|error| error.to_string())?;
 
-    let (sender, connection) = Builder::new()
+    let (sender, mut connection) = Builder::new()
         .initial_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
         .handshake(HyperStream::new_plain(stream).compat())
         .await
         .map_err(|error| error.to_string())?;
 
+    let pings = connection.ping_pong();
     // The task ends with the connection; the streams learn of its errors.
-    compio::runtime::spawn(async move { drop(connection.await) }).detach();
+    compio::runtime::spawn(async move {
+        let silent = pin!(until_silent(pings, awaited));
+        drop(select(pin!(connection), silent).await);
+    })
+    .detach();
 
     Ok(sender)
 }
 
+/// Waits until the peer leaves a ping unanswered while answers are awaited.
+async fn until_silent(pings: Option<PingPong>, awaited: AwaitedAnswers) {
+    let Some(mut pings) = pings else {
+        return std::future::pending().await;
+    };
+
+    loop {
+        sleep(PING_INTERVAL).await;
+        if !awaited.any() {
+            continue;
+        }
+
+        let sent = clock::now();
+        let answered = timeout(PING_TIMEOUT, pings.ping(Ping::opaque())).await;
+        // After a suspension of this process the answer may be here and not yet read.
+        let suspended = clock::now().since(sent) > PING_TIMEOUT * 2;
+        if answered.is_err() && !suspended {
+            return;
+        }
+    }
+}
+
 /// Makes the request that opens a stream.
 pub(crate) fn stream_request(path: &str) -> Result<Request<()>> {
     Request::builder()
--- a/crates/route/tests/hosts_and_picks.rs
+++ b/crates/route/tests/hosts_and_picks.rs
@@ -149,7 +149,7 @@
     picker.reported(&Arc::from("grey"), grey);
     picker.reported(&Arc::from("sound"), report(3, 0, 50.0));
 
-    let picked = picker.pick(&candidates, &[], 0.0, at(0));
+    let choice = picker.pick(&candidates, &[], 0.0, at(0));
 
-    assert_eq!(picked.as_deref(), Some("sound"));
+    assert_eq!(choice.as_deref(), Some("sound"));
 }
--- a/crates/sidecar/src/door.rs
+++ b/crates/sidecar/src/door.rs
@@ -421,7 +421,8 @@
             "other-service"
         } else if state.ended || state.keeper.life().is_none() {
             "target-down"
-        } else if state.stopping && order.key.is_none() {
+        } else if state.stopping {
+            // Whatever began now would be cut off by the end of the process.
             NODE_STOPPING
         } else {
             return None;
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -8,9 +8,16 @@
     view::FleetView,
 };
 use bytes::Bytes;
+use compio::time::{sleep, timeout};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::{HashMap, HashSet},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 use wagtail_core::{
     CoreError,
     ports::BodyStream,
@@ -36,6 +43,18 @@
 /// The pause that is asked for when no target is known, in milliseconds.
 const NO_TARGET_PAUSE_MS: u32 = 400;
 
+/// The first pause between two probes of a node that could not be reached.
+const PROBE_PAUSE: Duration = Duration::from_millis(150);
+
+/// The longest pause between two probes.
+const MAX_PROBE_PAUSE: Duration = Duration::from_secs(1);
+
+/// The time for the answer to a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// The probes after which a node is left to its next start, or to the next request.
+const MAX_PROBES: u32 = 40;
+
 /// The weight of the latest answer in the expected size of a route's answers.
 const SIZE_WEIGHT: f32 = 0.1;
 
@@ -97,7 +116,8 @@
     view: FleetView,
     links: NodeLinks,
     door: TargetDoor,
-    picker: RefCell<TargetPicker>,
+    picker: Rc<RefCell<TargetPicker>>,
+    probed: Rc<RefCell<HashSet<Arc<str>>>>,
     budgets: RefCell<HashMap<Arc<str>, RetryBudget>>,
     sizes: RefCell<HashMap<Arc<str>, f32>>,
     random: RefCell<ChaCha8Rng>,
@@ -117,7 +137,11 @@
             view,
             links,
             door,
-            picker: RefCell::new(TargetPicker::new(PickOptions::default(), seed)),
+            picker: Rc::new(RefCell::new(TargetPicker::new(
+                PickOptions::default(),
+                seed,
+            ))),
+            probed: Rc::default(),
             budgets: RefCell::default(),
             sizes: RefCell::default(),
             random: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
@@ -164,6 +188,7 @@
             Ok(answer) => answer,
             Err(error) => {
                 self.picker.borrow_mut().unreachable(node, clock::now());
+                self.probe(node);
                 let reason: Arc<str> = Arc::from(error.to_string());
                 tracing::info!(
                     event = "node-unreachable", request_id = %job.order.id, node = %node,
@@ -214,6 +239,35 @@
         }
     }
 
+    /// Asks a node that could not be reached again and again, so that it gets requests as soon as
+    /// it answers and none is spent on finding out.
+    fn probe(&self, node: &Arc<str>) {
+        if !self.probed.borrow_mut().insert(Arc::clone(node)) {
+            return;
+        }
+        let (picker, probed) = (Rc::clone(&self.picker), Rc::clone(&self.probed));
+        let (links, node) = (self.links.clone(), Arc::clone(node));
+        let hello = PeerRequest::Hello {
+            node: Arc::clone(&self.settings.node),
+        };
+
+        compio::runtime::spawn(async move {
+            let mut pause = PROBE_PAUSE;
+            for _ in 0..MAX_PROBES {
+                sleep(pause).await;
+                pause = (pause * 5 / 4).min(MAX_PROBE_PAUSE);
+                let asked = links.ask(&node, &hello, WorkClass::Short, Bytes::new());
+                if matches!(timeout(PROBE_TIMEOUT, asked).await, Ok(Ok(_))) {
+                    picker.borrow_mut().forget(&node);
+                    tracing::info!(event = "node-reachable", node = %node);
+                    break;
+                }
+            }
+            probed.borrow_mut().remove(&node);
+        })
+        .detach();
+    }
+
     /// Takes note of the load that came with an answer.
     fn note_load(&self, node: &Arc<str>, load: LoadReport) {
         self.picker.borrow_mut().reported(node, load);
@@ -297,8 +351,9 @@
             row.holder.as_ref().map(|holder| Arc::clone(&holder.node))
         };
         let node = attempts.hint.clone().or_else(known)?;
+        let avoided = self.picker.borrow().is_avoided(&node, clock::now());
 
-        (!attempts.tried.contains(&node)).then_some(node)
+        (!avoided && !attempts.tried.contains(&node)).then_some(node)
     }
 
     /// Returns whether a request that reached a target may be sent to another one.
@@ -318,7 +373,7 @@
 
         let (reason, pause_ms) = match attempts.refusal {
             Some(refusal) => (refusal.reason, refusal.pause_ms),
-            None if job.keyed && job.order.key.is_none() => (Arc::from("key-missing"), 0),
+            None if job.keyed => (Arc::from("holder-unreachable"), NO_TARGET_PAUSE_MS),
             None => (Arc::from("no-target"), NO_TARGET_PAUSE_MS),
         };
         // Callers that were refused together do not come back together.
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -47,6 +47,13 @@
 /// The time between two looks at the requests that are still being answered.
 const DRAIN_LOOK: Duration = Duration::from_millis(20);
 
+/// The time for which a grant outlasts the heartbeats that may be lost. A short outage of the store
+/// fits into it.
+const HOLD_BASE: Duration = Duration::from_secs(3);
+
+/// The heartbeats in a row that may be lost before a grant ends.
+const HOLD_BEATS: u32 = 2;
+
 /// The time until the other nodes are known and can be told of the start.
 const HELLO_AFTER: Duration = Duration::from_millis(150);
 
@@ -260,11 +267,11 @@
 
 /// Returns the settings of the grants.
 fn keeper_options(settings: &SidecarSettings) -> KeeperOptions {
-    let options = KeeperOptions::default();
+    let hold = HOLD_BASE + settings.heartbeat * HOLD_BEATS;
 
     KeeperOptions {
-        hold: options.hold.min(settings.max_hold),
-        ..options
+        hold: hold.min(settings.max_hold),
+        ..KeeperOptions::default()
     }
 }
 
