Two holders after a late write mended; a table read before an outage is proof for 5 s

Cause: a node that frees a silent target's keys, gets no answer and hears the target again granted from a table that the write could still change. Now rows that an unanswered write would take away are not granted while it can take effect, and a restarted node writes the table once before it grants, as its former process may have left such a write. Proof: 5 s of age instead of a read for each answer; who revokes waits for that age and the hold. Holds are shorter again (1.2 s and two heartbeats): a silent target whose node lives costs less.

--- a/crates/shard/src/keeper.rs
+++ b/crates/shard/src/keeper.rs
@@ -15,6 +15,8 @@
 pub struct KeeperOptions {
     /// The time for which a grant holds, from the sending of the heartbeat.
     pub hold: Duration,
+    /// The age up to which a table that was read counts as proof while the store gives no answer.
+    pub proof: Duration,
     /// Time added to the end of a hold for what was rounded on the way.
     pub margin: Duration,
     /// The age after which a heartbeat's answer comes too late to carry grants. The target gives
@@ -26,6 +28,7 @@
     fn default() -> Self {
         Self {
             hold: Duration::from_millis(2_800),
+            proof: Duration::from_secs(5),
             margin: Duration::from_millis(100),
             answer_limit: Duration::from_millis(800),
         }
@@ -37,6 +40,12 @@
     pub fn lapse(&self) -> Duration {
         self.hold + self.hold * SLOW_CLOCK_PERCENT / 100 + self.margin
     }
+
+    /// Returns the time after the revocation of a row at which no hold under it can run any more,
+    /// whatever the node beside its holder still takes as proof.
+    pub fn revocation_lapse(&self) -> Duration {
+        self.proof + self.lapse()
+    }
 }
 
 /// `BeatVerdict` tells what a heartbeat is worth.
@@ -62,6 +71,23 @@
     since: LocalMoment,
 }
 
+/// `ProvenTable` is a table as a read showed it.
+#[derive(Debug, Clone)]
+struct ProvenTable {
+    revision: u64,
+    table: RangeTable,
+    /// The moment at which the read was sent.
+    asked: LocalMoment,
+}
+
+/// `UncertainWrite` is a write without an answer: it may take effect for as long as the object is
+/// at the revision that it expects.
+#[derive(Debug, Clone)]
+struct UncertainWrite {
+    expected: u64,
+    next: RangeTable,
+}
+
 /// `LeftOutRange` is a range that an answer left out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct LeftOutRange {
@@ -86,6 +112,11 @@
     ended: bool,
     challenge: Option<LifeChallenge>,
     replaced: Vec<TargetLife>,
+    proven: Option<ProvenTable>,
+    uncertain: Vec<UncertainWrite>,
+    /// The revision of the first table that this process read. The process before it may have
+    /// left writes that take effect for as long as the table stays at it.
+    first_revision: Option<u64>,
 }
 
 impl HoldKeeper {
@@ -103,6 +134,9 @@
             ended: false,
             challenge: None,
             replaced: Vec::new(),
+            proven: None,
+            uncertain: Vec::new(),
+            first_revision: None,
         }
     }
 
@@ -226,11 +260,45 @@
         self.granted_from + self.options.lapse()
     }
 
-    /// Answers a heartbeat that arrived at `arrived`, by a table read after it.
+    /// Takes note of the table that a read sent at `asked` showed, or that a write made of it.
+    pub fn prove(&mut self, table: RangeTable, revision: u64, asked: LocalMoment) {
+        self.uncertain.retain(|write| write.expected >= revision);
+        self.first_revision.get_or_insert(revision);
+        self.proven = Some(ProvenTable {
+            revision,
+            table,
+            asked,
+        });
+    }
+
+    /// Returns whether writes that a former process of this node left may still take effect on a
+    /// table at a revision. The table must be written once then before it is granted from.
+    pub fn is_unsettled(&self, revision: u64) -> bool {
+        self.first_revision.is_none_or(|first| revision <= first)
+    }
+
+    /// Takes note of a write that is about to be sent. Until its answer comes, and for ever when
+    /// none comes, it may take effect while the table is at the revision that it expects.
+    pub fn write_begins(&mut self, expected: u64, next: RangeTable) {
+        self.uncertain.push(UncertainWrite { expected, next });
+    }
+
+    /// Takes note that the last write was certainly not carried out.
+    pub fn write_refused(&mut self, expected: u64) {
+        let last = self
+            .uncertain
+            .iter()
+            .rposition(|write| write.expected == expected);
+
+        if let Some(index) = last {
+            self.uncertain.remove(index);
+        }
+    }
+
+    /// Answers a heartbeat that arrived at `arrived`, by the newest proven table.
     pub fn reply(
         &mut self,
         beat: &TargetHeartbeat,
-        table: &RangeTable,
         arrived: LocalMoment,
         now: LocalMoment,
     ) -> HeartbeatReply {
@@ -238,11 +306,19 @@
         if overtaken || self.ended || now.since(arrived) > self.options.answer_limit {
             return HeartbeatReply::default();
         }
+        let Some(proven) = self.proven.take() else {
+            return HeartbeatReply::default();
+        };
+        if now.since(proven.asked) > self.options.proof || self.is_unsettled(proven.revision) {
+            self.proven = Some(proven);
+            return HeartbeatReply::default();
+        }
 
-        self.note_left_out(beat, table);
+        self.note_left_out(beat, &proven.table);
         self.granted_from = arrived;
         self.granted_until = arrived + self.options.hold;
-        self.granted = table.grants(&beat.life);
+        self.granted = self.certain_grants(&beat.life, &proven);
+        self.proven = Some(proven);
 
         HeartbeatReply {
             grant: Some(RangeGrant {
@@ -252,6 +328,27 @@
         }
     }
 
+    /// Returns what the table names a life for, without the rows that an uncertain write would
+    /// take away from it.
+    fn certain_grants(&self, life: &TargetLife, proven: &ProvenTable) -> Vec<GrantedRange> {
+        let mut grants = proven.table.grants(life);
+
+        for write in &self.uncertain {
+            if write.expected == proven.revision {
+                let kept = write.next.grants(life);
+                grants.retain(|grant| {
+                    kept.iter().any(|other| {
+                        other.from <= grant.from
+                            && grant.to <= other.to
+                            && other.token == grant.token
+                    })
+                });
+            }
+        }
+
+        grants
+    }
+
     /// Returns whether the target holds a key for at least `margin` longer.
     pub fn holds(&self, key: u16, now: LocalMoment, margin: Duration) -> bool {
         now + margin < self.granted_until
--- a/crates/shard/src/table.rs
+++ b/crates/shard/src/table.rs
@@ -249,6 +249,12 @@
         });
     }
 
+    /// Changes nothing but the revision, so that earlier writes without an answer cannot take
+    /// effect any more.
+    pub fn touch(&mut self) {
+        self.next_token += 1;
+    }
+
     /// Returns a token above all others.
     fn take_token(&mut self) -> u64 {
         let token = self.next_token;
--- a/crates/shard/tests/shard/decisions.rs
+++ b/crates/shard/tests/shard/decisions.rs
@@ -20,11 +20,17 @@
     LocalMoment::from_millis(millis)
 }
 
+/// Shows a keeper the table, as it was at the start of its process and after a write.
+fn settled(keeper: &mut HoldKeeper, table: &RangeTable, now: LocalMoment) {
+    keeper.prove(table.clone(), 1, now);
+    keeper.prove(table.clone(), 2, now);
+}
+
 /// Returns the options of a planner.
 fn planner_options() -> PlannerOptions {
     PlannerOptions {
         suspicion: Duration::from_millis(1_500),
-        lapse: KeeperOptions::default().lapse(),
+        lapse: KeeperOptions::default().revocation_lapse(),
         gather: Duration::from_secs(1),
         pause: Duration::from_secs(1),
         balance: BalanceOptions::default(),
@@ -44,7 +50,8 @@
     let first = beat("a", 1, 1, holds(0, LAST_KEY), Vec::new());
     assert_eq!(keeper.accept(&first, at(10)), BeatVerdict::NewLife);
     assert!(!keeper.settle(&first, &mut table));
-    let reply = keeper.reply(&first, &table, at(10), at(12));
+    settled(&mut keeper, &table, at(10));
+    let reply = keeper.reply(&first, at(10), at(12));
     assert_eq!(reply.grant.unwrap().ranges.len(), 2);
 
     // The target still works on the range.
@@ -79,7 +86,8 @@
     let first = beat("a", 1, 7, Vec::new(), Vec::new());
     keeper.accept(&first, at(10));
     assert!(!keeper.settle(&first, &mut table));
-    keeper.reply(&first, &table, at(10), at(11));
+    settled(&mut keeper, &table, at(10));
+    keeper.reply(&first, at(10), at(11));
 
     let second = beat("a", 1, 8, Vec::new(), Vec::new());
     keeper.accept(&second, at(110));
@@ -127,8 +135,73 @@
     let first = beat("a", 1, 1, Vec::new(), Vec::new());
     keeper.accept(&first, at(0));
 
-    assert_matches!(keeper.reply(&first, &table, at(0), at(900)).grant, None);
-    assert_matches!(keeper.reply(&first, &table, at(0), at(700)).grant, Some(_));
+    settled(&mut keeper, &table, at(0));
+    assert_matches!(keeper.reply(&first, at(0), at(900)).grant, None);
+    assert_matches!(keeper.reply(&first, at(0), at(700)).grant, Some(_));
+}
+
+/// The process before may have left a write without an answer that takes the rows away.
+#[test]
+fn a_restarted_node_grants_nothing_before_the_table_was_written_once() {
+    let mut table = RangeTable::new();
+    table.assign(0, LAST_KEY, &holder("a", 1));
+    let mut keeper = HoldKeeper::new(Arc::from("a"), KeeperOptions::default(), at(0));
+    let first = beat("a", 1, 1, Vec::new(), Vec::new());
+    keeper.accept(&first, at(10));
+
+    keeper.prove(table.clone(), 5, at(10));
+    assert!(keeper.is_unsettled(5));
+    assert_matches!(keeper.reply(&first, at(10), at(11)).grant, None);
+
+    table.touch();
+    keeper.prove(table, 6, at(12));
+    assert_matches!(keeper.reply(&first, at(10), at(13)).grant, Some(_));
+}
+
+/// The pattern: the store is down for a few seconds.
+#[test]
+fn a_table_read_before_an_outage_is_proof_for_a_while() {
+    let mut table = RangeTable::new();
+    table.assign(0, LAST_KEY, &holder("a", 1));
+    let options = KeeperOptions::default();
+    let mut keeper = HoldKeeper::new(Arc::from("a"), options, at(0));
+    settled(&mut keeper, &table, at(100));
+
+    let mut granted = Vec::new();
+    for step in 1..=8 {
+        let now = at(870 * step);
+        let beat = beat("a", 1, step, Vec::new(), Vec::new());
+        keeper.accept(&beat, now);
+        granted.push(keeper.reply(&beat, now, now).grant.is_some());
+    }
+
+    assert_eq!(granted, [true, true, true, true, true, false, false, false]);
+}
+
+/// A write that frees a silent target's keys and gets no answer may take effect after the target
+/// has returned.
+#[test]
+fn rows_that_an_uncertain_write_would_free_are_not_granted_until_it_is_settled() {
+    let mut table = RangeTable::new();
+    table.assign(0, LAST_KEY, &holder("a", 1));
+    let mut keeper = HoldKeeper::new(Arc::from("a"), KeeperOptions::default(), at(0));
+    let first = beat("a", 1, 1, Vec::new(), Vec::new());
+    keeper.accept(&first, at(0));
+    settled(&mut keeper, &table, at(0));
+    let mut freed = table.clone();
+    assert!(keeper.free_lapsed(&mut freed, at(9_000)));
+    keeper.write_begins(7, freed);
+
+    let second = beat("a", 1, 2, Vec::new(), Vec::new());
+    keeper.accept(&second, at(9_100));
+    keeper.prove(table.clone(), 7, at(9_100));
+    let reply = keeper.reply(&second, at(9_100), at(9_101));
+    assert_eq!(reply.grant.unwrap().ranges, []);
+
+    // The object has moved on, so that the write cannot take effect any more.
+    keeper.prove(table, 8, at(9_200));
+    let reply = keeper.reply(&second, at(9_100), at(9_201));
+    assert_eq!(reply.grant.unwrap().ranges.len(), 1);
 }
 
 #[test]
@@ -139,7 +212,8 @@
     let mut keeper = HoldKeeper::new(Arc::from("a"), options, at(0));
     let first = beat("a", 1, 1, Vec::new(), Vec::new());
     keeper.accept(&first, at(1_000));
-    keeper.reply(&first, &table, at(1_000), at(1_001));
+    settled(&mut keeper, &table, at(1_000));
+    keeper.reply(&first, at(1_000), at(1_001));
 
     assert!(!keeper.free_lapsed(&mut table, at(1_000) + options.hold));
     assert!(keeper.free_lapsed(&mut table, at(1_000) + options.lapse()));
@@ -175,7 +249,7 @@
 
     let mut revoked_at = None;
     let mut freed_at = None;
-    for step in 0..100 {
+    for step in 0..150 {
         let now = at(step * 100);
         planner.answered(status("a", 1, 100.0), now);
         let Some(next) = planner.plan(Some(&table), now) else {
@@ -193,7 +267,7 @@
 
     let (revoked_at, freed_at) = (revoked_at.unwrap(), freed_at.unwrap());
     assert!(revoked_at <= at(1_700));
-    assert!(freed_at.since(revoked_at) >= KeeperOptions::default().lapse());
+    assert!(freed_at.since(revoked_at) >= KeeperOptions::default().revocation_lapse());
 }
 
 #[test]
--- a/crates/shard/tests/shard/storms.rs
+++ b/crates/shard/tests/shard/storms.rs
@@ -62,6 +62,7 @@
     node_frozen_until: u64,
     cut_until: u64,
     travels: Vec<(u64, Travel)>,
+    next_free: u64,
 }
 
 /// The store with writes that take effect late.
@@ -125,6 +126,7 @@
                 node_frozen_until: 0,
                 cut_until: 0,
                 travels: Vec::new(),
+                next_free: 0,
             })
             .collect();
 
@@ -164,7 +166,7 @@
             return;
         }
         let index = self.random.random_range(0..TARGETS);
-        let long = self.now + self.random.random_range(300..5_000);
+        let long = self.now + self.random.random_range(300..8_000);
         let place = &mut self.places[index];
         match self.random.random_range(0..6) {
             0 => {
@@ -282,22 +284,26 @@
                 continue;
             };
             let place = &mut self.places[index];
-            if place.keeper.accept(&beat, moment) == BeatVerdict::Stale || now < place.cut_until {
+            if place.keeper.accept(&beat, moment) == BeatVerdict::Stale {
                 continue;
             }
-            let Some((revision, table)) = self.store.table.clone() else {
-                continue;
-            };
-            let mut next = table.clone();
-            let changed = place.keeper.settle(&beat, &mut next);
-            let granted = if changed && self.write(revision, next.clone()) {
-                next
-            } else {
-                table
-            };
+            if now >= place.cut_until
+                && let Some((revision, table)) = self.store.table.clone()
+            {
+                let mut next = table.clone();
+                let changed = place.keeper.settle(&beat, &mut next);
+                place.keeper.prove(table, revision, moment);
+                let unsettled = place.keeper.is_unsettled(revision);
+                if unsettled && !changed {
+                    next.touch();
+                }
+                if changed || unsettled {
+                    self.write_beside(index, revision, next);
+                }
+            }
 
             let place = &mut self.places[index];
-            let reply = place.keeper.reply(&beat, &granted, moment, moment);
+            let reply = place.keeper.reply(&beat, moment, moment);
             let delay = self.random.random_range(1..200);
             place
                 .travels
@@ -306,18 +312,37 @@
 
         let place = &mut self.places[index];
         if now >= place.cut_until
+            && now >= place.next_free
             && let Some((revision, table)) = self.store.table.clone()
         {
             let mut next = table;
             if place.keeper.free_lapsed(&mut next, moment) {
-                self.write(revision, next);
+                place.next_free = now + 300;
+                self.write_beside(index, revision, next);
             }
         }
     }
 
+    /// Lets a node write and take note of what became of it.
+    fn write_beside(&mut self, index: usize, expected: u64, next: RangeTable) {
+        let certain = !self.random.random_bool(0.35);
+        let moment = self.moment();
+        let written = certain && self.store.write(expected, next.clone());
+        let revision = self.store.revision;
+        let keeper = &mut self.places[index].keeper;
+        keeper.write_begins(expected, next.clone());
+
+        if written {
+            keeper.prove(next, revision, moment);
+        } else if !certain {
+            let due = self.now + self.random.random_range(500..6_000);
+            self.store.late.push((due, expected, next));
+        }
+    }
+
     /// Writes; some writes take effect late and without an answer.
     fn write(&mut self, expected: u64, table: RangeTable) -> bool {
-        if self.random.random_bool(0.1) {
+        if self.random.random_bool(0.35) {
             let due = self.now + self.random.random_range(500..6_000);
             self.store.late.push((due, expected, table));
             return false;
@@ -394,7 +419,7 @@
         let lapse = if self.break_wait {
             Duration::ZERO
         } else {
-            KeeperOptions::default().lapse()
+            KeeperOptions::default().revocation_lapse()
         };
 
         PlannerOptions {
--- a/crates/sidecar/src/beats.rs
+++ b/crates/sidecar/src/beats.rs
@@ -143,48 +143,39 @@
         self.reply(&reply)
     }
 
-    /// Grants the target what a table read after the heartbeat names it for.
+    /// Grants the target what the newest proven table names it for, which is one read after the
+    /// heartbeat unless the store gives no answer.
     async fn grant(&self, beat: &TargetHeartbeat, arrived: LocalMoment) -> HeartbeatReply {
-        let settled = timeout(
-            TABLE_TIME,
-            Box::pin(
-                self.settle(|table| self.door.with_keeper(|keeper| keeper.settle(beat, table))),
-            ),
-        )
-        .await;
-
-        let table = match settled {
-            Ok(Ok(Some(table))) => table,
-            Ok(Ok(None)) => RangeTable::new(),
-            Ok(Err(reason)) => {
-                warn!(event = "grant-withheld", life = %beat.life, reason = %reason);
-                return HeartbeatReply::default();
-            }
-            Err(_elapsed) => {
-                warn!(event = "grant-withheld", life = %beat.life, reason = "the table came too late");
-                return HeartbeatReply::default();
-            }
-        };
+        let settling =
+            self.settle(|table| self.door.with_keeper(|keeper| keeper.settle(beat, table)));
+        let settled = timeout(TABLE_TIME, Box::pin(settling))
+            .await
+            .unwrap_or_else(|_elapsed| Err(Arc::from("the table came too late")));
+        if let Err(reason) = settled {
+            info!(event = "table-not-read", life = %beat.life, reason = %reason);
+        }
 
-        self.door
-            .with_keeper(|keeper| keeper.reply(beat, &table, arrived, clock::now()))
+        let reply = self
+            .door
+            .with_keeper(|keeper| keeper.reply(beat, arrived, clock::now()));
+        if reply.grant.is_none() {
+            warn!(event = "grant-withheld", life = %beat.life, sequence = beat.sequence);
+        }
+        reply
     }
 
-    /// Reads the table and writes what a change makes of it. Returns the table as it was read or
-    /// written last.
-    async fn settle(
-        &self,
-        change: impl Fn(&mut RangeTable) -> bool,
-    ) -> Result<Option<RangeTable>, Arc<str>> {
+    /// Reads the table, and writes what a change makes of it.
+    async fn settle(&self, change: impl Fn(&mut RangeTable) -> bool) -> Result<(), Arc<str>> {
         let name: Arc<str> = Arc::from(table_name(&self.settings.service));
         let get = StoreCall::Get {
             name: Arc::clone(&name),
         };
 
         for _ in 0..MAX_WRITES {
+            let asked = clock::now();
             let object = match self.relay.call(&get).await {
                 StoreOutcome::Object(object) => object,
-                StoreOutcome::Absent => return Ok(None),
+                StoreOutcome::Absent => return Ok(()),
                 StoreOutcome::NotDone(reason) | StoreOutcome::Unknown(reason) => {
                     return Err(reason);
                 }
@@ -193,18 +184,41 @@
                 }
             };
             self.view.take_object(object.clone());
-            let table = read_table(&object).map_err(Arc::<str>::from)?;
-            let mut next = table.clone();
-            if !change(&mut next) {
-                return Ok(Some(table));
+            let mut next = read_table(&object).map_err(Arc::<str>::from)?;
+            let unsettled = self.door.with_keeper(|keeper| {
+                keeper.prove(next.clone(), object.revision, asked);
+                keeper.is_unsettled(object.revision)
+            });
+            let changed = change(&mut next);
+            if !changed && !unsettled {
+                return Ok(());
+            }
+            if changed {
+                next.compact();
+            } else {
+                next.touch();
             }
 
-            next.compact();
-            match self.write(&name, object.revision, &next).await {
-                StoreOutcome::Written(_) => return Ok(Some(next)),
+            // Noted first: this future may be dropped while the write is on its way.
+            let expected = object.revision;
+            self.door
+                .with_keeper(|keeper| keeper.write_begins(expected, next.clone()));
+            match self.write(&name, expected, &next).await {
+                StoreOutcome::Written(revision) => {
+                    self.door
+                        .with_keeper(|keeper| keeper.prove(next, revision, asked));
+                    return Ok(());
+                }
                 StoreOutcome::Conflict(_) => {}
-                // The rows that are granted are the same before and after the change.
-                _ => return Ok(Some(table)),
+                StoreOutcome::NotDone(reason) => {
+                    self.door
+                        .with_keeper(|keeper| keeper.write_refused(expected));
+                    return Err(reason);
+                }
+                outcome => {
+                    warn!(event = "table-write-uncertain", expected, outcome = ?outcome);
+                    return Ok(());
+                }
             }
         }
 
@@ -255,7 +269,7 @@
                     })
                     .await;
                 match freed {
-                    Ok(_) => info!(event = "keys-freed", lapsed, ended = self.door.has_ended()),
+                    Ok(()) => info!(event = "keys-freed", lapsed, ended = self.door.has_ended()),
                     Err(reason) => {
                         if !self.lapsing.replace(true) {
                             warn!(event = "keys-not-freed", reason = %reason);
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -47,9 +47,8 @@
 /// The time between two looks at the requests that are still being answered.
 const DRAIN_LOOK: Duration = Duration::from_millis(20);
 
-/// The time for which a grant outlasts the heartbeats that may be lost. A short outage of the store
-/// fits into it.
-const HOLD_BASE: Duration = Duration::from_secs(3);
+/// The time for which a grant outlasts the heartbeats that may be lost.
+const HOLD_BASE: Duration = Duration::from_millis(1_200);
 
 /// The heartbeats in a row that may be lost before a grant ends.
 const HOLD_BEATS: u32 = 2;
@@ -213,7 +212,7 @@
             self.door.clone(),
             self.watch.clone(),
         );
-        let lapse = keeper_options(&self.settings).lapse();
+        let lapse = keeper_options(&self.settings).revocation_lapse();
         compio::runtime::spawn(async move { planner.run(lapse).await }).detach();
 
         spawn_hello(&self.settings, &self.view, &self.links);
