--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -25,7 +25,7 @@
     fn default() -> Self {
         Self {
             first_estimate: Duration::from_millis(50),
-            longest_wait: 0.5,
+            longest_wait: 0.6,
             shortest_wait: 0.1,
             max_waiting: 256,
             min_pause: Duration::from_millis(50),
@@ -274,7 +274,7 @@
         }
 
         let objective = arrival.objective.as_secs_f32();
-        let spare = arrival.objective_left.as_secs_f32() - 1.5 * work;
+        let spare = arrival.objective_left.as_secs_f32() - work;
         let longest = spare.clamp(
             self.options.shortest_wait * objective,
             self.options.longest_wait * objective,
--- a/crates/shard/src/keeper.rs
+++ b/crates/shard/src/keeper.rs
@@ -71,6 +71,9 @@
     since: LocalMoment,
 }
 
+/// The reads within the time for which one of them is proof.
+const PROOF_READS: u32 = 3;
+
 /// `ProvenTable` is a table as a read showed it.
 #[derive(Debug, Clone)]
 struct ProvenTable {
@@ -271,6 +274,26 @@
         });
     }
 
+    /// Returns whether the table must be read before a heartbeat is answered: the proof is old, a
+    /// later revision is known, or the heartbeat may change a row.
+    pub fn needs_read(&self, beat: &TargetHeartbeat, known: u64, now: LocalMoment) -> bool {
+        let Some(proven) = &self.proven else {
+            return true;
+        };
+
+        proven.revision < known
+            || now.since(proven.asked) > self.options.proof / PROOF_READS
+            || self.is_unsettled(proven.revision)
+            || !beat.released.is_empty()
+            || proven.table.rows.iter().any(|row| {
+                let here = row
+                    .holder
+                    .as_ref()
+                    .is_some_and(|holder| holder.node == self.node);
+                here && (row.state != RowState::Held || !row.is_of(&beat.life))
+            })
+    }
+
     /// Returns whether writes that a former process of this node left may still take effect on a
     /// table at a revision. The table must be written once then before it is granted from.
     pub fn is_unsettled(&self, revision: u64) -> bool {
--- a/crates/shard/src/planner.rs
+++ b/crates/shard/src/planner.rs
@@ -12,6 +12,9 @@
 /// The keys from which on a row without a holder is divided among several targets.
 const DIVIDED_KEYS: u16 = 4_096;
 
+/// The utilisation from which on a target counts as overloaded.
+const OVERLOAD_UTILISATION: f32 = 0.85;
+
 /// `TargetStatus` is what the node beside a target says of it.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -39,6 +42,8 @@
     pub gather: Duration,
     /// The pause between two rounds of moves that even out the load.
     pub pause: Duration,
+    /// The pause while a target is overloaded.
+    pub overload_pause: Duration,
     /// The settings of the moves.
     pub balance: BalanceOptions,
 }
@@ -240,7 +245,15 @@
             .rows
             .iter()
             .any(|row| row.holder.is_none() || row.state != RowState::Held);
-        if in_motion || now.since(self.moved) < self.options.pause {
+        let overloaded = candidates
+            .iter()
+            .any(|load| load.utilisation() >= OVERLOAD_UTILISATION);
+        let pause = if overloaded {
+            self.options.overload_pause
+        } else {
+            self.options.pause
+        };
+        if in_motion || now.since(self.moved) < pause {
             return;
         }
 
--- a/crates/shard/tests/shard/decisions.rs
+++ b/crates/shard/tests/shard/decisions.rs
@@ -33,6 +33,7 @@
         lapse: KeeperOptions::default().revocation_lapse(),
         gather: Duration::from_secs(1),
         pause: Duration::from_secs(1),
+        overload_pause: Duration::from_secs(1),
         balance: BalanceOptions::default(),
     }
 }
--- a/crates/shard/tests/shard/storms.rs
+++ b/crates/shard/tests/shard/storms.rs
@@ -427,6 +427,7 @@
             lapse,
             gather: Duration::from_millis(500),
             pause: Duration::from_secs(2),
+            overload_pause: Duration::from_secs(2),
             balance: BalanceOptions {
                 min_utilisation: 0.1,
                 min_difference: 0.2,
--- a/crates/sidecar/src/beats.rs
+++ b/crates/sidecar/src/beats.rs
@@ -146,13 +146,22 @@
     /// Grants the target what the newest proven table names it for, which is one read after the
     /// heartbeat unless the store gives no answer.
     async fn grant(&self, beat: &TargetHeartbeat, arrived: LocalMoment) -> HeartbeatReply {
-        let settling =
-            self.settle(|table| self.door.with_keeper(|keeper| keeper.settle(beat, table)));
-        let settled = timeout(TABLE_TIME, Box::pin(settling))
-            .await
-            .unwrap_or_else(|_elapsed| Err(Arc::from("the table came too late")));
-        if let Err(reason) = settled {
-            info!(event = "table-not-read", life = %beat.life, reason = %reason);
+        let known = self
+            .view
+            .table(&self.settings.service)
+            .map_or(0, |versioned| versioned.revision);
+        let needed = self
+            .door
+            .with_keeper(|keeper| keeper.needs_read(beat, known, arrived));
+        if needed {
+            let settling =
+                self.settle(|table| self.door.with_keeper(|keeper| keeper.settle(beat, table)));
+            let settled = timeout(TABLE_TIME, Box::pin(settling))
+                .await
+                .unwrap_or_else(|_elapsed| Err(Arc::from("the table came too late")));
+            if let Err(reason) = settled {
+                info!(event = "table-not-read", life = %beat.life, reason = %reason);
+            }
         }
 
         let reply = self
--- a/crates/sidecar/src/planning.rs
+++ b/crates/sidecar/src/planning.rs
@@ -91,7 +91,8 @@
             suspicion: Duration::from_millis(1_500),
             lapse,
             gather: Duration::from_millis(1_500),
-            pause: Duration::from_millis(1_500),
+            pause: Duration::from_secs(3),
+            overload_pause: Duration::from_millis(1_200),
             balance: BalanceOptions::default(),
         };
         let mut planner: Option<RangePlanner> = None;
