--- a/crates/gate/src/pressure.rs
+++ b/crates/gate/src/pressure.rs
@@ -6,8 +6,14 @@
 use std::time::Duration;
 use wagtail_core::units::LocalMoment;
 
-/// The weight of the latest wait.
-const WAIT_WEIGHT: f32 = 0.06;
+/// The weight of the latest wait of a call.
+const CALL_WEIGHT: f32 = 0.06;
+
+/// The weight of the latest wait of new work, of which there is less.
+const WORK_WEIGHT: f32 = 0.12;
+
+/// The share of its objective that new work may wait, as a call may wait all of its own.
+const WORK_WAIT: f32 = 0.4;
 
 /// The mean wait, as a share of the objective, up to which callers begin all work.
 const FREE_WAIT: f32 = 0.6;
@@ -21,14 +27,18 @@
 /// `CallPressure` is the share of new work that callers should begin.
 #[derive(Debug)]
 pub struct CallPressure {
-    wait: f32,
+    /// The mean wait of calls, as a share of their objective.
+    call_wait: f32,
+    /// The mean wait of new work that is urgent enough, as a share of the longest sensible one.
+    work_wait: f32,
     caller_priority: u32,
 }
 
 impl Default for CallPressure {
     fn default() -> Self {
         Self {
-            wait: 0.0,
+            call_wait: 0.0,
+            work_wait: 0.0,
             caller_priority: u32::MAX,
         }
     }
@@ -47,13 +57,20 @@
             return;
         }
 
-        let relative = (wait / objective.as_secs_f32().max(0.001)).min(FULL_WAIT * 2.0);
-        self.wait += (relative - self.wait) * WAIT_WEIGHT;
+        let objective = objective.as_secs_f32().max(0.001);
+        let (mean, longest, weight) = if is_call {
+            (&mut self.call_wait, objective, CALL_WEIGHT)
+        } else {
+            (&mut self.work_wait, objective * WORK_WAIT, WORK_WEIGHT)
+        };
+        let relative = (wait / longest).min(FULL_WAIT * 2.0);
+        *mean += (relative - *mean) * weight;
     }
 
     /// Returns the share.
     pub fn share(&self) -> f32 {
-        let over = (self.wait - FREE_WAIT) / (FULL_WAIT - FREE_WAIT);
+        let wait = self.call_wait.max(self.work_wait);
+        let over = (wait - FREE_WAIT) / (FULL_WAIT - FREE_WAIT);
 
         (1.0 - over).clamp(LOWEST, 1.0)
     }
--- a/crates/gate/tests/gate/calls.rs
+++ b/crates/gate/tests/gate/calls.rs
@@ -60,6 +60,21 @@
     assert!((pressure.share() - 1.0).abs() < 0.01);
 }
 
+/// The pattern: calls go first and hardly wait, while urgent new work of the called service starves.
+#[test]
+fn callers_begin_less_while_more_urgent_work_waits_behind_their_calls() {
+    let mut pressure = CallPressure::default();
+    pressure.called(2);
+
+    for _ in 0..100 {
+        pressure.arrived(true, 1, 0.005, CALL_OBJECTIVE);
+        pressure.arrived(true, 1, 0.005, CALL_OBJECTIVE);
+        pressure.arrived(false, 1, 0.2, Duration::from_millis(400));
+    }
+
+    assert!(pressure.share() < 0.7, "{}", pressure.share());
+}
+
 /// The pattern: the work of a caller is more urgent than what fills the called service.
 #[test]
 fn less_urgent_work_does_not_hold_its_callers_back() {
--- a/crates/sidecar/src/door.rs
+++ b/crates/sidecar/src/door.rs
@@ -57,7 +57,7 @@
 const HOLD_MARGIN: Duration = Duration::from_millis(100);
 
 /// The longest wait for a key that the table names this target for and that it is about to get.
-const GRANT_WAIT: Duration = Duration::from_millis(250);
+const GRANT_WAIT: Duration = Duration::from_millis(150);
 
 /// The time between two looks for such a key.
 const GRANT_LOOK: Duration = Duration::from_millis(15);
@@ -438,15 +438,32 @@
 
         while !self.holds(key) {
             let now = clock::now();
-            if !self.is_named(key) || now.since(began) > GRANT_WAIT || now >= deadline {
+            if !self.is_named(key) || now >= deadline {
                 return Some(self.other_holder(key));
             }
+            // The key comes with the answer to the next heartbeat.
+            let rest = self.next_beat().since(now);
+            if now.since(began) > GRANT_WAIT || rest > GRANT_WAIT {
+                return Some(NotRunFields {
+                    reason: Arc::from("key-not-granted"),
+                    pause_ms: u32::try_from((rest + GRANT_LOOK).as_millis()).unwrap_or(u32::MAX),
+                    elsewhere: false,
+                    ..elsewhere("")
+                });
+            }
             sleep(GRANT_LOOK).await;
         }
 
         None
     }
 
+    /// Returns the moment at which the next heartbeat of the target is expected.
+    fn next_beat(&self) -> LocalMoment {
+        let beat_at = self.state.borrow().beat_at;
+
+        beat_at.map_or(LocalMoment::ZERO, |at| at + self.settings.heartbeat)
+    }
+
     /// Returns whether the target holds a key.
     fn holds(&self, key: u16) -> bool {
         self.state
