--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -1,7 +1,7 @@
 //! The server for callers, and the one that tells whether the node is ready.
 
 use crate::{
-    door::{TargetDoor, end_to_end},
+    door::{TargetDoor, headers::end_to_end},
     forward::{ForwardJob, ForwardOutcome, RequestForwarder},
     messages::OrderHead,
     ports::WireDialect,
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`forward`]: the way of a caller's request.
 //! - [`front`]: the server for callers.
 //! - [`beats`]: the server for the target's heartbeats.
+//! - [`record`]: the record that a node publishes of itself.
 //! - [`inbound`]: the server for the other nodes.
 //! - [`planning`]: the task that spreads the keys of a service.
 //! - [`run`]: starting and stopping.
@@ -29,6 +30,7 @@
 pub mod messages;
 pub mod planning;
 pub mod ports;
+pub mod record;
 pub mod relay;
 pub mod run;
 pub mod settings;
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -1,7 +1,7 @@
 //! Starting and stopping.
 
 use crate::{
-    beats::{BeatHandler, RecordPublisher},
+    beats::BeatHandler,
     directory::{self, DirectoryOptions},
     door::TargetDoor,
     forward::RequestForwarder,
@@ -11,6 +11,7 @@
     messages::PeerRequest,
     planning::{PlannerTask, PlannerWatch},
     ports::WireDialect,
+    record::RecordPublisher,
     relay::StoreRelay,
     settings::SidecarSettings,
     view::FleetView,
