--- a/crates/route/src/pick.rs
+++ b/crates/route/src/pick.rs
@@ -52,6 +52,22 @@
     }
 }
 
+/// The times that the holder of a key is asked for one request.
+const MAX_ASKED_HOLDER: usize = 2;
+
+/// Returns whether the node beside the holder of a key may be asked, again when the answer of an
+/// idempotent request was lost, as no other target may run it.
+pub fn may_ask_holder(
+    tried: &[Arc<str>],
+    node: &Arc<str>,
+    answer_lost: bool,
+    idempotent: bool,
+) -> bool {
+    let asked = tried.iter().filter(|other| *other == node).count();
+
+    asked == 0 || (answer_lost && idempotent && asked < MAX_ASKED_HOLDER)
+}
+
 /// `PickCandidate` is a target that may be chosen.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PickCandidate {
--- a/crates/route/tests/hosts_and_picks.rs
+++ b/crates/route/tests/hosts_and_picks.rs
@@ -7,7 +7,7 @@
 };
 use wagtail_route::{
     hosts::{HostTable, choose_service},
-    pick::{LoadReport, PickCandidate, PickOptions, TargetPicker},
+    pick::{LoadReport, PickCandidate, PickOptions, TargetPicker, may_ask_holder},
 };
 
 /// Returns a moment in milliseconds.
@@ -153,3 +153,17 @@
 
     assert_eq!(choice.as_deref(), Some("sound"));
 }
+
+/// The pattern: a target runs requests and its answers are lost.
+#[test]
+fn the_holder_of_a_key_is_asked_again_only_for_a_lost_answer_of_an_idempotent_request() {
+    let holder: Arc<str> = Arc::from("holder");
+    let once = [Arc::clone(&holder)];
+    let twice = [Arc::clone(&holder), Arc::clone(&holder)];
+
+    assert!(may_ask_holder(&[], &holder, false, false));
+    assert!(may_ask_holder(&once, &holder, true, true));
+    assert!(!may_ask_holder(&once, &holder, true, false));
+    assert!(!may_ask_holder(&once, &holder, false, true));
+    assert!(!may_ask_holder(&twice, &holder, true, true));
+}
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -30,7 +30,7 @@
 use wagtail_peer::answer::PeerAnswer;
 use wagtail_route::{
     BudgetOptions, RetryBudget,
-    pick::{LoadReport, PickCandidate, PickOptions, TargetPicker},
+    pick::{LoadReport, PickCandidate, PickOptions, TargetPicker, may_ask_holder},
 };
 
 /// The nodes that are asked for one request before it is refused.
@@ -353,7 +353,14 @@
         let node = attempts.hint.clone().or_else(known)?;
         let avoided = self.picker.borrow().is_avoided(&node, clock::now());
 
-        (!avoided && !attempts.tried.contains(&node)).then_some(node)
+        let may_ask = may_ask_holder(
+            &attempts.tried,
+            &node,
+            attempts.may_have_run.is_some(),
+            job.route.kind.is_idempotent(),
+        );
+
+        (!avoided && may_ask).then_some(node)
     }
 
     /// Returns whether a request that reached a target may be sent to another one.
