--- /dev/null
+++ b/crates/sidecar/tests/view.rs
@@ -0,0 +1,130 @@
+//! Tests of what a node knows of the fleet.
+
+use std::{sync::Arc, time::Duration};
+use wagtail_core::{
+    objects::{ObjectChange, StoredObject},
+    routing::RoutingConfig,
+    units::LocalMoment,
+};
+use wagtail_shard::table::RangeTable;
+use wagtail_sidecar::{
+    messages::KnownVersions,
+    view::{FleetView, NodeRecord, record_name, table_name},
+};
+
+/// Returns a moment in milliseconds.
+fn at(millis: u64) -> LocalMoment {
+    LocalMoment::from_millis(millis)
+}
+
+/// Makes an object.
+fn object(name: &str, revision: u64, content: impl Into<Arc<str>>) -> StoredObject {
+    StoredObject {
+        name: Arc::from(name),
+        revision,
+        content: content.into(),
+    }
+}
+
+/// Makes the record of a node.
+fn record(node: &str, revision: u64, ready: bool) -> StoredObject {
+    let record = NodeRecord {
+        node: Arc::from(node),
+        zone: Arc::from("a"),
+        peers: "127.0.0.1:1".parse().unwrap(),
+        service: Arc::from("rooms"),
+        slots: 4,
+        ready,
+    };
+
+    object(
+        &record_name(node),
+        revision,
+        serde_json::to_string(&record).unwrap(),
+    )
+}
+
+#[test]
+fn an_older_state_never_replaces_a_newer_one() {
+    let view = FleetView::default();
+    view.take_object(record("n1", 7, false));
+    view.take_object(record("n1", 5, true));
+
+    assert!(!view.node("n1").unwrap().ready);
+
+    view.take_list(vec![record("n1", 9, true)], 9);
+    assert!(view.node("n1").unwrap().ready);
+    view.take_list(Vec::new(), 8);
+    assert!(view.node("n1").is_some());
+}
+
+#[test]
+fn a_list_without_a_node_and_a_deletion_remove_it() {
+    let view = FleetView::default();
+    view.take_list(vec![record("n1", 5, true), record("n2", 6, true)], 6);
+    view.take_list(vec![record("n2", 6, true)], 8);
+    assert!(view.node("n1").is_none());
+
+    let change = ObjectChange {
+        object: record("n2", 9, true),
+        deleted: true,
+    };
+    view.take_changes(vec![change], 9);
+    assert!(view.nodes_of("rooms").is_empty());
+}
+
+#[test]
+fn what_cannot_be_read_names_nothing_and_leaves_the_rest() {
+    let view = FleetView::default();
+    view.take_object(record("n1", 5, true));
+    view.take_object(object("node.n2", 6, "{\"node\":7}"));
+    view.take_object(object(&table_name("agenda"), 7, "not a table"));
+    let mut gap = RangeTable::new();
+    gap.rows[0].from = 5;
+    view.take_object(object(
+        &table_name("agenda"),
+        8,
+        serde_json::to_string(&gap).unwrap(),
+    ));
+
+    assert_eq!(view.nodes().len(), 1);
+    assert!(view.table("agenda").is_none());
+}
+
+#[test]
+fn a_lower_version_of_the_configuration_is_ignored() {
+    let view = FleetView::default();
+    assert!(view.hosts().is_none());
+    let config = |version| RoutingConfig {
+        version,
+        ..RoutingConfig::default()
+    };
+
+    assert!(view.take_config(&object("main", 4, "{}"), &config(12)));
+    assert!(!view.take_config(&object("main", 5, "{}"), &config(11)));
+    assert_eq!(view.versions().config, 12);
+}
+
+/// The pattern: a watch goes silent without a reset while other nodes learn more.
+#[test]
+fn a_node_knows_since_when_others_know_more() {
+    let view = FleetView::default();
+    view.take_object(record("n1", 5, true));
+    view.hear(
+        KnownVersions {
+            config: 0,
+            fleet: 5,
+        },
+        at(100),
+    );
+    assert_eq!(view.fleet_behind_since(), None);
+
+    for (millis, fleet) in [(200, 8), (300, 8)] {
+        view.hear(KnownVersions { config: 0, fleet }, at(millis));
+    }
+    let since = view.fleet_behind_since().unwrap();
+    assert_eq!(at(500).since(since), Duration::from_millis(300));
+
+    view.take_object(record("n2", 8, true));
+    assert_eq!(view.fleet_behind_since(), None);
+}
