--- a/crates/shard/src/lib.rs
+++ b/crates/shard/src/lib.rs
@@ -1,9 +1,10 @@
 //! Ranges of keys: who holds them, when they may move, and how they are spread.
 //!
 //! The platform's store keeps one table a keyed service, changed by conditional writes only. The
-//! node beside a target is the only one that grants keys to it, and grants only what a table read
-//! after the target's heartbeat names. A row passes to another holder after the target released
-//! it, after the target's life ended, or after the last hold under the old row has lapsed.
+//! node beside a target is the only one that grants keys to it, and grants only what a table that
+//! it read a short while ago names, the proof. A row passes to another holder after the target
+//! released it, after the target's life ended, or after the last hold that any proof of the old
+//! row allows has lapsed.
 //!
 //! - [`table`]: the table and its changes.
 //! - [`keeper`]: heartbeats and grants beside a target.
