--- a/crates/shard/tests/shard/main.rs
+++ b/crates/shard/tests/shard/main.rs
@@ -3,3 +3,4 @@
 mod decisions;
 mod storms;
 mod support;
+mod world;
--- a/crates/shard/tests/shard/storms.rs
+++ b/crates/shard/tests/shard/storms.rs
@@ -1,13 +1,13 @@
 //! Random faults in virtual time: no key is ever held by two lives, and tokens only rise.
 
-use crate::support::{beat, status};
+use crate::{
+    support::{beat, status},
+    world::{Hold, Place, Store, Travel, take_reply},
+};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::{collections::HashMap, sync::Arc, time::Duration};
-use wagtail_core::{
-    heartbeat::{GrantedRange, HeartbeatReply, HeldRange, ReleasedRange, TargetHeartbeat},
-    units::LocalMoment,
-};
+use wagtail_core::{heartbeat::HeldRange, units::LocalMoment};
 use wagtail_shard::{
     balance::BalanceOptions,
     keeper::{BeatVerdict, HoldKeeper, KeeperOptions},
@@ -31,66 +31,6 @@
 /// The targets of the service.
 const TARGETS: usize = 5;
 
-/// A hold of a target, with its true end.
-#[derive(Debug, Clone)]
-struct Hold {
-    range: GrantedRange,
-    until: u64,
-}
-
-/// A heartbeat on its way to the node, or an answer on its way back.
-#[derive(Debug)]
-enum Travel {
-    Beat(TargetHeartbeat, u64),
-    Reply(HeartbeatReply, u64, u64),
-}
-
-/// A target and the node beside it.
-#[derive(Debug)]
-struct Place {
-    name: String,
-    started: u64,
-    target_up_at: u64,
-    target_frozen_until: u64,
-    sequence: u64,
-    next_beat: u64,
-    holds: Vec<Hold>,
-    released: Vec<ReleasedRange>,
-    highest: HashMap<u16, u64>,
-    keeper: HoldKeeper,
-    node_up_at: u64,
-    node_frozen_until: u64,
-    cut_until: u64,
-    travels: Vec<(u64, Travel)>,
-    next_free: u64,
-}
-
-/// The store with writes that take effect late.
-#[derive(Debug, Default)]
-struct Store {
-    table: Option<(u64, RangeTable)>,
-    revision: u64,
-    late: Vec<(u64, u64, RangeTable)>,
-}
-
-impl Store {
-    fn write(&mut self, expected: u64, table: RangeTable) -> bool {
-        if self.table.as_ref().map_or(0, |(revision, _)| *revision) != expected {
-            return false;
-        }
-        self.revision += 1;
-        self.table = Some((self.revision, table));
-        true
-    }
-
-    fn settle(&mut self, now: u64) {
-        let due: Vec<_> = self.late.extract_if(.., |late| late.0 <= now).collect();
-        for (_, expected, table) in due {
-            self.write(expected, table);
-        }
-    }
-}
-
 /// One run.
 struct Storm {
     now: u64,
@@ -474,46 +414,6 @@
     }
 }
 
-/// Lets a target take an answer: what is left out is released.
-fn take_reply(place: &mut Place, reply: &HeartbeatReply, sent: u64) {
-    let Some(grant) = &reply.grant else {
-        return;
-    };
-    // The target's clock may run 2% slow, so that its holds last longer.
-    let hold_ms = u64::try_from(grant.hold.as_millis()).unwrap() * 102 / 100;
-    let before = std::mem::take(&mut place.holds);
-
-    for range in &grant.ranges {
-        let seen = (range.from..=range.to).step_by(97).any(|key| {
-            place
-                .highest
-                .get(&key)
-                .is_some_and(|seen| *seen > range.token)
-        });
-        if seen {
-            continue;
-        }
-        for key in (range.from..=range.to).step_by(97) {
-            place.highest.insert(key, range.token);
-        }
-        place.holds.push(Hold {
-            range: range.clone(),
-            until: sent + hold_ms,
-        });
-    }
-    for hold in before {
-        let kept =
-            |other: &Hold| other.range.from <= hold.range.to && hold.range.from <= other.range.to;
-        if !place.holds.iter().any(kept) {
-            place.released.push(ReleasedRange {
-                from: hold.range.from,
-                to: hold.range.to,
-                handover: Arc::from("warm"),
-            });
-        }
-    }
-}
-
 #[test]
 fn no_key_has_two_holders_in_any_storm() {
     let mut served = 0;
