A peer connection on which bytes arrive is not silent

A ping had 450 ms to be answered. On links of 12 Mbit/s its answer queues behind the data of downloads, so that connections that were busy were taken for lost and every answer on them was cut.

Now any byte that arrives counts as life, the silence allowed grows with the delay of answered pings, and a silence has two stages: a suspected connection takes no new request and requests that may be repeated leave it at once, as before; answers that have begun and requests that may run once only go on until 3 s.

--- a/crates/peer/src/control.rs
+++ b/crates/peer/src/control.rs
@@ -1,9 +1,6 @@
 //! The task that sends control messages to one peer.
 
-use crate::{
-    CONTROL_PATH,
-    link::{self, AwaitedAnswers},
-};
+use crate::{CONTROL_PATH, link, silence::AwaitedAnswers};
 use bytes::Bytes;
 use compio::time::{sleep, timeout};
 use futures_channel::mpsc::{self, Receiver, Sender};
@@ -68,8 +65,12 @@
     first: Bytes,
     frames: &mut Receiver<Bytes>,
 ) -> Result<()> {
-    let sender = link::connect(address, AwaitedAnswers::default()).await?;
-    let mut sender = sender.ready().await.map_err(|error| broken(&error))?;
+    let connection = link::connect(address, AwaitedAnswers::default()).await?;
+    let mut sender = connection
+        .sender
+        .ready()
+        .await
+        .map_err(|error| broken(&error))?;
     let request = link::stream_request(CONTROL_PATH)?;
     let (_response, mut stream) = sender
         .send_request(request, false)
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`stream`]: reading frames and bodies from an h2 stream.
 //! - [`link`]: the client side of one peer.
 //! - [`control`]: the task that sends control messages to one peer.
+//! - [`silence`]: finding connections that have gone silent.
 //! - [`server`]: the server side.
 
 pub mod answer;
@@ -17,6 +18,7 @@
 pub mod frame;
 pub mod link;
 pub mod server;
+pub mod silence;
 pub mod stream;
 
 /// The version of the protocol; a peer of another version is refused.
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -1,28 +1,23 @@
 //! The client side of one peer.
 
 use crate::{
-    PROTOCOL_VERSION, REQUEST_PATH, VERSION_HEADER, answer::PeerAnswer, frame, stream::FrameReader,
+    PROTOCOL_VERSION, REQUEST_PATH, VERSION_HEADER,
+    answer::PeerAnswer,
+    frame,
+    silence::{AwaitedAnswers, ConnectionWatch, LastRead, WatchedStream},
+    stream::FrameReader,
 };
 use bytes::Bytes;
-use compio::{
-    net::TcpStream,
-    time::{sleep, timeout},
-};
+use compio::{net::TcpStream, time::timeout};
 use cyper_core::HyperStream;
-use futures_util::future::select;
+use futures_util::future::{Either, select};
 use h2::{
-    Ping, PingPong, Reason,
+    Reason,
     client::{Builder, SendRequest},
 };
 use http::{Method, Request, StatusCode};
 use serde::{Serialize, de::DeserializeOwned};
-use std::{
-    cell::{Cell, RefCell},
-    net::SocketAddr,
-    pin::pin,
-    rc::Rc,
-    time::Duration,
-};
+use std::{cell::RefCell, net::SocketAddr, pin::pin, time::Duration};
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 use wagtail_core::{
     CoreError, Result,
@@ -31,18 +26,11 @@
     service::WorkClass,
     verdict::RunVerdict,
 };
-use wagtail_net::clock;
+use wagtail_net::stop::StopSignal;
 
 /// The longest time to open a connection to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// The time between two looks at a connection on which answers are awaited.
-const PING_INTERVAL: Duration = Duration::from_millis(150);
-
-/// The time after which a connection whose peer does not answer a ping is given up. Connections
-/// may go silent without a reset.
-const PING_TIMEOUT: Duration = Duration::from_millis(450);
-
 /// The flow-control window of one stream in bytes.
 pub(crate) const STREAM_WINDOW_BYTES: u32 = 256 << 10;
 
@@ -55,38 +43,26 @@
 #[derive(Debug)]
 pub struct PeerLink {
     address: SocketAddr,
-    short: RefCell<Option<SendRequest<Bytes>>>,
-    long: RefCell<Option<SendRequest<Bytes>>>,
+    short: RefCell<Option<PeerConnection>>,
+    long: RefCell<Option<PeerConnection>>,
     awaited: AwaitedAnswers,
 }
 
-/// `AwaitedAnswers` counts the answers for which the senders on a link wait.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct AwaitedAnswers(Rc<Cell<usize>>);
-
-impl AwaitedAnswers {
-    /// Counts an answer until the guard is dropped.
-    fn begin(&self) -> AwaitedGuard {
-        self.0.set(self.0.get() + 1);
-
-        AwaitedGuard(self.clone())
-    }
-
-    /// Returns whether any answer is awaited.
-    fn any(&self) -> bool {
-        self.0.get() > 0
-    }
+/// `PeerConnection` is one connection to a peer.
+#[derive(Debug, Clone)]
+pub(crate) struct PeerConnection {
+    pub(crate) sender: SendRequest<Bytes>,
+    /// Given when the peer has been silent for long.
+    suspected: StopSignal,
 }
 
-/// `AwaitedGuard` counts one awaited answer.
-#[derive(Debug)]
-struct AwaitedGuard(AwaitedAnswers);
-
-impl Drop for AwaitedGuard {
-    fn drop(&mut self) {
-        let count = &self.0.0;
-        count.set(count.get() - 1);
-    }
+/// `SilencePolicy` says how long a request waits on a connection that is suspected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SilencePolicy {
+    /// It fails at once, as it may be repeated elsewhere.
+    Leave,
+    /// It waits until the connection is closed.
+    Wait,
 }
 
 impl PeerLink {
@@ -113,7 +89,12 @@
     /// Fails with the verdict `NotRun` when the request did not leave this process or the peer
     /// refused its stream, and `Unknown` otherwise.
     pub async fn request(&self, head: &RequestHead, body: Bytes) -> Result<TargetAnswer> {
-        let answer: PeerAnswer<AnswerHead> = self.exchange(head, head.class, body).await?;
+        let policy = if head.idempotent {
+            SilencePolicy::Leave
+        } else {
+            SilencePolicy::Wait
+        };
+        let answer: PeerAnswer<AnswerHead> = self.exchange(head, head.class, policy, body).await?;
 
         Ok(TargetAnswer {
             head: answer.head,
@@ -131,13 +112,17 @@
         &self,
         head: &Q,
         class: WorkClass,
+        policy: SilencePolicy,
         body: Bytes,
     ) -> Result<PeerAnswer<A>> {
         let frame = frame::encode(head)?;
         let request = stream_request(REQUEST_PATH)?;
         let _awaited = self.awaited.begin();
 
-        let mut sender = self.ready(class).await?;
+        let PeerConnection {
+            mut sender,
+            suspected,
+        } = self.ready(class).await?;
         let (response, mut stream) = sender
             .send_request(request, false)
             .map_err(|error| self.lost(&error))?;
@@ -152,21 +137,40 @@
                 .map_err(|error| self.broken(&error))?;
         }
 
-        let response = response.await.map_err(|error| self.broken(&error))?;
-        self.answer(response).await
+        let answer = pin!(async {
+            let response = response.await.map_err(|error| self.broken(&error))?;
+            self.answer(response).await
+        });
+        if policy == SilencePolicy::Wait {
+            return answer.await;
+        }
+
+        match select(answer, pin!(suspected.wait())).await {
+            Either::Left((answer, _)) => answer,
+            Either::Right(((), _)) => Err(CoreError::unavailable(
+                format!("{}: the peer is silent", self.address),
+                RunVerdict::Unknown,
+            )),
+        }
     }
 
     /// Returns a connection that takes another stream. A kept one that the peer has closed since
     /// is replaced, as nothing of the request was sent on it.
-    async fn ready(&self, class: WorkClass) -> Result<SendRequest<Bytes>> {
-        if let Ok(sender) = self.connection(class).await?.ready().await {
-            return Ok(sender);
+    async fn ready(&self, class: WorkClass) -> Result<PeerConnection> {
+        let kept = self.connection(class).await?;
+        if let Ok(sender) = kept.sender.ready().await {
+            return Ok(PeerConnection { sender, ..kept });
         }
         self.forget();
 
-        let sender = self.connection(class).await?;
+        let opened = self.connection(class).await?;
+        let sender = opened
+            .sender
+            .ready()
+            .await
+            .map_err(|error| self.lost(&error))?;
 
-        sender.ready().await.map_err(|error| self.lost(&error))
+        Ok(PeerConnection { sender, ..opened })
     }
 
     /// Reads the head of an answer.
@@ -195,21 +199,21 @@
     }
 
     /// Returns the open connection for a class of work, or a new one.
-    async fn connection(&self, class: WorkClass) -> Result<SendRequest<Bytes>> {
+    async fn connection(&self, class: WorkClass) -> Result<PeerConnection> {
         let place = match class {
             WorkClass::Short => &self.short,
             WorkClass::Long => &self.long,
         };
 
         let open = place.borrow().clone();
-        if let Some(sender) = open {
-            return Ok(sender);
+        if let Some(connection) = open.filter(|open| !open.suspected.is_given()) {
+            return Ok(connection);
         }
 
-        let sender = connect(self.address, self.awaited.clone()).await?;
-        *place.borrow_mut() = Some(sender.clone());
+        let connection = connect(self.address, self.awaited.clone()).await?;
+        *place.borrow_mut() = Some(connection.clone());
 
-        Ok(sender)
+        Ok(connection)
     }
 
     /// Forgets the connections after a failure and makes the error of a request that did not
@@ -252,7 +256,7 @@
 pub(crate) async fn connect(
     address: SocketAddr,
     awaited: AwaitedAnswers,
-) -> Result<SendRequest<Bytes>> {
+) -> Result<PeerConnection> {
     let opening = timeout(CONNECT_TIMEOUT, open(address, awaited)).await;
 
     opening
@@ -266,7 +270,7 @@
 async fn open(
     address: SocketAddr,
     awaited: AwaitedAnswers,
-) -> std::result::Result<SendRequest<Bytes>, String> {
+) -> std::result::Result<PeerConnection, String> {
     let stream = TcpStream::connect(address)
         .await
         .map_err(|error| error.to_string())?;
@@ -274,44 +278,34 @@
         .set_nodelay(true)
         .map_err(|error| error.to_string())?;
 
+    let read = LastRead::default();
+    let watched = WatchedStream::new(HyperStream::new_plain(stream), read.clone());
     let (sender, mut connection) = Builder::new()
         .initial_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
-        .handshake(HyperStream::new_plain(stream).compat())
+        .handshake(watched.compat())
         .await
         .map_err(|error| error.to_string())?;
 
-    let pings = connection.ping_pong();
+    let pings = connection
+        .ping_pong()
+        .ok_or_else(|| "the pings of the connection are taken".to_owned())?;
+    let suspected = StopSignal::new();
+    let watch = ConnectionWatch {
+        address,
+        pings,
+        awaited,
+        read,
+        suspected: suspected.clone(),
+    };
+
     // The task ends with the connection; the streams learn of its errors.
     compio::runtime::spawn(async move {
-        let silent = pin!(until_silent(pings, awaited));
-        drop(select(pin!(connection), silent).await);
+        drop(select(pin!(connection), pin!(watch.until_silent())).await);
     })
     .detach();
 
-    Ok(sender)
-}
-
-/// Waits until the peer leaves a ping unanswered while answers are awaited.
-async fn until_silent(pings: Option<PingPong>, awaited: AwaitedAnswers) {
-    let Some(mut pings) = pings else {
-        return std::future::pending().await;
-    };
-
-    loop {
-        sleep(PING_INTERVAL).await;
-        if !awaited.any() {
-            continue;
-        }
-
-        let sent = clock::now();
-        let answered = timeout(PING_TIMEOUT, pings.ping(Ping::opaque())).await;
-        // After a suspension of this process the answer may be here and not yet read.
-        let suspended = clock::now().since(sent) > PING_TIMEOUT * 2;
-        if answered.is_err() && !suspended {
-            return;
-        }
-    }
+    Ok(PeerConnection { sender, suspected })
 }
 
 /// Makes the request that opens a stream.
--- a/crates/sidecar/src/links.rs
+++ b/crates/sidecar/src/links.rs
@@ -8,7 +8,10 @@
 use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc};
 use wagtail_core::{CoreError, Result, service::WorkClass, verdict::RunVerdict};
 use wagtail_net::clock;
-use wagtail_peer::{answer::PeerAnswer, link::PeerLink};
+use wagtail_peer::{
+    answer::PeerAnswer,
+    link::{PeerLink, SilencePolicy},
+};
 
 /// `NodeLinks` holds one link for each node.
 #[derive(Debug, Clone)]
@@ -44,7 +47,7 @@
 
         let answer: PeerAnswer<PeerReply> = self
             .link(record.peers)
-            .exchange(request, class, body)
+            .exchange(request, class, silence_policy(request), body)
             .await?;
         self.view.hear(answer.head.versions, clock::now());
 
@@ -61,3 +64,11 @@
         Rc::clone(link)
     }
 }
+
+/// Returns how long a request waits on a connection that is suspected.
+fn silence_policy(request: &PeerRequest) -> SilencePolicy {
+    match request {
+        PeerRequest::Order(order) if !order.kind.is_idempotent() => SilencePolicy::Wait,
+        _ => SilencePolicy::Leave,
+    }
+}
