Two nodes a zone watch the store for the others

Now each node chooses from the records it knows who watches: two ready nodes a zone, one in sixteen in large zones. The others ask one of them for changes and get them with the next one. A node that is asked and does not watch, or lost the store, says so, and the asker takes another or the store itself. What other nodes know more than this one still ends a wait within 300 ms. A list no longer removes objects that were written after it was made. The deletion of a record that is absent counts as done and is not repeated for ever.

Ruled out: stale reads for watches (a tenth of the price): they may lag seconds behind.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -10,6 +10,7 @@
     body::Incoming,
     client::conn::http1::{self, SendRequest},
 };
+use rustix::net::sockopt;
 use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
 use wagtail_core::{
     CoreError, Result,
@@ -21,6 +22,9 @@
 /// The idle connections that a pool keeps.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 
+/// The probes without an answer after which the system ends a connection.
+const UNANSWERED_PROBES: u32 = 2;
+
 /// `PoolOptions` are the settings of the connections to one server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PoolOptions {
@@ -29,6 +33,9 @@
     /// The time after which an idle connection is not used again, as the server may be about to
     /// close it.
     pub max_idle: Duration,
+    /// The idle time after which the system probes a connection, and between two probes. Without
+    /// it a connection that waits for an answer may be silent for good.
+    pub keep_alive: Option<Duration>,
 }
 
 impl Default for PoolOptions {
@@ -36,6 +43,7 @@
         Self {
             connect_timeout: Duration::from_secs(2),
             max_idle: Duration::from_secs(4),
+            keep_alive: None,
         }
     }
 }
@@ -174,6 +182,9 @@
             .await
             .map_err(|error| refused(&error))?;
         stream.set_nodelay(true).map_err(|error| refused(&error))?;
+        if let Some(interval) = self.options.keep_alive {
+            probe_when_idle(&stream, interval).map_err(|error| refused(&error))?;
+        }
 
         let (sender, connection) = http1::handshake(HyperStream::new_plain(stream))
             .await
@@ -190,6 +201,15 @@
     }
 }
 
+/// Has the system probe a connection that is idle, and end it when probes are not answered.
+fn probe_when_idle(stream: &TcpStream, interval: Duration) -> rustix::io::Result<()> {
+    sockopt::set_tcp_keepidle(stream, interval)?;
+    sockopt::set_tcp_keepintvl(stream, interval)?;
+    sockopt::set_tcp_keepcnt(stream, UNANSWERED_PROBES)?;
+
+    sockopt::set_socket_keepalive(stream, true)
+}
+
 /// `PooledAnswer` is an answer whose connection returns to its pool after the whole body.
 #[derive(Debug)]
 pub struct PooledAnswer {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`hosts`]: routes by host and path prefix.
 //! - [`pick`]: the choice among targets by their expected wait.
 //! - [`table`]: the owners of the slices of keyed services.
+//! - [`watchers`]: the nodes that watch the store for others.
 
 pub mod budget;
 pub mod choice;
@@ -17,6 +18,7 @@
 pub mod retry;
 pub mod standing;
 pub mod table;
+pub mod watchers;
 
 pub use budget::{BudgetOptions, RetryBudget};
 pub use choice::{ChoiceAction, ChoiceEvent, ChoiceMachine, ChoiceOptions};
--- a/crates/sidecar/src/directory.rs
+++ b/crates/sidecar/src/directory.rs
@@ -1,17 +1,18 @@
-//! The task that follows the store.
+//! The tasks that follow the store, at the store itself or through a node that watches it.
 
 use crate::{
     links::NodeLinks,
-    messages::{PeerRequest, ReplyBody},
+    messages::{FollowedChanges, PeerRequest, ReplyBody},
     ports::WireDialect,
     view::{FLEET_KIND, FleetView},
+    watching::WatchRelay,
 };
 use bytes::Bytes;
 use compio::time::{sleep, timeout};
 use futures_util::future::{Either, select};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::{cell::RefCell, pin::pin, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::RefCell, collections::BTreeSet, pin::pin, rc::Rc, sync::Arc, time::Duration};
 use tracing::{info, warn};
 use wagtail_core::{
     objects::{ObjectChanges, ObjectStore, Result, StoreError, StoredObject},
@@ -19,10 +20,15 @@
     units::LocalMoment,
 };
 use wagtail_net::clock;
+use wagtail_route::watchers::{SourceFailure, WatchSource, WatcherChoice};
 
 /// The longest wait of one watch. A newer version that another node knows ends it early.
 const WATCH_TIME: Duration = Duration::from_secs(20);
 
+/// The time for which an answer of a watching node may be late. A connection that goes silent ends
+/// sooner.
+const FOLLOW_SLACK: Duration = Duration::from_secs(1);
+
 /// The pause after changes, in which further ones gather. A node that acts on an old table is told
 /// so by the node that it asks.
 const GATHER_TIME: Duration = Duration::from_millis(150);
@@ -47,6 +53,8 @@
 pub struct DirectoryOptions {
     /// This node.
     pub node: Arc<str>,
+    /// The availability zone of this node.
+    pub zone: Arc<str>,
     /// The store.
     pub store: Rc<dyn ObjectStore>,
     /// The format of the configuration.
@@ -55,6 +63,8 @@
     pub view: FleetView,
     /// The other nodes, which are asked when the store gives no answer.
     pub links: NodeLinks,
+    /// What is passed on to the nodes that follow this one.
+    pub watching: WatchRelay,
     /// The seed of the pauses.
     pub seed: u64,
 }
@@ -72,6 +82,8 @@
     options: DirectoryOptions,
     followed: FollowedKind,
     kind: &'static str,
+    choice: WatcherChoice,
+    source: RefCell<WatchSource>,
     random: RefCell<ChaCha8Rng>,
 }
 
@@ -88,6 +100,8 @@
             options: options.clone(),
             followed,
             kind,
+            choice: WatcherChoice::new(Arc::clone(&options.node)),
+            source: RefCell::new(WatchSource::Store),
             random: RefCell::new(ChaCha8Rng::seed_from_u64(options.seed ^ kind.len() as u64)),
         };
         compio::runtime::spawn(async move { follower.run().await }).detach();
@@ -116,6 +130,7 @@
                     }
                     failures += 1;
                     revision = None;
+                    self.options.watching.set_watched(self.kind, false);
                     self.ask_peer().await;
                     sleep(self.pause(failures)).await;
                 }
@@ -123,14 +138,33 @@
         }
     }
 
-    /// Reads everything, or waits for the next changes. Returns the revision to go on from.
+    /// Learns the next changes from the source that is chosen now. Returns the revision to go on
+    /// from.
     async fn step(&self, revision: Option<u64>) -> Result<u64> {
-        let Some(revision) = revision else {
-            let list = self.options.store.list(self.kind).await?;
-            self.take_list(list.objects, list.revision);
-            return Ok(list.revision);
+        let Some(known) = revision else {
+            return self.list().await;
         };
 
+        let source = self.choose_source();
+        self.options
+            .watching
+            .set_watched(self.kind, source == WatchSource::Store);
+        match source {
+            WatchSource::Store => self.watch(known).await,
+            WatchSource::Node(node) => self.follow(&node, known).await,
+        }
+    }
+
+    /// Reads everything from the store.
+    async fn list(&self) -> Result<u64> {
+        let list = self.options.store.list(self.kind).await?;
+        self.take_list(list.objects, list.revision);
+
+        Ok(list.revision)
+    }
+
+    /// Waits for changes at the store.
+    async fn watch(&self, revision: u64) -> Result<u64> {
         let changes = {
             let watch = pin!(self.options.store.watch(self.kind, revision, WATCH_TIME));
             let behind = pin!(self.until_behind());
@@ -151,6 +185,73 @@
         Ok(next)
     }
 
+    /// Waits for changes that a watching node passes on.
+    async fn follow(&self, node: &Arc<str>, revision: u64) -> Result<u64> {
+        let request = PeerRequest::Follow {
+            kind: Arc::from(self.kind),
+            revision,
+            wait_ms: u32::try_from(WATCH_TIME.as_millis()).unwrap_or(u32::MAX),
+        };
+        let asked = self
+            .options
+            .links
+            .ask(node, &request, WorkClass::Short, Bytes::new());
+        let limited = pin!(timeout(WATCH_TIME + FOLLOW_SLACK, asked));
+
+        let answer = match select(limited, pin!(self.until_behind())).await {
+            Either::Left((answer, _)) => answer,
+            Either::Right(((), _)) => return Err(StoreError::HistoryGone),
+        };
+        let failure = match answer {
+            Ok(Ok(answer)) => match answer.head.body {
+                ReplyBody::Changes(Some(changes)) => {
+                    return Ok(self.take_followed(changes, revision));
+                }
+                _ => SourceFailure::NotWatching,
+            },
+            Ok(Err(_)) | Err(_) => SourceFailure::Unreachable,
+        };
+        info!(event = "watcher-avoided", kind = self.kind, node = %node, reason = ?failure);
+        self.choice.avoid(node, failure, clock::now());
+
+        Ok(revision)
+    }
+
+    /// Chooses where to learn of the next changes.
+    fn choose_source(&self) -> WatchSource {
+        let zone_nodes: BTreeSet<Arc<str>> = self
+            .options
+            .view
+            .nodes()
+            .iter()
+            .filter(|record| record.ready && record.zone == self.options.zone)
+            .map(|record| Arc::clone(&record.node))
+            .collect();
+        let source = self.choice.choose(&zone_nodes, clock::now());
+
+        let before = self.source.replace(source.clone());
+        if before != source {
+            info!(event = "watch-source-chosen", kind = self.kind, source = ?source, before = ?before);
+        }
+
+        source
+    }
+
+    /// Takes what a watching node passed on. Returns the revision to go on from.
+    fn take_followed(&self, changes: FollowedChanges, revision: u64) -> u64 {
+        let next = changes.revision.max(revision);
+
+        match self.followed {
+            FollowedKind::Config => changes
+                .objects
+                .iter()
+                .for_each(|object| self.take_config(object)),
+            FollowedKind::Fleet => self.options.view.take_followed(changes),
+        }
+
+        next
+    }
+
     /// Waits until other nodes have known more than this one for a while.
     async fn until_behind(&self) {
         loop {
--- a/crates/sidecar/src/door/replies.rs
+++ b/crates/sidecar/src/door/replies.rs
@@ -85,6 +85,7 @@
         ReplyBody::Status(_)
         | ReplyBody::Store(_)
         | ReplyBody::Snapshot { .. }
+        | ReplyBody::Changes(_)
         | ReplyBody::Noted => {}
     }
 }
--- a/crates/sidecar/src/inbound.rs
+++ b/crates/sidecar/src/inbound.rs
@@ -7,9 +7,10 @@
     planning::PlannerWatch,
     relay::StoreRelay,
     view::{FLEET_KIND, FleetView},
+    watching::WatchRelay,
 };
 use bytes::Bytes;
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 use wagtail_core::ports::LocalFuture;
 use wagtail_net::clock;
 use wagtail_peer::{answer::PeerAnswer, server::PeerHandler, stream::EmptyBody};
@@ -25,6 +26,7 @@
     relay: StoreRelay,
     forwarder: Rc<RequestForwarder>,
     planners: PlannerWatch,
+    watching: WatchRelay,
 }
 
 impl InboundHandler {
@@ -35,6 +37,7 @@
         relay: StoreRelay,
         forwarder: Rc<RequestForwarder>,
         planners: PlannerWatch,
+        watching: WatchRelay,
     ) -> Self {
         Self {
             door,
@@ -42,6 +45,7 @@
             relay,
             forwarder,
             planners,
+            watching,
         }
     }
 
@@ -54,6 +58,14 @@
             }
             PeerRequest::Store(call) => ReplyBody::Store(self.relay.direct(&call).await),
             PeerRequest::Snapshot { kind } => self.snapshot(&kind),
+            PeerRequest::Follow {
+                kind,
+                revision,
+                wait_ms,
+            } => {
+                let wait = Duration::from_millis(wait_ms.into());
+                ReplyBody::Changes(self.watching.changes_after(&kind, revision, wait).await)
+            }
             PeerRequest::Hello { node } => {
                 self.forwarder.node_started(&node);
                 ReplyBody::Noted
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`messages`]: what nodes say to each other.
 //! - [`view`]: the configuration, the nodes and the tables of keys as this node knows them.
 //! - [`directory`]: the task that follows the store.
+//! - [`watching`]: what this node passes on to the nodes that follow it.
 //! - [`relay`]: store calls, through a peer when the store refuses this node.
 //! - [`links`]: the connections to the other nodes.
 //! - [`door`]: the way to the target on this VM.
@@ -35,3 +36,4 @@
 pub mod run;
 pub mod settings;
 pub mod view;
+pub mod watching;
--- a/crates/sidecar/src/messages.rs
+++ b/crates/sidecar/src/messages.rs
@@ -100,6 +100,18 @@
     }
 }
 
+/// `FollowedChanges` are the changes of a kind that a watching node passes on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct FollowedChanges {
+    /// The revision up to which the changes are known.
+    pub revision: u64,
+    /// Whether the objects are all that exist, and not only the changed ones.
+    pub complete: bool,
+    /// The objects.
+    pub objects: Vec<StoredObject>,
+}
+
 /// `PeerRequest` is what a node asks of another one.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -120,6 +132,15 @@
         /// The kind.
         kind: Arc<str>,
     },
+    /// Tell the changes of a kind as soon as there are any.
+    Follow {
+        /// The kind.
+        kind: Arc<str>,
+        /// The revision up to which the asking node knows all changes.
+        revision: u64,
+        /// The longest wait in milliseconds.
+        wait_ms: u32,
+    },
     /// The asking node has started.
     Hello {
         /// The asking node.
@@ -203,6 +224,8 @@
         /// The objects.
         objects: Vec<StoredObject>,
     },
+    /// The changes of a kind; nothing when the answering node does not watch the store.
+    Changes(Option<FollowedChanges>),
     /// Taken note of.
     Noted,
 }
--- a/crates/sidecar/src/record.rs
+++ b/crates/sidecar/src/record.rs
@@ -12,7 +12,7 @@
 use futures_util::StreamExt;
 use std::{rc::Rc, sync::Arc, time::Duration};
 use tracing::info;
-use wagtail_core::objects::{ObjectStore, StoredObject};
+use wagtail_core::objects::{ObjectStore, StoreError, StoredObject};
 
 /// The pause between two tries to publish the record.
 const PUBLISH_PAUSE: Duration = Duration::from_millis(300);
@@ -102,7 +102,8 @@
     /// Writes a record once; returns whether it is stored.
     async fn write(&self, record: Option<&NodeRecord>) -> bool {
         let Some(record) = record else {
-            return self.store.delete(FLEET_KIND, &self.name).await.is_ok();
+            let deleted = self.store.delete(FLEET_KIND, &self.name).await;
+            return matches!(deleted, Ok(()) | Err(StoreError::Absent));
         };
         let Ok(content) = serde_json::to_string(record) else {
             return true;
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -15,6 +15,7 @@
     relay::StoreRelay,
     settings::SidecarSettings,
     view::FleetView,
+    watching::WatchRelay,
 };
 use bytes::Bytes;
 use compio::{
@@ -145,6 +146,7 @@
     door: TargetDoor,
     forwarder: Rc<RequestForwarder>,
     watch: PlannerWatch,
+    watching: WatchRelay,
     front: FrontState,
     seed: u64,
 }
@@ -158,6 +160,7 @@
         seed: u64,
     ) -> Self {
         let view = FleetView::default();
+        let watching = WatchRelay::new(view.clone());
         let links = NodeLinks::new(view.clone());
         let relay = StoreRelay::new(
             Arc::clone(&settings.node),
@@ -189,6 +192,7 @@
             door,
             forwarder,
             watch: PlannerWatch::default(),
+            watching,
             front: FrontState::default(),
             seed,
         }
@@ -198,10 +202,12 @@
     fn spawn_tasks(&self) {
         directory::spawn(&DirectoryOptions {
             node: Arc::clone(&self.settings.node),
+            zone: Arc::clone(&self.settings.zone),
             store: Rc::clone(&self.store),
             dialect: Rc::clone(&self.dialect),
             view: self.view.clone(),
             links: self.links.clone(),
+            watching: self.watching.clone(),
             seed: self.seed,
         });
 
@@ -261,6 +267,7 @@
             self.relay.clone(),
             Rc::clone(&self.forwarder),
             self.watch.clone(),
+            self.watching.clone(),
         ))
     }
 }
@@ -358,6 +365,7 @@
         drop(parts.callers.await);
 
         base.door.stop();
+        base.watching.stop();
         while base.door.in_flight() > 0 {
             sleep(DRAIN_LOOK).await;
         }
--- a/crates/sidecar/src/view.rs
+++ b/crates/sidecar/src/view.rs
@@ -1,10 +1,11 @@
 //! The configuration, the nodes and the tables of keys as this node knows them.
 
-use crate::messages::KnownVersions;
+use crate::messages::{FollowedChanges, KnownVersions};
+use event_listener::{Event, EventListener};
 use serde::{Deserialize, Serialize};
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
@@ -74,6 +75,8 @@
     tables: Rc<RefCell<BTreeMap<Arc<str>, Rc<VersionedTable>>>>,
     fleet_revision: Rc<Cell<u64>>,
     newest_object: Rc<Cell<u64>>,
+    removed_revision: Rc<Cell<u64>>,
+    changed: Rc<Event>,
     heard: Rc<Cell<HeardVersions>>,
 }
 
@@ -139,6 +142,7 @@
 
         *self.config.borrow_mut() = Rc::new(HostTable::new(config));
         *self.config_object.borrow_mut() = Some(object.clone());
+        self.changed.notify(usize::MAX);
         info!(
             event = "config-taken",
             version = config.version,
@@ -166,16 +170,22 @@
             return;
         }
 
-        let names: Vec<Arc<str>> = self.objects.borrow().keys().cloned().collect();
-        for name in names {
-            if !objects.iter().any(|object| object.name == name) {
-                self.remove(&name);
-            }
+        let kept: BTreeSet<&Arc<str>> = objects.iter().map(|object| &object.name).collect();
+        let gone: Vec<Arc<str>> = self
+            .objects
+            .borrow()
+            .values()
+            // An object that was written after the list was made is not in it.
+            .filter(|known| known.revision <= revision && !kept.contains(&known.name))
+            .map(|known| Arc::clone(&known.name))
+            .collect();
+        for name in gone {
+            self.remove(&name, revision);
         }
         for object in objects {
             self.take_object(object);
         }
-        self.fleet_revision.set(revision);
+        self.reach(revision);
     }
 
     /// Takes changes of the fleet's objects.
@@ -184,14 +194,76 @@
             if change.deleted {
                 let known = self.objects.borrow().get(&change.object.name).cloned();
                 if known.is_none_or(|known| known.revision <= change.object.revision) {
-                    self.remove(&change.object.name);
+                    self.remove(&change.object.name, revision);
                 }
             } else {
                 self.take_object(change.object);
             }
         }
-        self.fleet_revision
-            .set(self.fleet_revision.get().max(revision));
+        self.reach(revision);
+    }
+
+    /// Takes what a node that watches the store passes on.
+    pub fn take_followed(&self, followed: FollowedChanges) {
+        if followed.complete {
+            self.take_list(followed.objects, followed.revision);
+            return;
+        }
+
+        for object in followed.objects {
+            self.take_object(object);
+        }
+        self.reach(followed.revision);
+    }
+
+    /// Returns the changes of the fleet after a revision, for a node that follows this one.
+    pub fn fleet_changes_after(&self, revision: u64) -> Option<FollowedChanges> {
+        let reached = self.fleet_revision.get();
+        if reached <= revision {
+            return None;
+        }
+
+        let complete = revision == 0 || self.removed_revision.get() > revision;
+        let objects = self.objects.borrow();
+        let changed = objects
+            .values()
+            .filter(|object| complete || object.revision > revision);
+
+        Some(FollowedChanges {
+            revision: reached,
+            complete,
+            objects: changed.cloned().collect(),
+        })
+    }
+
+    /// Returns the configuration when it is later than a revision, for a node that follows this
+    /// one.
+    pub fn config_change_after(&self, revision: u64) -> Option<FollowedChanges> {
+        let object = self.config_object.borrow().clone()?;
+
+        (object.revision > revision).then(|| FollowedChanges {
+            revision: object.revision,
+            complete: true,
+            objects: vec![object],
+        })
+    }
+
+    /// Returns a listener that ends at the next change of the configuration or the fleet.
+    pub fn next_change(&self) -> EventListener {
+        self.changed.listen()
+    }
+
+    /// Ends the waits of all listeners, as what they look at beside the view has changed.
+    pub fn wake_listeners(&self) {
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Notes that all changes of the fleet up to a revision are known.
+    fn reach(&self, revision: u64) {
+        if revision > self.fleet_revision.get() {
+            self.fleet_revision.set(revision);
+            self.changed.notify(usize::MAX);
+        }
     }
 
     /// Takes one object unless a later state of it is known.
@@ -215,6 +287,7 @@
         self.objects
             .borrow_mut()
             .insert(Arc::clone(&object.name), object);
+        self.changed.notify(usize::MAX);
     }
 
     /// Returns the nodes beside targets of a service.
@@ -285,9 +358,14 @@
         }
     }
 
-    /// Forgets an object that was deleted.
-    fn remove(&self, name: &Arc<str>) {
-        self.objects.borrow_mut().remove(name);
+    /// Forgets an object that was deleted at a revision or before it.
+    fn remove(&self, name: &Arc<str>, revision: u64) {
+        if self.objects.borrow_mut().remove(name).is_none() {
+            return;
+        }
+        self.removed_revision
+            .set(self.removed_revision.get().max(revision));
+
         if let Some(node) = name.strip_prefix(NODE_PREFIX) {
             info!(event = "node-removed", node);
             self.nodes.borrow_mut().remove(node);
