The answer to a heartbeat waits for keys that another target is about to release

Cause: a target releases keys 100 ms after the answer that leaves them out, but the receiver gets them only with the answer to its own next heartbeat, up to 1.5 s later.

Now the node beside the receiver holds its answer for up to 550 ms while rows are on their way to it, unless the heartbeat itself releases, drains, or renews a hold that is about to lapse. The table is read within 700 ms of the heartbeat's arrival as before.

Ruled out: waiting in the door for the next heartbeat (requests would be held for longer than an eighth of their objective).

Test: the_answer_to_a_receiver_waits_for_the_release (crates/shard, without network).

--- a/crates/shard/src/keeper.rs
+++ b/crates/shard/src/keeper.rs
@@ -318,6 +318,39 @@
         }
     }
 
+    /// Returns whether the answer to a heartbeat may wait for a range that another target is about
+    /// to release: the range is then granted with this answer and not with that to the next
+    /// heartbeat. Nothing waits that this answer grants or leaves out already.
+    pub fn awaits_handover(
+        &self,
+        beat: &TargetHeartbeat,
+        table: &RangeTable,
+        now: LocalMoment,
+    ) -> bool {
+        let urgent = beat.draining
+            || !beat.released.is_empty()
+            || self.ended
+            || self.life.as_ref() != Some(&beat.life)
+            || self.granted_until.since(now) < self.options.answer_limit;
+        let comes = |row: &RangeRow| match &row.state {
+            RowState::Moving { to } => to.node == self.node && to.life == beat.life,
+            RowState::Held | RowState::Revoked => false,
+        };
+        let is_granted = |row: &RangeRow| {
+            row.state == RowState::Held
+                && self.granted.iter().any(|range| {
+                    range.from <= row.from && row.to <= range.to && range.token == row.token
+                })
+        };
+
+        !urgent
+            && table.rows.iter().any(comes)
+            && table
+                .rows
+                .iter()
+                .all(|row| !row.is_of(&beat.life) || is_granted(row))
+    }
+
     /// Answers a heartbeat that arrived at `arrived`, by the newest proven table.
     pub fn reply(
         &mut self,
--- a/crates/shard/tests/shard/decisions.rs
+++ b/crates/shard/tests/shard/decisions.rs
@@ -76,6 +76,43 @@
     assert!(table.is_sound());
 }
 
+/// Pattern answered: keys that move between targets whose heartbeats do not coincide, so that
+/// nobody serves them from the release to the receiver's next heartbeat.
+#[test]
+fn the_answer_to_a_receiver_waits_for_the_release() {
+    let mut table = RangeTable::new();
+    table.assign(0, 999, &holder("a", 1));
+    table.assign(1_000, LAST_KEY, &holder("b", 1));
+
+    let mut keeper = HoldKeeper::new(Arc::from("b"), KeeperOptions::default(), at(0));
+    let first = beat("b", 1, 1, Vec::new(), Vec::new());
+    keeper.accept(&first, at(10));
+    settled(&mut keeper, &table, at(10));
+    assert!(!keeper.awaits_handover(&first, &table, at(10)));
+    keeper.reply(&first, at(10), at(12));
+
+    table.start_move(100, 200, &holder("b", 1));
+    let second = beat("b", 1, 2, Vec::new(), Vec::new());
+    keeper.accept(&second, at(1_500));
+    assert!(keeper.awaits_handover(&second, &table, at(1_500)));
+
+    // What the target gives away itself, or waits for already, is not held back.
+    let mut leaving = table.clone();
+    leaving.start_move(5_000, 6_000, &holder("a", 1));
+    assert!(!keeper.awaits_handover(&second, &leaving, at(1_500)));
+    let mut released = table.clone();
+    released.release(&life("a", 1), &[], &[], |_| true);
+    assert!(released.row(150).unwrap().is_of(&life("b", 1)));
+    assert!(!keeper.awaits_handover(&second, &released, at(1_500)));
+
+    let mut draining = second.clone();
+    draining.draining = true;
+    assert!(!keeper.awaits_handover(&draining, &table, at(1_500)));
+
+    // A hold that is about to lapse is renewed at once.
+    assert!(!keeper.awaits_handover(&second, &table, at(2_100)));
+}
+
 #[test]
 fn a_restarted_node_passes_nothing_on_by_its_first_heartbeat() {
     let mut table = RangeTable::new();
--- a/crates/sidecar/src/beats.rs
+++ b/crates/sidecar/src/beats.rs
@@ -11,9 +11,10 @@
 };
 use bytes::Bytes;
 use compio::time::{sleep, timeout};
+use futures_util::future::{Either, select};
 use http_body_util::BodyExt;
 use hyper::{Request, Response, StatusCode, body::Incoming};
-use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::Cell, pin::pin, rc::Rc, sync::Arc, time::Duration};
 use tracing::{info, warn};
 use wagtail_core::{
     heartbeat::{HeartbeatReply, TargetHeartbeat},
@@ -27,9 +28,14 @@
 };
 use wagtail_shard::{keeper::BeatVerdict, table::RangeTable};
 
-/// The time for reading the table after a heartbeat; the target waits for a second.
+/// The time after a heartbeat's arrival until which the table is read; the target waits for a
+/// second.
 const TABLE_TIME: Duration = Duration::from_millis(700);
 
+/// The longest time for which an answer waits for keys that another target is about to release.
+/// It leaves time to read the table.
+const HANDOVER_WAIT: Duration = Duration::from_millis(550);
+
 /// The largest heartbeat in bytes.
 const MAX_BEAT_BYTES: usize = 1 << 20;
 
@@ -145,6 +151,8 @@
     /// Grants the target what the newest proven table names it for, which is one read after the
     /// heartbeat unless the store gives no answer.
     async fn grant(&self, beat: &TargetHeartbeat, arrived: LocalMoment) -> HeartbeatReply {
+        self.await_handover(beat).await;
+
         let known = self
             .view
             .table(&self.settings.service)
@@ -155,7 +163,8 @@
         if needed {
             let settling =
                 self.settle(|table| self.door.with_keeper(|keeper| keeper.settle(beat, table)));
-            let settled = timeout(TABLE_TIME, Box::pin(settling))
+            let rest = (arrived + TABLE_TIME).since(clock::now());
+            let settled = timeout(rest, Box::pin(settling))
                 .await
                 .unwrap_or_else(|_elapsed| Err(Arc::from("the table came too late")));
             if let Err(reason) = settled {
@@ -172,6 +181,29 @@
         reply
     }
 
+    /// Waits a little while another target is about to release keys to this one.
+    async fn await_handover(&self, beat: &TargetHeartbeat) {
+        let mut expired = pin!(sleep(HANDOVER_WAIT));
+
+        loop {
+            let change = self.view.next_change();
+            let awaited = self
+                .view
+                .table(&self.settings.service)
+                .is_some_and(|versioned| {
+                    self.door.with_keeper(|keeper| {
+                        keeper.awaits_handover(beat, &versioned.table, clock::now())
+                    })
+                });
+            if !awaited {
+                return;
+            }
+            if let Either::Left(_) = select(&mut expired, change).await {
+                return;
+            }
+        }
+    }
+
     /// Reads the table, and writes what a change makes of it.
     async fn settle(&self, change: impl Fn(&mut RangeTable) -> bool) -> Result<(), Arc<str>> {
         let name: Arc<str> = Arc::from(table_name(&self.settings.service));
