Logs over a bounded queue, sampled by request; counters and histograms for collectors

Now lines go over a bounded queue to one writer (tracing-appender); a full queue drops lines and counts them. Failures are kept up to 50 a second after a burst of 200, and each kept line tells how many were skipped; one request in 64 that ends well has its lines, the same on every node. A request has one line where the caller reached the system (asked nodes, versions, objective) and one beside the target (wait, run, queue).

--- a/crates/sidecar/src/door/dispatch.rs
+++ b/crates/sidecar/src/door/dispatch.rs
@@ -43,7 +43,7 @@
             Ok(request) => request,
             Err(reason) => {
                 warn!(event = "order-malformed", request_id = %order.id, reason = %reason);
-                return self.not_run(order, elsewhere("malformed"));
+                return self.not_run(elsewhere("malformed"));
             }
         };
 
@@ -53,7 +53,7 @@
             Ok(Err(error)) if error.verdict() == RunVerdict::NotRun => {
                 drop(guard);
                 self.check_process();
-                return self.not_run(order, elsewhere("target-unreachable"));
+                return self.not_run(elsewhere("target-unreachable"));
             }
             Ok(Err(error)) => {
                 self.note_result(true);
@@ -83,7 +83,7 @@
                 load: Some(self.load()),
                 ..elsewhere("target-refused")
             };
-            return self.not_run(order, refusal);
+            return self.not_run(refusal);
         }
         if fields.id.as_ref() != Some(&order.id) {
             self.note_result(true);
--- a/crates/sidecar/src/door/mod.rs
+++ b/crates/sidecar/src/door/mod.rs
@@ -12,7 +12,9 @@
 mod serve;
 mod slots;
 
-use crate::{ports::WireDialect, settings::SidecarSettings, view::FleetView};
+use crate::{
+    ports::WireDialect, recorder::RequestRecorder, settings::SidecarSettings, view::FleetView,
+};
 use compio::time::sleep;
 use futures_channel::oneshot;
 use slots::Admission;
@@ -51,6 +53,7 @@
     settings: Rc<SidecarSettings>,
     dialect: Rc<dyn WireDialect>,
     view: FleetView,
+    recorder: Rc<RequestRecorder>,
     state: Rc<RefCell<DoorState>>,
     pool: HttpPool,
 }
@@ -81,6 +84,7 @@
         settings: Rc<SidecarSettings>,
         dialect: Rc<dyn WireDialect>,
         view: FleetView,
+        recorder: Rc<RequestRecorder>,
         options: KeeperOptions,
     ) -> Self {
         let pool_options = PoolOptions {
@@ -110,6 +114,7 @@
             settings,
             dialect,
             view,
+            recorder,
             state: Rc::new(RefCell::new(state)),
         }
     }
--- a/crates/sidecar/src/door/replies.rs
+++ b/crates/sidecar/src/door/replies.rs
@@ -4,7 +4,6 @@
 use crate::messages::{AnswerFields, NotRunFields, OrderHead, PeerReply, ReplyBody};
 use http::StatusCode;
 use std::sync::Arc;
-use tracing::info;
 use wagtail_core::{ports::BodyStream, request::HeaderField};
 use wagtail_peer::{answer::PeerAnswer, stream::EmptyBody};
 use wagtail_route::pick::LoadReport;
@@ -40,12 +39,7 @@
     }
 
     /// Makes the answer of a request that did not run.
-    pub(super) fn not_run(&self, order: &OrderHead, fields: NotRunFields) -> PeerAnswer<PeerReply> {
-        tracing::debug!(
-            event = "order-refused", request_id = %order.id, reason = %fields.reason,
-            key = order.key, pause_ms = fields.pause_ms
-        );
-
+    pub(super) fn not_run(&self, fields: NotRunFields) -> PeerAnswer<PeerReply> {
         PeerAnswer::new(self.reply(ReplyBody::NotRun(fields)), Box::new(EmptyBody))
     }
 
@@ -56,9 +50,7 @@
         reason: &str,
         cause: &str,
     ) -> PeerAnswer<PeerReply> {
-        info!(
-            event = "order-failed", request_id = %order.id, route = %order.route, reason, cause
-        );
+        self.recorder.order_failed(order, reason, cause);
         let body = ReplyBody::Failed {
             reason: Arc::from(reason),
             load: self.load(),
--- a/crates/sidecar/src/door/serve.rs
+++ b/crates/sidecar/src/door/serve.rs
@@ -4,7 +4,10 @@
     NODE_STOPPING, TargetDoor, replies,
     slots::{Admission, SlotGuard},
 };
-use crate::messages::{NotRunFields, OrderHead, PeerReply};
+use crate::{
+    messages::{NotRunFields, OrderHead, PeerReply, ReplyBody},
+    recorder::OrderEnd,
+};
 use bytes::Bytes;
 use compio::time::sleep;
 use futures_channel::oneshot;
@@ -28,29 +31,43 @@
     /// Runs a request at the target, or says that it did not run.
     pub async fn serve(&self, order: &OrderHead, body: Bytes) -> PeerAnswer<PeerReply> {
         let arrived = clock::now();
-        let deadline = arrived + Duration::from_millis(u64::from(order.time_left_ms));
+        let started = Cell::new(None);
+        let answer = self.run(order, body, arrived, &started).await;
+
+        self.record(order, &answer.head.body, arrived, started.get());
+        answer
+    }
 
+    /// Runs a request that arrived at `arrived`. Sets the moment at which it got its slot.
+    async fn run(
+        &self,
+        order: &OrderHead,
+        body: Bytes,
+        arrived: LocalMoment,
+        started: &Cell<Option<LocalMoment>>,
+    ) -> PeerAnswer<PeerReply> {
+        let deadline = arrived + Duration::from_millis(u64::from(order.time_left_ms));
         if let Some(refusal) = self.check(order) {
-            return self.not_run(order, refusal);
+            return self.not_run(refusal);
         }
         let is_call = self.observe(order);
         if let Some(key) = order.key
             && let Some(refusal) = self.wait_for_key(key, deadline).await
         {
-            return self.not_run(order, refusal);
+            return self.not_run(refusal);
         }
 
-        let admitted = self.admit(order, is_call, deadline).await;
-        let guard = match admitted {
+        let guard = match self.admit(order, is_call, deadline).await {
             Ok(guard) => guard,
-            Err(refusal) => return self.not_run(order, refusal),
+            Err(refusal) => return self.not_run(refusal),
         };
         if let Some(key) = order.key
             && !self.holds(key)
         {
-            return self.not_run(order, self.other_holder(key));
+            return self.not_run(self.other_holder(key));
         }
 
+        started.set(Some(clock::now()));
         let mut answer = self.dispatch(order, body, deadline, guard).await;
         if is_call {
             replies::tell_load(&mut answer.head.body, self.load_for(true));
@@ -58,6 +75,37 @@
         answer
     }
 
+    /// Records how a request ended.
+    fn record(
+        &self,
+        order: &OrderHead,
+        reply: &ReplyBody,
+        arrived: LocalMoment,
+        started: Option<LocalMoment>,
+    ) {
+        let now = clock::now();
+        let (outcome, failed) = match reply {
+            ReplyBody::Answer(fields) => ("answered", fields.status >= 500),
+            ReplyBody::NotRun(fields) => (&*fields.reason, true),
+            // Its line was written with the cause.
+            _ => return,
+        };
+        let load = self.load();
+
+        self.recorder.order_ended(
+            &OrderEnd {
+                order,
+                outcome,
+                waited: started.unwrap_or(now).since(arrived),
+                ran: started.map(|started| now.since(started)),
+                running: load.running,
+                waiting: load.waiting,
+                service_ms: load.service_ms,
+            },
+            failed,
+        );
+    }
+
     /// Takes note of where a request began; returns whether it is a call of running work.
     fn observe(&self, order: &OrderHead) -> bool {
         let mut state = self.state.borrow_mut();
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -97,12 +97,13 @@
     pub began: LocalMoment,
     /// The moment after which nobody waits for the answer.
     pub deadline: LocalMoment,
+    /// The nodes that were asked, in order.
+    pub asked: RefCell<Vec<Arc<str>>>,
 }
 
 /// `ForwardAttempts` are what has been tried for a request.
 #[derive(Debug, Default)]
 struct ForwardAttempts {
-    tried: Vec<Arc<str>>,
     reached: u32,
     may_have_run: Option<Arc<str>>,
     refusal: Option<NotRunFields>,
@@ -167,7 +168,7 @@
                 return self.give_up(job, attempts);
             }
 
-            attempts.tried.push(Arc::clone(&node));
+            job.asked.borrow_mut().push(Arc::clone(&node));
             if let Some(outcome) = self.attempt(job, &node, &mut attempts).await {
                 return outcome;
             }
@@ -306,7 +307,7 @@
 
     /// Returns the node to ask next.
     fn next_node(&self, job: &ForwardJob, attempts: &ForwardAttempts) -> Option<Arc<str>> {
-        if attempts.tried.len() >= MAX_ASKED || clock::now() >= job.deadline {
+        if job.asked.borrow().len() >= MAX_ASKED || clock::now() >= job.deadline {
             return None;
         }
         if job.keyed {
@@ -336,7 +337,7 @@
 
         self.picker.borrow_mut().pick(
             &candidates,
-            &attempts.tried,
+            &job.asked.borrow(),
             kilobytes.unwrap_or(0.0),
             clock::now(),
         )
@@ -354,7 +355,7 @@
         let avoided = self.picker.borrow().is_avoided(&node, clock::now());
 
         let may_ask = may_ask_holder(
-            &attempts.tried,
+            &job.asked.borrow(),
             &node,
             attempts.may_have_run.is_some(),
             job.route.kind.is_idempotent(),
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -3,8 +3,9 @@
 use crate::{
     door::{TargetDoor, headers::end_to_end},
     forward::{ForwardJob, ForwardOutcome, RequestForwarder},
-    messages::OrderHead,
+    messages::{AnswerFields, OrderHead},
     ports::WireDialect,
+    recorder::{RequestEnd, RequestRecorder},
     settings::SidecarSettings,
     view::FleetView,
 };
@@ -17,9 +18,17 @@
     header::{CONNECTION, HeaderValue, RETRY_AFTER},
     http::request::Parts,
 };
-use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
-use tracing::info;
-use wagtail_core::{ports::LocalFuture, routing::CallerLimits, units::LocalMoment};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+use wagtail_core::{
+    ports::{BodyStream, LocalFuture},
+    routing::CallerLimits,
+    units::LocalMoment,
+};
 use wagtail_net::{
     clock,
     server::{HttpHandler, ServerBody, streamed_body, whole_body},
@@ -79,6 +88,7 @@
     view: FleetView,
     forwarder: Rc<RequestForwarder>,
     door: TargetDoor,
+    recorder: Rc<RequestRecorder>,
     state: FrontState,
 }
 
@@ -109,6 +119,7 @@
         view: FleetView,
         forwarder: Rc<RequestForwarder>,
         door: TargetDoor,
+        recorder: Rc<RequestRecorder>,
         state: FrontState,
     ) -> Self {
         Self {
@@ -117,6 +128,7 @@
             view,
             forwarder,
             door,
+            recorder,
             state,
         }
     }
@@ -130,9 +142,12 @@
         let mut response = match self.prepare(&parts, body, began).await {
             Ok(job) => self.run(job).await,
             Err(early) => {
-                info!(
-                    event = "request-refused", path = %parts.uri.path(),
-                    status = early.status.as_u16(), reason = early.reason
+                let caller = self.dialect.read_caller(&parts.headers);
+                self.recorder.request_rejected(
+                    caller.id.as_deref().unwrap_or_default(),
+                    parts.uri.path(),
+                    early.status.as_u16(),
+                    early.reason,
                 );
                 plain(early.status, early.reason, early.pause)
             }
@@ -216,6 +231,7 @@
             body: Bytes::new(),
             began,
             deadline: began + wait,
+            asked: RefCell::default(),
         })
     }
 
@@ -224,41 +240,31 @@
         let left = job.deadline.since(clock::now());
         let outcome = timeout(left, self.forwarder.forward(&job)).await;
 
-        let (response, reason): (_, Arc<str>) = match outcome {
-            Ok(ForwardOutcome::Answer { fields, body }) => {
-                let mut builder = Response::builder().status(fields.status);
-                for field in &fields.headers {
-                    builder = builder.header(&*field.name, field.value.as_ref());
-                }
-                let response = builder.body(streamed_body(body));
-                match response {
-                    Ok(response) => return response,
-                    Err(_malformed) => (
-                        plain(StatusCode::BAD_GATEWAY, "malformed-answer", None),
-                        Arc::from("malformed-answer"),
-                    ),
-                }
-            }
+        let (response, reason): (_, Option<Arc<str>>) = match outcome {
+            Ok(ForwardOutcome::Answer { fields, body }) => passed_on(&fields, body),
             Ok(ForwardOutcome::NotRun { reason, pause }) => (
                 plain(StatusCode::SERVICE_UNAVAILABLE, &reason, Some(pause)),
-                reason,
+                Some(reason),
             ),
             Ok(ForwardOutcome::Failed { reason }) => {
-                (plain(StatusCode::BAD_GATEWAY, &reason, None), reason)
+                (plain(StatusCode::BAD_GATEWAY, &reason, None), Some(reason))
             }
             Err(_elapsed) => (
                 plain(StatusCode::GATEWAY_TIMEOUT, "timeout", None),
-                Arc::from("timeout"),
+                Some(Arc::from("timeout")),
             ),
         };
 
-        info!(
-            event = "request-ended", request_id = %job.order.id, route = %job.order.route,
-            service = %job.order.service, key = job.order.key,
-            status = response.status().as_u16(), reason = %reason,
-            took_ms = clock::now().since(job.began).as_millis(),
-            config = self.view.versions().config, fleet = self.view.versions().fleet
-        );
+        let versions = self.view.versions();
+        self.recorder.request_ended(&RequestEnd {
+            order: &job.order,
+            began: job.began,
+            status: response.status().as_u16(),
+            reason: reason.as_deref(),
+            asked: &job.asked.borrow().join(","),
+            config: versions.config,
+            fleet: versions.fleet,
+        });
         response
     }
 }
@@ -340,6 +346,25 @@
         .or_else(|| parts.headers.get(hyper::header::HOST)?.to_str().ok())
 }
 
+/// Makes the answer that passes a target's on, and the reason when it cannot be passed on.
+fn passed_on(
+    fields: &AnswerFields,
+    body: Box<dyn BodyStream>,
+) -> (Response<ServerBody>, Option<Arc<str>>) {
+    let mut builder = Response::builder().status(fields.status);
+    for field in &fields.headers {
+        builder = builder.header(&*field.name, field.value.as_ref());
+    }
+
+    match builder.body(streamed_body(body)) {
+        Ok(response) => (response, None),
+        Err(_malformed) => (
+            plain(StatusCode::BAD_GATEWAY, "malformed-answer", None),
+            Some(Arc::from("malformed-answer")),
+        ),
+    }
+}
+
 /// Makes an answer of this node.
 fn plain(status: StatusCode, reason: &str, pause: Option<Duration>) -> Response<ServerBody> {
     let mut response = Response::new(whole_body(reason.to_owned()));
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -17,6 +17,8 @@
 //! - [`front`]: the server for callers.
 //! - [`beats`]: the server for the target's heartbeats.
 //! - [`record`]: the record that a node publishes of itself.
+//! - [`recorder`]: lines and counters of requests.
+//! - [`metrics`]: the server for collectors of metrics.
 //! - [`inbound`]: the server for the other nodes.
 //! - [`planning`]: the task that spreads the keys of a service.
 //! - [`run`]: starting and stopping.
@@ -29,9 +31,11 @@
 pub mod inbound;
 pub mod links;
 pub mod messages;
+pub mod metrics;
 pub mod planning;
 pub mod ports;
 pub mod record;
+pub mod recorder;
 pub mod relay;
 pub mod run;
 pub mod settings;
--- /dev/null
+++ b/crates/sidecar/src/metrics.rs
@@ -0,0 +1,120 @@
+//! The server for collectors of metrics.
+
+use crate::{door::TargetDoor, recorder::RequestRecorder, relay::StoreRelay, view::FleetView};
+use hyper::{Request, Response, StatusCode, body::Incoming};
+use prometheus_client::metrics::gauge::Gauge;
+use std::{fmt::Debug, rc::Rc, sync::atomic::AtomicU64};
+use wagtail_core::ports::LocalFuture;
+use wagtail_net::{
+    clock,
+    server::{HttpHandler, ServerBody, whole_body},
+};
+
+/// `DroppedLines` tells how many lines of the logs were lost to a slow reader.
+pub trait DroppedLines: Debug {
+    /// Returns the lines that were dropped since the start.
+    fn dropped_lines(&self) -> u64;
+}
+
+/// `StateGauge` is a gauge of the node's state.
+type StateGauge = Gauge<f64, AtomicU64>;
+
+/// `StateGauges` are set when a collector asks.
+#[derive(Debug)]
+struct StateGauges {
+    slots: StateGauge,
+    running: StateGauge,
+    waiting: StateGauge,
+    config: StateGauge,
+    fleet: StateGauge,
+    nodes: StateGauge,
+    store_silence: StateGauge,
+    skipped_lines: StateGauge,
+    dropped_lines: StateGauge,
+}
+
+/// `MetricsHandler` answers collectors.
+#[derive(Debug)]
+pub struct MetricsHandler {
+    recorder: Rc<RequestRecorder>,
+    view: FleetView,
+    door: TargetDoor,
+    relay: StoreRelay,
+    lines: Rc<dyn DroppedLines>,
+    gauges: StateGauges,
+}
+
+impl MetricsHandler {
+    /// Makes the handler and registers its gauges.
+    pub fn new(
+        recorder: Rc<RequestRecorder>,
+        view: FleetView,
+        door: TargetDoor,
+        relay: StoreRelay,
+        lines: Rc<dyn DroppedLines>,
+    ) -> Self {
+        let gauge = |name, help| recorder.metrics().gauge(name, help);
+        let gauges = StateGauges {
+            slots: gauge("slots", "Requests that the target runs at a time"),
+            running: gauge("running", "Requests that run at the target"),
+            waiting: gauge("waiting", "Requests that wait for the target"),
+            config: gauge("config_version", "Version of the configuration in force"),
+            fleet: gauge("fleet_revision", "Revision of the newest known object"),
+            nodes: gauge("known_nodes", "Nodes with a record"),
+            store_silence: gauge(
+                "store_silence_seconds",
+                "Time since the store last answered a call, itself or through a peer",
+            ),
+            skipped_lines: gauge("log_lines_skipped", "Lines of failures beyond their rate"),
+            dropped_lines: gauge("log_lines_dropped", "Lines lost to a slow reader"),
+        };
+
+        Self {
+            recorder,
+            view,
+            door,
+            relay,
+            lines,
+            gauges,
+        }
+    }
+
+    /// Sets the gauges and returns the text.
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "versions and counts are far below 2^52"
+    )]
+    fn text(&self) -> wagtail_telemetry::Result<String> {
+        let (load, versions) = (self.door.load(), self.view.versions());
+        let gauges = &self.gauges;
+
+        gauges.slots.set(f64::from(load.slots));
+        gauges.running.set(f64::from(load.running));
+        gauges.waiting.set(f64::from(load.waiting));
+        gauges.config.set(versions.config as f64);
+        gauges.fleet.set(versions.fleet as f64);
+        gauges.nodes.set(self.view.nodes().len() as f64);
+        let silence = clock::now().since(self.relay.reached_at());
+        gauges.store_silence.set(silence.as_secs_f64());
+        let skipped = self.recorder.skipped_lines();
+        gauges.skipped_lines.set(skipped as f64);
+        gauges.dropped_lines.set(self.lines.dropped_lines() as f64);
+
+        self.recorder.metrics().text()
+    }
+}
+
+impl HttpHandler for MetricsHandler {
+    fn handle(&self, _request: Request<Incoming>) -> LocalFuture<'_, Response<ServerBody>> {
+        let response = match self.text() {
+            Ok(text) => Response::new(whole_body(text)),
+            Err(error) => {
+                let mut response = Response::new(whole_body(error.to_string()));
+                *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+                response
+            }
+        };
+
+        Box::pin(std::future::ready(response))
+    }
+}
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -9,9 +9,11 @@
     inbound::InboundHandler,
     links::NodeLinks,
     messages::PeerRequest,
+    metrics::{DroppedLines, MetricsHandler},
     planning::{PlannerTask, PlannerWatch},
     ports::WireDialect,
     record::RecordPublisher,
+    recorder::RequestRecorder,
     relay::StoreRelay,
     settings::SidecarSettings,
     view::FleetView,
@@ -95,11 +97,13 @@
     settings: SidecarSettings,
     dialect: Rc<dyn WireDialect>,
     store: Rc<dyn ObjectStore>,
+    lines: Rc<dyn DroppedLines>,
     seed: u64,
 ) -> Result<()> {
     let settings = Rc::new(settings);
     let base = NodeBase::new(Rc::clone(&settings), dialect, store, seed);
     let parts = start(&base).await?;
+    serve_metrics(&base, lines).await;
     info!(
         event = "node-started", node = %settings.node, zone = %settings.zone,
         service = %settings.service, target = %settings.target
@@ -145,6 +149,7 @@
     relay: StoreRelay,
     door: TargetDoor,
     forwarder: Rc<RequestForwarder>,
+    recorder: Rc<RequestRecorder>,
     watch: PlannerWatch,
     watching: WatchRelay,
     front: FrontState,
@@ -168,10 +173,12 @@
             links.clone(),
             view.clone(),
         );
+        let recorder = Rc::new(RequestRecorder::default());
         let door = TargetDoor::new(
             Rc::clone(&settings),
             Rc::clone(&dialect),
             view.clone(),
+            Rc::clone(&recorder),
             keeper_options(&settings),
         );
         let forwarder = Rc::new(RequestForwarder::new(
@@ -191,6 +198,7 @@
             relay,
             door,
             forwarder,
+            recorder,
             watch: PlannerWatch::default(),
             watching,
             front: FrontState::default(),
@@ -255,6 +263,7 @@
             self.view.clone(),
             Rc::clone(&self.forwarder),
             self.door.clone(),
+            Rc::clone(&self.recorder),
             self.front.clone(),
         ))
     }
@@ -318,6 +327,28 @@
     })
 }
 
+/// Serves collectors of metrics. A node without them still serves its callers.
+async fn serve_metrics(base: &NodeBase, lines: Rc<dyn DroppedLines>) {
+    let Some(address) = base.settings.metrics else {
+        return;
+    };
+
+    match TcpListener::bind(address).await {
+        Ok(listener) => {
+            let handler = MetricsHandler::new(
+                Rc::clone(&base.recorder),
+                base.view.clone(),
+                base.door.clone(),
+                base.relay.clone(),
+                lines,
+            );
+            let served = server::serve(listener, Rc::new(handler), HEAD_BYTES, StopSignal::new());
+            compio::runtime::spawn(served).detach();
+        }
+        Err(error) => warn!(event = "metrics-not-served", address = %address, reason = %error),
+    }
+}
+
 /// Tells the other nodes that this one can be reached again.
 fn spawn_hello(settings: &Rc<SidecarSettings>, view: &FleetView, links: &NodeLinks) {
     let (settings, view, links) = (Rc::clone(settings), view.clone(), links.clone());
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -27,6 +27,8 @@
     pub local: SocketAddr,
     /// The address for the other nodes.
     pub peers: SocketAddr,
+    /// The address for collectors of metrics.
+    pub metrics: Option<SocketAddr>,
     /// The address of the platform's store.
     pub store: SocketAddr,
     /// The time between two heartbeats of a target.
--- a/crates/sidecar/tests/door.rs
+++ b/crates/sidecar/tests/door.rs
@@ -69,6 +69,7 @@
         readiness: nowhere,
         local: nowhere,
         peers: nowhere,
+        metrics: None,
         store: nowhere,
         heartbeat: Duration::from_millis(870),
         max_hold: Duration::from_secs(10),
@@ -85,6 +86,7 @@
         Rc::new(settings()),
         Rc::new(SilentDialect),
         FleetView::default(),
+        Rc::default(),
         KeeperOptions::default(),
     );
     let beat = TargetHeartbeat {
--- a/crates/telemetry/src/errors.rs
+++ b/crates/telemetry/src/errors.rs
@@ -1,6 +1,6 @@
 //! Why telemetry cannot start.
 
-use std::{io, sync::Arc};
+use std::{fmt, io, sync::Arc};
 use thiserror::Error;
 
 /// `Result` is the result of starting telemetry.
@@ -22,6 +22,9 @@
     /// The logs were started before.
     #[error("the logs were started before")]
     LogsStarted,
+    /// The metrics cannot be written as text.
+    #[error("the metrics cannot be encoded: {0}")]
+    Encode(#[source] fmt::Error),
     /// The socket for metrics cannot be opened.
     #[error("the metrics socket cannot be opened: {0}")]
     Socket(#[from] io::Error),
--- a/crates/telemetry/tests/telemetry.rs
+++ b/crates/telemetry/tests/telemetry.rs
@@ -5,7 +5,7 @@
     io::{self, Write},
     net::UdpSocket,
     sync::{Arc, Mutex},
-    time::Duration,
+    time::{Duration, Instant},
 };
 use tracing_subscriber::fmt::MakeWriter;
 use wagtail_core::{
@@ -15,7 +15,7 @@
 use wagtail_telemetry::{
     TelemetryError,
     latency::{LatencyBook, OTHER_TENANTS},
-    logs::log_subscriber,
+    logs::{LogQueue, log_subscriber},
     metrics::MetricSink,
 };
 
@@ -172,3 +172,33 @@
     assert_eq!(entry.count, 1);
     assert!(entry.max_us >= 600_000_000, "{entry:?}");
 }
+
+/// `StuckWriter` is a reader of the logs that takes nothing.
+struct StuckWriter;
+
+impl io::Write for StuckWriter {
+    fn write(&mut self, _buf: &[u8]) -> io::Result<usize> {
+        std::thread::sleep(Duration::from_millis(200));
+
+        Ok(0)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn a_slow_reader_of_the_logs_costs_lines_and_no_time() {
+    let (queue, mut lines) = LogQueue::new(StuckWriter);
+
+    let began = Instant::now();
+    for _ in 0..10_000 {
+        io::Write::write_all(&mut lines, b"event=request-ended\n").unwrap();
+    }
+
+    assert!(began.elapsed() < Duration::from_millis(200));
+    assert!(queue.dropped_lines() > 5_000, "{}", queue.dropped_lines());
+    // The writer is stuck; what it still holds is not waited for.
+    std::mem::forget(queue);
+}
