Work refused for a busy callee may come back after 50 ms

Cause: a share of new work is begun at random over time, so that the next chance comes with one of the next arrivals, but the refused were asked to wait for 100 ms; with the work this is most of an objective of 300 ms, so that many came back too late for it.

--- a/crates/sidecar/src/door/serve.rs
+++ b/crates/sidecar/src/door/serve.rs
@@ -230,7 +230,7 @@
     ) -> std::result::Result<SlotGuard, NotRunFields> {
         let now = clock::now();
         if !is_call && !self.state.borrow_mut().throttle.admit(now) {
-            let pause = GateOptions::default().min_pause * 2;
+            let pause = GateOptions::default().min_pause;
             return Err(self.refused(order, is_call, GateRefusal::CalleeBusy, pause));
         }
 
