A target that sheds is not chosen for the room that shedding leaves

Cause: the cost of a target was divided by its share of successes. One that sheds half of its requests has free slots at a crest and so looked best, but a shed call fails the work that made it, and a repeat draws on the retry budget.

Now a failed attempt counts as 400 ms, by the share that was reported; the share counts half after 2 s, so that a target that is left alone is tried again.

Test: a_target_that_sheds_is_not_chosen_for_its_room_until_its_failures_are_old (crates/route).

--- a/crates/route/src/pick.rs
+++ b/crates/route/src/pick.rs
@@ -39,6 +39,12 @@
     pub zone_ms_per_kb: f32,
     /// The service time in milliseconds that is assumed of an unknown target.
     pub unknown_ms: f32,
+    /// The time in milliseconds that a failed attempt costs: a repeat out of the retry budget, or
+    /// the work of the caller whose call it was.
+    pub failure_ms: f32,
+    /// The time after which a reported share of failures counts half, so that a target that is
+    /// left alone is tried again.
+    pub failure_half_life: Duration,
 }
 
 impl Default for PickOptions {
@@ -48,6 +54,8 @@
             zone_ms: 8.0,
             zone_ms_per_kb: 1.5,
             unknown_ms: 50.0,
+            failure_ms: 400.0,
+            failure_half_life: Duration::from_secs(2),
         }
     }
 }
@@ -85,6 +93,7 @@
 #[derive(Debug, Clone, Default)]
 struct TargetMemory {
     report: Option<LoadReport>,
+    reported_at: LocalMoment,
     /// Requests sent since the report and not answered.
     sent: u32,
     avoid_until: LocalMoment,
@@ -140,10 +149,11 @@
     }
 
     /// Takes note of the load that came with an answer.
-    pub fn reported(&mut self, node: &Arc<str>, report: LoadReport) {
+    pub fn reported(&mut self, node: &Arc<str>, report: LoadReport, now: LocalMoment) {
         let memory = self.targets.entry(Arc::clone(node)).or_default();
 
         memory.report = Some(report);
+        memory.reported_at = now;
         memory.sent = 0;
         memory.avoid_until = LocalMoment::ZERO;
         memory.failures = 0;
@@ -186,6 +196,13 @@
         self.targets.retain(|node, _| keep(node));
     }
 
+    /// Returns what a share of failures that was reported a while ago counts now.
+    fn present_failures(&self, reported: f32, age: Duration) -> f32 {
+        let half_lives = age.as_secs_f32() / self.options.failure_half_life.as_secs_f32();
+
+        reported * 0.5_f32.powf(half_lives)
+    }
+
     /// Returns the expected time in milliseconds at a target.
     #[expect(clippy::cast_precision_loss, reason = "counts of requests are small")]
     fn cost(&self, candidate: &PickCandidate, answer_kb: f32, now: LocalMoment) -> f32 {
@@ -203,7 +220,8 @@
         // A little of the load counts even while slots are free, as reports lag.
         let mut cost = service * (1.0 + over / slots as f32 + 0.3 * busy as f32 / slots as f32);
         if let Some(report) = report {
-            cost /= (1.0 - report.failed_share).max(0.05);
+            let age = now.since(memory.map_or(now, |memory| memory.reported_at));
+            cost += self.options.failure_ms * self.present_failures(report.failed_share, age);
         }
         if candidate.cold {
             cost *= COLD_FACTOR;
--- a/crates/route/tests/hosts_and_picks.rs
+++ b/crates/route/tests/hosts_and_picks.rs
@@ -101,15 +101,15 @@
     let mut picker = TargetPicker::new(PickOptions::default(), 7);
     let (near, far): (Arc<str>, Arc<str>) = (Arc::from("near"), Arc::from("far"));
     let candidates = [candidate("near", false), candidate("far", true)];
-    picker.reported(&near, report(1, 0, 50.0));
-    picker.reported(&far, report(0, 0, 48.0));
+    picker.reported(&near, report(1, 0, 50.0), at(0));
+    picker.reported(&far, report(0, 0, 48.0), at(0));
     assert_eq!(
         picker.pick(&candidates, &[], 0.5, at(0)),
         Some(Arc::clone(&near))
     );
 
     // The pattern: one zone's target is full while another's is idle.
-    picker.reported(&near, report(6, 6, 50.0));
+    picker.reported(&near, report(6, 6, 50.0), at(0));
     assert_eq!(picker.pick(&candidates, &[], 0.5, at(0)), Some(far));
 }
 
@@ -146,8 +146,8 @@
         failed_share: 0.5,
         ..report(0, 0, 50.0)
     };
-    picker.reported(&Arc::from("grey"), grey);
-    picker.reported(&Arc::from("sound"), report(3, 0, 50.0));
+    picker.reported(&Arc::from("grey"), grey, at(0));
+    picker.reported(&Arc::from("sound"), report(3, 0, 50.0), at(0));
 
     let choice = picker.pick(&candidates, &[], 0.0, at(0));
 
@@ -167,3 +167,24 @@
     assert!(!may_ask_holder(&once, &holder, false, true));
     assert!(!may_ask_holder(&twice, &holder, true, true));
 }
+
+/// Pattern answered: a crest at which a target that sheds half of its requests has room, as it
+/// does not run them, while sound targets have queues.
+#[test]
+fn a_target_that_sheds_is_not_chosen_for_its_room_until_its_failures_are_old() {
+    let mut picker = TargetPicker::new(PickOptions::default(), 7);
+    let candidates = [candidate("grey", false), candidate("sound", false)];
+    let grey = LoadReport {
+        failed_share: 0.45,
+        ..report(1, 0, 22.0)
+    };
+    picker.reported(&Arc::from("grey"), grey, at(0));
+    picker.reported(&Arc::from("sound"), report(6, 18, 22.0), at(0));
+
+    let choice = picker.pick(&candidates, &[], 0.0, at(100));
+    assert_eq!(choice.as_deref(), Some("sound"));
+
+    // It is tried again, as it may have recovered.
+    let choice = picker.pick(&candidates, &[], 0.0, at(8_000));
+    assert_eq!(choice.as_deref(), Some("grey"));
+}
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -271,7 +271,7 @@
 
     /// Takes note of the load that came with an answer.
     fn note_load(&self, node: &Arc<str>, load: LoadReport) {
-        self.picker.borrow_mut().reported(node, load);
+        self.picker.borrow_mut().reported(node, load, clock::now());
         if let Some(share) = load.begin_share {
             self.door.note_callee(share);
         }
