The first heartbeat after a power loss waits for the first configuration

Cause: node and target start together, and the first heartbeat came 10 to 60 ms before the first configuration.

Now the answer waits for the configuration, 400 ms at most.

Ruled out: conflicts of the five writers at the start (all settled within 280 ms); the table and the records were read in time.

Tests: crates/sidecar/tests/view.rs (the wait ends with the change; what followers are told; a list does not remove later writes; a node that stops passes nothing on).

--- a/crates/sidecar/src/beats.rs
+++ b/crates/sidecar/src/beats.rs
@@ -11,10 +11,9 @@
 };
 use bytes::Bytes;
 use compio::time::{sleep, timeout};
-use futures_util::future::{Either, select};
 use http_body_util::BodyExt;
 use hyper::{Request, Response, StatusCode, body::Incoming};
-use std::{cell::Cell, pin::pin, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 use tracing::{info, warn};
 use wagtail_core::{
     heartbeat::{HeartbeatReply, TargetHeartbeat},
@@ -36,6 +35,11 @@
 /// It leaves time to read the table.
 const HANDOVER_WAIT: Duration = Duration::from_millis(550);
 
+/// The longest time for which the answer to a heartbeat waits for the first configuration, which
+/// says whether the target's service divides its keys. Without it the keys of a target that
+/// started together with its node would wait for the next heartbeat.
+const CONFIG_WAIT: Duration = Duration::from_millis(400);
+
 /// The largest heartbeat in bytes.
 const MAX_BEAT_BYTES: usize = 1 << 20;
 
@@ -140,6 +144,7 @@
         self.door.note_beat(&beat, arrived);
         self.record.publish(self.own_record());
 
+        self.await_config().await;
         let reply = if self.door.is_keyed() {
             Box::pin(self.grant(&beat, arrived)).await
         } else {
@@ -181,27 +186,30 @@
         reply
     }
 
+    /// Waits a little for the first configuration.
+    async fn await_config(&self) {
+        let known = self
+            .view
+            .until(CONFIG_WAIT, || self.view.hosts().is_some())
+            .await;
+        if !known {
+            warn!(event = "heartbeat-without-config", node = %self.settings.node);
+        }
+    }
+
     /// Waits a little while another target is about to release keys to this one.
     async fn await_handover(&self, beat: &TargetHeartbeat) {
-        let mut expired = pin!(sleep(HANDOVER_WAIT));
+        let awaits = |table: &RangeTable| {
+            self.door
+                .with_keeper(|keeper| keeper.awaits_handover(beat, table, clock::now()))
+        };
+        let settled = || {
+            let versioned = self.view.table(&self.settings.service);
 
-        loop {
-            let change = self.view.next_change();
-            let awaited = self
-                .view
-                .table(&self.settings.service)
-                .is_some_and(|versioned| {
-                    self.door.with_keeper(|keeper| {
-                        keeper.awaits_handover(beat, &versioned.table, clock::now())
-                    })
-                });
-            if !awaited {
-                return;
-            }
-            if let Either::Left(_) = select(&mut expired, change).await {
-                return;
-            }
-        }
+            !versioned.is_some_and(|versioned| awaits(&versioned.table))
+        };
+
+        self.view.until(HANDOVER_WAIT, settled).await;
     }
 
     /// Reads the table, and writes what a change makes of it.
--- a/crates/sidecar/src/view.rs
+++ b/crates/sidecar/src/view.rs
@@ -1,14 +1,18 @@
 //! The configuration, the nodes and the tables of keys as this node knows them.
 
 use crate::messages::{FollowedChanges, KnownVersions};
-use event_listener::{Event, EventListener};
+use compio::time::sleep;
+use event_listener::Event;
+use futures_util::future::{Either, select};
 use serde::{Deserialize, Serialize};
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
+    pin::pin,
     rc::Rc,
     sync::Arc,
+    time::Duration,
 };
 use tracing::{info, warn};
 use wagtail_core::{
@@ -248,9 +252,19 @@
         })
     }
 
-    /// Returns a listener that ends at the next change of the configuration or the fleet.
-    pub fn next_change(&self) -> EventListener {
-        self.changed.listen()
+    /// Waits for at most `limit` until a condition on what is known holds. Returns whether it does.
+    pub async fn until(&self, limit: Duration, holds: impl Fn() -> bool) -> bool {
+        let mut expired = pin!(sleep(limit));
+
+        loop {
+            let change = self.changed.listen();
+            if holds() {
+                return true;
+            }
+            if let Either::Left(_) = select(&mut expired, change).await {
+                return holds();
+            }
+        }
     }
 
     /// Ends the waits of all listeners, as what they look at beside the view has changed.
--- a/crates/sidecar/src/watching.rs
+++ b/crates/sidecar/src/watching.rs
@@ -4,12 +4,9 @@
     messages::FollowedChanges,
     view::{FLEET_KIND, FleetView},
 };
-use compio::time::sleep;
-use futures_util::future::{Either, select};
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeSet,
-    pin::pin,
     rc::Rc,
     sync::Arc,
     time::Duration,
@@ -63,29 +60,24 @@
         revision: u64,
         wait: Duration,
     ) -> Option<FollowedChanges> {
-        let mut expired = pin!(sleep(wait));
-
-        loop {
-            let change = self.view.next_change();
-            if self.stopped.get() || !self.watched.borrow().contains(kind) {
-                return None;
-            }
-            let changes = if kind == FLEET_KIND {
+        let watches = || !self.stopped.get() && self.watched.borrow().contains(kind);
+        let changes = || {
+            if kind == FLEET_KIND {
                 self.view.fleet_changes_after(revision)
             } else {
                 self.view.config_change_after(revision)
-            };
-            if changes.is_some() {
-                return changes;
             }
+        };
+        self.view
+            .until(wait, || !watches() || changes().is_some())
+            .await;
 
-            if let Either::Left(_) = select(&mut expired, change).await {
-                return Some(FollowedChanges {
-                    revision,
-                    complete: false,
-                    objects: Vec::new(),
-                });
-            }
-        }
+        watches().then(|| {
+            changes().unwrap_or(FollowedChanges {
+                revision,
+                complete: false,
+                objects: Vec::new(),
+            })
+        })
     }
 }
--- a/crates/sidecar/tests/view.rs
+++ b/crates/sidecar/tests/view.rs
@@ -1,5 +1,7 @@
 //! Tests of what a node knows of the fleet.
 
+use compio::{runtime::Runtime, time::sleep};
+use futures_util::future::join;
 use std::{sync::Arc, time::Duration};
 use wagtail_core::{
     objects::{ObjectChange, StoredObject},
@@ -9,7 +11,8 @@
 use wagtail_shard::table::RangeTable;
 use wagtail_sidecar::{
     messages::KnownVersions,
-    view::{FleetView, NodeRecord, record_name, table_name},
+    view::{FLEET_KIND, FleetView, NodeRecord, record_name, table_name},
+    watching::WatchRelay,
 };
 
 /// Returns a moment in milliseconds.
@@ -128,3 +131,92 @@
     view.take_object(record("n2", 8, true));
     assert_eq!(view.fleet_behind_since(), None);
 }
+
+/// Pattern answered: a VM starts again with its target, whose first heartbeat comes before the
+/// first configuration.
+#[test]
+fn a_wait_ends_with_the_change_that_it_waits_for() {
+    Runtime::new().unwrap().block_on(async {
+        let view = FleetView::default();
+        let later = view.clone();
+        let change = async move {
+            sleep(Duration::from_millis(40)).await;
+            later.take_config(
+                &object("main", 4, "{}"),
+                &RoutingConfig {
+                    version: 1,
+                    ..RoutingConfig::default()
+                },
+            );
+        };
+
+        let known = || view.hosts().is_some();
+        assert!(!view.until(Duration::from_millis(10), known).await);
+        let (waited, ()) = join(view.until(Duration::from_secs(5), known), change).await;
+        assert!(waited);
+    });
+}
+
+#[test]
+fn a_follower_is_told_changes_only_and_all_objects_after_a_deletion() {
+    let view = FleetView::default();
+    view.take_list(vec![record("n1", 5, true), record("n2", 7, true)], 8);
+
+    assert_eq!(view.fleet_changes_after(8), None);
+    let changed = view.fleet_changes_after(6).unwrap();
+    assert_eq!((changed.revision, changed.complete), (8, false));
+    assert_eq!(changed.objects, vec![record("n2", 7, true)]);
+
+    let deletion = ObjectChange {
+        object: record("n1", 9, true),
+        deleted: true,
+    };
+    view.take_changes(vec![deletion], 9);
+    let changed = view.fleet_changes_after(8).unwrap();
+    assert_eq!((changed.revision, changed.complete), (9, true));
+
+    let follower = FleetView::default();
+    follower.take_list(vec![record("n1", 5, true), record("n2", 7, true)], 8);
+    follower.take_followed(changed);
+    assert!(follower.node("n1").is_none());
+    assert!(follower.node("n2").is_some());
+    assert_eq!(follower.fleet_changes_after(8).unwrap().revision, 9);
+}
+
+/// Pattern answered: a list that was made before a write of this node arrives after it.
+#[test]
+fn a_list_does_not_remove_what_was_written_after_it() {
+    let view = FleetView::default();
+    view.take_object(record("n1", 9, true));
+
+    view.take_list(vec![record("n2", 4, true)], 8);
+    assert!(view.node("n1").is_some());
+    view.take_list(vec![record("n2", 4, true)], 10);
+    assert!(view.node("n1").is_none());
+}
+
+#[test]
+fn a_node_that_does_not_watch_or_stops_passes_nothing_on() {
+    Runtime::new().unwrap().block_on(async {
+        let view = FleetView::default();
+        view.take_list(vec![record("n1", 5, true)], 8);
+        let relay = WatchRelay::new(view.clone());
+        let wait = Duration::from_millis(20);
+
+        assert_eq!(relay.changes_after(FLEET_KIND, 0, wait).await, None);
+        relay.set_watched(FLEET_KIND, true);
+        let all = relay.changes_after(FLEET_KIND, 0, wait).await.unwrap();
+        assert_eq!((all.revision, all.objects.len()), (8, 1));
+        let none = relay.changes_after(FLEET_KIND, 8, wait).await.unwrap();
+        assert_eq!((none.revision, none.objects.len()), (8, 0));
+
+        let later = relay.clone();
+        let stop = async move {
+            sleep(wait).await;
+            later.stop();
+        };
+        let waiting = relay.changes_after(FLEET_KIND, 8, Duration::from_secs(20));
+        let (changes, ()) = join(waiting, stop).await;
+        assert_eq!(changes, None);
+    });
+}
