Connections of callers are closed after 6 s without a request; their limits follow the configuration

Now the server takes its limits when a connection is made: the head size and the idle time of the configuration, 6 s at most, and tells callers in Keep-Alive one second less. The address of the caller, which nothing used any more, is gone from the requests.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -39,7 +39,7 @@
 };
 use wagtail_lease::{LeaseMachine, LeaseOptions};
 use wagtail_net::{
-    server::{self, HttpHandler},
+    server::{self, ConnectionLimits, HttpHandler},
     stop::StopSignal,
 };
 use wagtail_platform::HttpStore;
@@ -391,7 +391,9 @@
     header_bytes: usize,
     stop: &StopSignal,
 ) -> JoinHandle<()> {
-    compio::runtime::spawn(server::serve(listener, handler, header_bytes, stop.clone()))
+    let limits = Rc::new(ConnectionLimits::new(header_bytes));
+
+    compio::runtime::spawn(server::serve(listener, handler, limits, stop.clone()))
 }
 
 /// Waits for SIGTERM or an interrupt from the terminal.
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -13,10 +13,11 @@
 use hyper::{
     Request, Response,
     body::{Frame, Incoming},
+    header::{CONNECTION, HeaderName, HeaderValue},
     server::conn::http1,
     service::service_fn,
 };
-use std::{convert::Infallible, fmt::Debug, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
+use std::{convert::Infallible, fmt::Debug, pin::pin, rc::Rc, time::Duration};
 use wagtail_core::{
     CoreError,
     ports::{BodyStream, LocalFuture},
@@ -25,19 +26,62 @@
 /// The pause after a failed accept, for instance when no file descriptor is left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// The time that a client has to send the header fields of a request.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
+/// The time for which a connection may be idle, or take for the header fields of a request,
+/// unless the limits say otherwise.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// The time by which clients are told to stop using an idle connection before it is closed, so
+/// that no request crosses the end of its connection.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
 
 /// The smallest buffer that the HTTP library accepts, in bytes.
 const MIN_HEADER_BYTES: usize = 8_192;
 
+/// The field that tells a client for how long an idle connection stays open.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
 /// `ServerBody` is the body of an answer, whole or streamed.
 pub type ServerBody =
     EitherBody<Full<Bytes>, StreamBody<LocalBoxStream<'static, Result<Frame<Bytes>, CoreError>>>>;
 
-/// `CallerAddress` is the address from which a request came, an extension of the request.
+/// `ConnectionLimits` bound what a client may do with a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct CallerAddress(pub SocketAddr);
+pub struct ConnectionLimits {
+    /// The largest head of a request in bytes.
+    pub head_bytes: usize,
+    /// The time for which the connection may be idle, or take for the head of a request.
+    pub idle_timeout: Duration,
+}
+
+impl ConnectionLimits {
+    /// Makes limits with the usual idle time.
+    pub fn new(head_bytes: usize) -> Self {
+        Self {
+            head_bytes,
+            idle_timeout: IDLE_TIMEOUT,
+        }
+    }
+
+    /// Returns the time that clients are told, in whole seconds.
+    fn told_seconds(&self) -> u64 {
+        self.idle_timeout
+            .saturating_sub(IDLE_MARGIN)
+            .as_secs()
+            .max(1)
+    }
+}
+
+/// `LimitSource` tells the limits of a connection that is made now.
+pub trait LimitSource: Debug {
+    /// Returns the limits.
+    fn limits(&self) -> ConnectionLimits;
+}
+
+impl LimitSource for ConnectionLimits {
+    fn limits(&self) -> ConnectionLimits {
+        *self
+    }
+}
 
 /// `HttpHandler` answers the requests of one server.
 pub trait HttpHandler: Debug {
@@ -70,7 +114,7 @@
 pub async fn serve(
     listener: TcpListener,
     handler: Rc<dyn HttpHandler>,
-    max_header_bytes: usize,
+    limits: Rc<dyn LimitSource>,
     stop: StopSignal,
 ) {
     let mut connections = FuturesUnordered::new();
@@ -89,14 +133,9 @@
         };
 
         match accepted {
-            Ok((stream, from)) => {
-                let connection = serve_connection(
-                    stream,
-                    CallerAddress(from),
-                    Rc::clone(&handler),
-                    max_header_bytes,
-                    stop.clone(),
-                );
+            Ok((stream, _)) => {
+                let connection =
+                    serve_connection(stream, Rc::clone(&handler), limits.limits(), stop.clone());
                 connections.push(compio::runtime::spawn(connection));
             }
             Err(_) => compio::time::sleep(ACCEPT_PAUSE).await,
@@ -119,26 +158,32 @@
 /// answered.
 async fn serve_connection(
     stream: TcpStream,
-    from: CallerAddress,
     handler: Rc<dyn HttpHandler>,
-    max_header_bytes: usize,
+    limits: ConnectionLimits,
     stop: StopSignal,
 ) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
 
-    let service = service_fn(move |mut request: Request<Incoming>| {
-        let handler = Rc::clone(&handler);
-        request.extensions_mut().insert(from);
+    let told = HeaderValue::from_str(&format!("timeout={}", limits.told_seconds())).ok();
+    let service = service_fn(move |request: Request<Incoming>| {
+        let (handler, told) = (Rc::clone(&handler), told.clone());
+
+        async move {
+            let mut response = handler.handle(request).await;
+            if let Some(told) = told.filter(|_| !response.headers().contains_key(CONNECTION)) {
+                response.headers_mut().insert(KEEP_ALIVE, told);
+            }
 
-        async move { Ok::<_, Infallible>(handler.handle(request).await) }
+            Ok::<_, Infallible>(response)
+        }
     });
 
     let connection = http1::Builder::new()
         .timer(CompioTimer)
-        .header_read_timeout(HEADER_TIMEOUT)
-        .max_buf_size(max_header_bytes.max(MIN_HEADER_BYTES))
+        .header_read_timeout(limits.idle_timeout)
+        .max_buf_size(limits.head_bytes.max(MIN_HEADER_BYTES))
         .serve_connection(HyperStream::new_plain(stream), service);
     let mut connection = pin!(connection);
 
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -31,13 +31,17 @@
 };
 use wagtail_net::{
     clock,
-    server::{HttpHandler, ServerBody, streamed_body, whole_body},
+    server::{ConnectionLimits, HttpHandler, LimitSource, ServerBody, streamed_body, whole_body},
 };
 use wagtail_route::hosts::{HostTable, choose_service};
 
 /// The time that a caller waits when it does not say.
 const DEFAULT_WAIT: Duration = Duration::from_secs(10);
 
+/// The longest time for which a connection of a caller stays open without a request. Connections
+/// that a crest left behind cost memory and descriptors; callers are told the time.
+const MAX_IDLE: Duration = Duration::from_secs(6);
+
 /// The pause that is asked for while no configuration is known.
 const NO_CONFIG_PAUSE: Duration = Duration::from_millis(300);
 
@@ -275,6 +279,33 @@
     }
 }
 
+/// `CallerConnections` tells the limits of the connections of callers.
+#[derive(Debug)]
+pub struct CallerConnections {
+    view: FleetView,
+}
+
+impl CallerConnections {
+    /// Makes the limits of the configuration that a view shows.
+    pub fn new(view: FleetView) -> Self {
+        Self { view }
+    }
+}
+
+impl LimitSource for CallerConnections {
+    fn limits(&self) -> ConnectionLimits {
+        let limits = self
+            .view
+            .hosts()
+            .map_or_else(CallerLimits::default, |hosts| *hosts.limits());
+
+        ConnectionLimits {
+            head_bytes: limits.head_bytes,
+            idle_timeout: limits.idle_timeout.min(MAX_IDLE),
+        }
+    }
+}
+
 /// `ReadinessHandler` tells whether the node is ready for callers.
 #[derive(Debug)]
 pub struct ReadinessHandler {
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -5,7 +5,7 @@
     directory::{self, DirectoryOptions},
     door::TargetDoor,
     forward::RequestForwarder,
-    front::{FrontHandler, FrontState, ReadinessHandler},
+    front::{CallerConnections, FrontHandler, FrontState, ReadinessHandler},
     inbound::InboundHandler,
     links::NodeLinks,
     messages::PeerRequest,
@@ -31,7 +31,7 @@
 use wagtail_core::{objects::ObjectStore, service::WorkClass};
 use wagtail_net::{
     clock,
-    server::{self, HttpHandler},
+    server::{self, ConnectionLimits, HttpHandler},
     stop::StopSignal,
 };
 use wagtail_shard::keeper::KeeperOptions;
@@ -39,7 +39,7 @@
 /// The number of the signal that asks a process to end.
 const SIGTERM: i32 = 15;
 
-/// The largest head of a request in bytes before a configuration says otherwise.
+/// The largest head of a call of the target, the platform or a collector, in bytes.
 const HEAD_BYTES: usize = 64 << 10;
 
 /// The time for which callers are still served after the signal, until they go elsewhere.
@@ -301,7 +301,7 @@
     let callers = compio::runtime::spawn(server::serve(
         listeners.callers,
         base.front_handler(),
-        HEAD_BYTES,
+        Rc::new(CallerConnections::new(base.view.clone())),
         callers_stop.clone(),
     ));
     let peers = compio::runtime::spawn(wagtail_peer::server::serve(
@@ -315,7 +315,8 @@
         (listeners.local, base.spawn_beats() as Rc<dyn HttpHandler>),
         (listeners.readiness, readiness),
     ] {
-        let served = server::serve(listener, handler, HEAD_BYTES, peers_stop.clone());
+        let limits = Rc::new(ConnectionLimits::new(HEAD_BYTES));
+        let served = server::serve(listener, handler, limits, peers_stop.clone());
         compio::runtime::spawn(served).detach();
     }
 
@@ -342,7 +343,8 @@
                 base.relay.clone(),
                 lines,
             );
-            let served = server::serve(listener, Rc::new(handler), HEAD_BYTES, StopSignal::new());
+            let limits = Rc::new(ConnectionLimits::new(HEAD_BYTES));
+            let served = server::serve(listener, Rc::new(handler), limits, StopSignal::new());
             compio::runtime::spawn(served).detach();
         }
         Err(error) => warn!(event = "metrics-not-served", address = %address, reason = %error),
