A caller that comes back counts by the time that it has waited already

Cause: every attempt counted as new, with its whole objective before it.

Now the node where callers arrive tells a returning one by the wait that it still has, less than that of new callers of the route by over a sixth, and only as many as it refused in the last 2 s; the time that has gone by counts towards the objective. A late caller takes a free slot but waits 0.2 of the objective at most (0.1 before), a new one 0.5 (0.6).

--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -7,10 +7,12 @@
 //! - [`estimate`]: the time that requests hold a slot.
 //! - [`origins`]: which requests are calls of work that already runs.
 //! - [`pressure`]: how much new work the callers of a busy service should begin.
+//! - [`waits`]: how long callers have waited before they came back.
 
 pub mod estimate;
 pub mod machine;
 pub mod origins;
 pub mod pressure;
+pub mod waits;
 
 pub use machine::{AdmissionGate, GateAction, GateArrival, GateOptions, GateRefusal};
--- a/crates/gate/src/machine.rs
+++ b/crates/gate/src/machine.rs
@@ -25,8 +25,8 @@
     fn default() -> Self {
         Self {
             first_estimate: Duration::from_millis(50),
-            longest_wait: 0.6,
-            shortest_wait: 0.1,
+            longest_wait: 0.5,
+            shortest_wait: 0.2,
             max_waiting: 256,
             min_pause: Duration::from_millis(50),
             max_pause: Duration::from_secs(1),
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -97,6 +97,8 @@
     pub began: LocalMoment,
     /// The moment after which nobody waits for the answer.
     pub deadline: LocalMoment,
+    /// The time that the caller waited before this attempt.
+    pub waited: Duration,
     /// The nodes that were asked, in order.
     pub asked: RefCell<Vec<Arc<str>>>,
 }
@@ -285,7 +287,7 @@
     ) -> Result<PeerAnswer<PeerReply>, CoreError> {
         let now = clock::now();
         let order = OrderHead {
-            elapsed_ms: millis(now.since(job.began)),
+            elapsed_ms: millis(job.waited + now.since(job.began)),
             time_left_ms: millis(job.deadline.since(now)),
             ..job.order.clone()
         };
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -29,6 +29,7 @@
     routing::CallerLimits,
     units::LocalMoment,
 };
+use wagtail_gate::waits::CallerWaits;
 use wagtail_net::{
     clock,
     server::{ConnectionLimits, HttpHandler, LimitSource, ServerBody, streamed_body, whole_body},
@@ -94,6 +95,7 @@
     door: TargetDoor,
     recorder: Rc<RequestRecorder>,
     state: FrontState,
+    waits: RefCell<CallerWaits>,
 }
 
 /// `EarlyAnswer` is an answer that needs no target.
@@ -134,6 +136,7 @@
             door,
             recorder,
             state,
+            waits: RefCell::default(),
         }
     }
 
@@ -210,6 +213,9 @@
             return Err(bad("key-missing"));
         }
 
+        let waited = caller.wait.map_or(Duration::ZERO, |wait| {
+            self.waits.borrow_mut().observe(&route.name, wait, began)
+        });
         let wait = caller.wait.unwrap_or(DEFAULT_WAIT).min(route.timeout);
         let order = OrderHead {
             id,
@@ -236,6 +242,7 @@
             began,
             deadline: began + wait,
             asked: RefCell::default(),
+            waited,
         })
     }
 
@@ -259,6 +266,10 @@
             ),
         };
 
+        if response.status().is_server_error() {
+            let mut waits = self.waits.borrow_mut();
+            waits.refused(&job.route.name, clock::now());
+        }
         let versions = self.view.versions();
         self.recorder.request_ended(&RequestEnd {
             order: &job.order,
