--- a/crates/sidecar/src/door/mod.rs
+++ b/crates/sidecar/src/door/mod.rs
@@ -13,7 +13,7 @@
 mod slots;
 
 use crate::{
-    ports::WireDialect, recorder::RequestRecorder, settings::SidecarSettings, view::FleetView,
+    outcomes::RequestRecorder, ports::WireDialect, settings::SidecarSettings, view::FleetView,
 };
 use compio::time::sleep;
 use futures_channel::oneshot;
--- a/crates/sidecar/src/door/serve.rs
+++ b/crates/sidecar/src/door/serve.rs
@@ -6,7 +6,7 @@
 };
 use crate::{
     messages::{NotRunFields, OrderHead, PeerReply, ReplyBody},
-    recorder::OrderEnd,
+    outcomes::OrderEnd,
 };
 use bytes::Bytes;
 use compio::time::sleep;
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -4,8 +4,8 @@
     door::{TargetDoor, headers::end_to_end},
     forward::{ForwardJob, ForwardOutcome, RequestForwarder},
     messages::{AnswerFields, OrderHead},
+    outcomes::{RequestEnd, RequestRecorder},
     ports::WireDialect,
-    recorder::{RequestEnd, RequestRecorder},
     settings::SidecarSettings,
     view::FleetView,
 };
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -17,7 +17,7 @@
 //! - [`front`]: the server for callers.
 //! - [`beats`]: the server for the target's heartbeats.
 //! - [`record`]: the record that a node publishes of itself.
-//! - [`recorder`]: lines and counters of requests.
+//! - [`outcomes`]: lines and counters of how requests ended.
 //! - [`metrics`]: the server for collectors of metrics.
 //! - [`inbound`]: the server for the other nodes.
 //! - [`planning`]: the task that spreads the keys of a service.
@@ -32,10 +32,10 @@
 pub mod links;
 pub mod messages;
 pub mod metrics;
+pub mod outcomes;
 pub mod planning;
 pub mod ports;
 pub mod record;
-pub mod recorder;
 pub mod relay;
 pub mod run;
 pub mod settings;
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -1,6 +1,6 @@
 //! The server for collectors of metrics.
 
-use crate::{door::TargetDoor, recorder::RequestRecorder, relay::StoreRelay, view::FleetView};
+use crate::{door::TargetDoor, outcomes::RequestRecorder, relay::StoreRelay, view::FleetView};
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use prometheus_client::metrics::gauge::Gauge;
 use std::{fmt::Debug, rc::Rc, sync::atomic::AtomicU64};
--- a/crates/sidecar/src/recorder.rs
+++ b/crates/sidecar/src/outcomes.rs
@@ -1,4 +1,4 @@
-//! Lines and counters of the requests that end here.
+//! Lines and counters of how requests ended.
 
 use crate::messages::OrderHead;
 use std::{cell::RefCell, time::Duration};
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -10,10 +10,10 @@
     links::NodeLinks,
     messages::PeerRequest,
     metrics::{DroppedLines, MetricsHandler},
+    outcomes::RequestRecorder,
     planning::{PlannerTask, PlannerWatch},
     ports::WireDialect,
     record::RecordPublisher,
-    recorder::RequestRecorder,
     relay::StoreRelay,
     settings::SidecarSettings,
     view::FleetView,
@@ -150,7 +150,7 @@
     door: TargetDoor,
     forwarder: Rc<RequestForwarder>,
     recorder: Rc<RequestRecorder>,
-    watch: PlannerWatch,
+    planners: PlannerWatch,
     watching: WatchRelay,
     front: FrontState,
     seed: u64,
@@ -199,7 +199,7 @@
             door,
             forwarder,
             recorder,
-            watch: PlannerWatch::default(),
+            planners: PlannerWatch::default(),
             watching,
             front: FrontState::default(),
             seed,
@@ -225,7 +225,7 @@
             self.links.clone(),
             self.relay.clone(),
             self.door.clone(),
-            self.watch.clone(),
+            self.planners.clone(),
         );
         let lapse = keeper_options(&self.settings).revocation_lapse();
         compio::runtime::spawn(async move { planner.run(lapse).await }).detach();
@@ -275,7 +275,7 @@
             self.view.clone(),
             self.relay.clone(),
             Rc::clone(&self.forwarder),
-            self.watch.clone(),
+            self.planners.clone(),
             self.watching.clone(),
         ))
     }
