--- a/crates/peer/tests/protocol.rs
+++ b/crates/peer/tests/protocol.rs
@@ -37,6 +37,7 @@
 /// `EchoHandler` answers a request with its own body and identifier.
 #[derive(Debug, Default)]
 struct EchoHandler {
+    hanging: Cell<bool>,
     cancelled: Rc<Cell<bool>>,
     controls: RefCell<Vec<u64>>,
 }
@@ -60,6 +61,7 @@
         Box::pin(async move {
             if &*head.path == "/hang" {
                 let _guard = CancelGuard(Rc::clone(&self.cancelled));
+                self.hanging.set(true);
                 std::future::pending::<()>().await;
             }
             let broken = &*head.path == "/broken";
@@ -245,7 +247,11 @@
             drop(link.request(&request("a", "/hang"), Bytes::new()).await);
         });
         let other = PeerLink::new(address);
-        exchange(&other, "b", b"order").await;
+        // The connections are not in order, so that the request may arrive late.
+        while !handler.hanging.get() {
+            exchange(&other, "b", b"order").await;
+        }
+        assert!(!handler.cancelled.get());
         drop(hanging);
 
         while !handler.cancelled.get() {
