A follower of a silent watcher notices in a series of changes, and without traffic

Its two followers heard of the newer versions from other nodes, but each newer version set the time anew since which they were behind, so that the 300 ms never went by, from 22.7 to 24.8 s.

Now the first version that is missing counts. A follower that is behind leaves its watcher, a watcher that is behind does not pass on until it has read everything, and every node asks another one for its versions twice a second, so that this does not rest on traffic. A node that has listed the fleet is not behind a version of an object that was deleted meanwhile, which made it list again and again.

Tests: crates/sidecar/tests/view.rs, a series of changes (seen failing first) and a deleted object.

--- a/crates/sidecar/src/directory.rs
+++ b/crates/sidecar/src/directory.rs
@@ -45,6 +45,9 @@
 /// The time that the store's own notice of a change may take before it is read anew.
 const NOTICE_TIME: Duration = Duration::from_millis(300);
 
+/// The mean time between two questions to other nodes for the versions that they know.
+const COMPARE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// The time for asking one node for what it knows.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -106,6 +109,34 @@
         };
         compio::runtime::spawn(async move { follower.run().await }).detach();
     }
+
+    compio::runtime::spawn(compare_versions(options.clone())).detach();
+}
+
+/// Asks other nodes in turn for the versions that they know, so that a node whose source went
+/// silent learns of it also while it sends them no requests.
+async fn compare_versions(options: DirectoryOptions) {
+    let mut random = ChaCha8Rng::seed_from_u64(options.seed);
+
+    loop {
+        sleep(COMPARE_INTERVAL.mul_f64(random.random_range(0.5..1.5))).await;
+        let nodes = options.view.nodes();
+        let others: Vec<&Arc<str>> = nodes
+            .iter()
+            .filter(|record| record.ready && record.node != options.node)
+            .map(|record| &record.node)
+            .collect();
+        if others.is_empty() {
+            continue;
+        }
+
+        let node = others[random.random_range(0..others.len())];
+        let asked = options
+            .links
+            .ask(node, &PeerRequest::Versions, WorkClass::Short, Bytes::new());
+        // The versions come with any answer; a node that gives none is found by its callers.
+        drop(timeout(SNAPSHOT_TIMEOUT, asked).await);
+    }
 }
 
 impl StoreFollower {
@@ -123,7 +154,11 @@
                     failures = 0;
                     revision = Some(next);
                 }
-                Err(StoreError::HistoryGone) => revision = None,
+                Err(StoreError::HistoryGone) => {
+                    revision = None;
+                    // What this node passes on may be old until it has read everything.
+                    self.options.watching.set_watched(self.kind, false);
+                }
                 Err(error) => {
                     if failures == 0 {
                         warn!(event = "store-not-followed", kind = self.kind, reason = %error);
@@ -200,7 +235,11 @@
 
         let answer = match select(limited, pin!(self.until_behind())).await {
             Either::Left((answer, _)) => answer,
-            Either::Right(((), _)) => return Err(StoreError::HistoryGone),
+            Either::Right(((), _)) => {
+                // The node knows less than others: its own watch may have gone silent.
+                self.leave_source(node, SourceFailure::NotWatching);
+                return Err(StoreError::HistoryGone);
+            }
         };
         let failure = match answer {
             Ok(Ok(answer)) => match answer.head.body {
@@ -211,12 +250,17 @@
             },
             Ok(Err(_)) | Err(_) => SourceFailure::Unreachable,
         };
-        info!(event = "watcher-avoided", kind = self.kind, node = %node, reason = ?failure);
-        self.choice.avoid(node, failure, clock::now());
+        self.leave_source(node, failure);
 
         Ok(revision)
     }
 
+    /// Leaves a node that is of no use as a source.
+    fn leave_source(&self, node: &Arc<str>, failure: SourceFailure) {
+        info!(event = "watcher-avoided", kind = self.kind, node = %node, reason = ?failure);
+        self.choice.avoid(node, failure, clock::now());
+    }
+
     /// Chooses where to learn of the next changes.
     fn choose_source(&self) -> WatchSource {
         let zone_nodes: BTreeSet<Arc<str>> = self
--- a/crates/sidecar/src/inbound.rs
+++ b/crates/sidecar/src/inbound.rs
@@ -70,7 +70,7 @@
                 self.forwarder.node_started(&node);
                 ReplyBody::Noted
             }
-            PeerRequest::Order(_) => ReplyBody::Noted,
+            PeerRequest::Versions | PeerRequest::Order(_) => ReplyBody::Noted,
         }
     }
 
--- a/crates/sidecar/src/messages.rs
+++ b/crates/sidecar/src/messages.rs
@@ -141,6 +141,8 @@
         /// The longest wait in milliseconds.
         wait_ms: u32,
     },
+    /// Tell the versions that the asked node knows, which come with every answer.
+    Versions,
     /// The asking node has started.
     Hello {
         /// The asking node.
--- a/crates/sidecar/src/view.rs
+++ b/crates/sidecar/src/view.rs
@@ -111,14 +111,23 @@
     /// Takes note of the versions that another node knows.
     pub fn hear(&self, versions: KnownVersions, now: LocalMoment) {
         let mut heard = self.heard.get();
+        let known = KnownVersions {
+            config: self.versions().config,
+            fleet: self.reached_fleet(),
+        };
 
+        // In a series of changes the first one that is missing counts, not the latest.
         if versions.config > heard.versions.config {
+            if heard.versions.config <= known.config {
+                heard.config_since = now;
+            }
             heard.versions.config = versions.config;
-            heard.config_since = now;
         }
         if versions.fleet > heard.versions.fleet {
+            if heard.versions.fleet <= known.fleet {
+                heard.fleet_since = now;
+            }
             heard.versions.fleet = versions.fleet;
-            heard.fleet_since = now;
         }
         self.heard.set(heard);
     }
@@ -134,7 +143,13 @@
     pub fn fleet_behind_since(&self) -> Option<LocalMoment> {
         let heard = self.heard.get();
 
-        (heard.versions.fleet > self.versions().fleet).then_some(heard.fleet_since)
+        (heard.versions.fleet > self.reached_fleet()).then_some(heard.fleet_since)
+    }
+
+    /// Returns the revision up to which the fleet is known: that of the newest object, or a later
+    /// one up to which there is no other. An object that others knew may be deleted meanwhile.
+    fn reached_fleet(&self) -> u64 {
+        self.newest_object.get().max(self.fleet_revision.get())
     }
 
     /// Puts a configuration in force unless a newer one is. Returns whether it was taken.
--- a/crates/sidecar/tests/view.rs
+++ b/crates/sidecar/tests/view.rs
@@ -132,6 +132,40 @@
     assert_eq!(view.fleet_behind_since(), None);
 }
 
+/// Pattern answered: a node starts after the newest object that the others knew was deleted.
+#[test]
+fn a_deleted_object_that_others_knew_is_not_missed() {
+    let view = FleetView::default();
+    view.take_list(vec![record("n1", 5, true)], 12);
+
+    view.hear(
+        KnownVersions {
+            config: 0,
+            fleet: 9,
+        },
+        at(100),
+    );
+    assert_eq!(view.fleet_behind_since(), None);
+}
+
+/// Pattern answered: configurations in quick succession while the source of this node is silent.
+#[test]
+fn in_a_series_of_changes_the_first_missing_one_counts() {
+    let view = FleetView::default();
+    view.take_object(record("n1", 5, true));
+
+    for step in 0..10 {
+        let versions = KnownVersions {
+            config: 10 + step,
+            fleet: 20 + step,
+        };
+        view.hear(versions, at(1_000 + step * 80));
+    }
+
+    assert_eq!(view.config_behind_since(), Some(at(1_000)));
+    assert_eq!(view.fleet_behind_since(), Some(at(1_000)));
+}
+
 /// Pattern answered: a VM starts again with its target, whose first heartbeat comes before the
 /// first configuration.
 #[test]
