--- a/crates/sidecar/src/heartbeats.rs
+++ b/crates/sidecar/src/heartbeats.rs
@@ -43,6 +43,9 @@
 /// The largest accepted heartbeat body in bytes.
 const MAX_HEARTBEAT_BYTES: usize = 1 << 20;
 
+/// The longest part of a leave message's body that is logged, in bytes.
+const MAX_LOGGED_BODY_BYTES: usize = 200;
+
 /// The number of attempts to write the table for one heartbeat, in case other nodes write it
 /// concurrently.
 const MAX_WRITE_ATTEMPTS: u32 = 2;
@@ -108,6 +111,14 @@
                 }
             }
             LocalRequest::Leave { target_id } => {
+                let body = match read_limited(request.into_body()).await {
+                    Ok(body) => body,
+                    Err(reason) => return bad_request(&reason),
+                };
+                info!(
+                    event = "leave-received", target = %target_id,
+                    body = %String::from_utf8_lossy(&body[..body.len().min(MAX_LOGGED_BODY_BYTES)])
+                );
                 self.leave(&target_id);
                 self.reply(&HeartbeatReply::default())
             }
@@ -374,7 +385,14 @@
             self.proxy.leave(clock::now());
             self.record.publish(self.own_record());
         } else {
-            info!(event = "leave-ignored", target = target_id);
+            let known = self
+                .proxy
+                .with_keeper(|keeper| keeper.life().map(ToString::to_string));
+            info!(
+                event = "leave-ignored",
+                target = target_id,
+                known = known.as_deref().unwrap_or("")
+            );
         }
     }
 
--- a/crates/sidecar/src/proxy/mod.rs
+++ b/crates/sidecar/src/proxy/mod.rs
@@ -139,6 +139,7 @@
 
         info!(
             event = "target-started", life = %target_heartbeat.life, slots = target_heartbeat.slots,
+            sequence = target_heartbeat.sequence, draining = target_heartbeat.draining,
             warm_up_ms = target_heartbeat.warm_up_left.as_millis()
         );
     }
@@ -170,7 +171,11 @@
         if !first {
             return;
         }
-        info!(event = "target-leaving");
+        let life = self.with_keeper(|keeper| keeper.life().map(ToString::to_string));
+        info!(
+            event = "target-leaving",
+            life = life.as_deref().unwrap_or("")
+        );
 
         if self.is_keyed() {
             let proxy = self.clone();
