A leave that precedes the first heartbeat is remembered

Cause: a node that had just started knew no target. It acknowledged the leave with 200, ignored it as that of another target, and took the heartbeat that the target had sent before for the first one of a new target. Evidence: leave-ignored at 25.193 s, target-started with a start before the traffic at 27.324 s, the requests at 27.365 and 27.612 s.

Change: the keeper keeps the departures that were announced, by identifier and start, for targets known or not, and an incarnation that they cover neither inherits keys nor opens the proxy. A leave message names no run, so an unknown run counts as departed if it started before the message arrived; a later run under the same identifier is not concerned.

Tests of the decision are in crates/shard/tests/shard/departures.rs.

--- a/crates/core/src/heartbeat.rs
+++ b/crates/core/src/heartbeat.rs
@@ -22,6 +22,35 @@
     }
 }
 
+/// `TargetDeparture` states that a target has announced its leave, by a message of its own or by a
+/// draining heartbeat. A target that has done so never returns to service in the same run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct TargetDeparture {
+    /// The identifier of the target.
+    pub id: Arc<str>,
+    /// The latest start time of a run that this covers, in milliseconds since the Unix epoch. A
+    /// leave message names no run, so a run that is not known is covered if it started before the
+    /// message arrived.
+    pub started_until_ms: u64,
+}
+
+impl TargetDeparture {
+    /// Returns whether an incarnation of a target has announced its leave by this.
+    pub fn covers(&self, life: &TargetIncarnation) -> bool {
+        self.id == life.id && life.started_ms <= self.started_until_ms
+    }
+}
+
+impl From<&TargetIncarnation> for TargetDeparture {
+    fn from(life: &TargetIncarnation) -> Self {
+        Self {
+            id: Arc::clone(&life.id),
+            started_until_ms: life.started_ms,
+        }
+    }
+}
+
 /// `HeldRange` is a key range that a target holds, or for which it still runs requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/net/src/clock.rs
+++ b/crates/net/src/clock.rs
@@ -1,6 +1,7 @@
-//! A monotonic clock that also runs while the machine is suspended.
+//! A monotonic clock that also runs while the machine is suspended, and the time of day.
 
 use rustix::time::{ClockId, clock_gettime};
+use std::time::{SystemTime, UNIX_EPOCH};
 use wagtail_core::units::LocalMoment;
 
 /// Nanoseconds per microsecond.
@@ -20,3 +21,12 @@
 
     LocalMoment::from_micros(seconds * MICROS_PER_SECOND + micros)
 }
+
+/// Returns the time of day in milliseconds since the Unix epoch, or 0 before that.
+pub fn unix_millis() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |elapsed| {
+            u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+        })
+}
--- /dev/null
+++ b/crates/shard/src/departures.rs
@@ -0,0 +1,42 @@
+//! Which targets of a VM have announced their leave.
+
+use serde::{Deserialize, Serialize};
+use wagtail_core::heartbeat::{TargetDeparture, TargetIncarnation};
+
+/// The number of departures that are kept. A VM runs one target at a time, and messages of the
+/// targets before it may arrive late.
+const MAX_DEPARTURES: usize = 4;
+
+/// `DepartureList` holds the latest departures of the targets of one VM, at most one an identifier.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct DepartureList {
+    departures: Vec<TargetDeparture>,
+}
+
+impl DepartureList {
+    /// Adds a departure. The oldest one is dropped if there are more than `MAX_DEPARTURES`.
+    pub fn add(&mut self, departure: TargetDeparture) {
+        let known = self
+            .departures
+            .iter_mut()
+            .find(|known| known.id == departure.id);
+        if let Some(known) = known {
+            known.started_until_ms = known.started_until_ms.max(departure.started_until_ms);
+            return;
+        }
+
+        if self.departures.len() == MAX_DEPARTURES {
+            self.departures.remove(0);
+        }
+        self.departures.push(departure);
+    }
+
+    /// Returns whether an incarnation of a target has announced its leave.
+    pub fn covers(&self, life: &TargetIncarnation) -> bool {
+        self.departures
+            .iter()
+            .any(|departure| departure.covers(life))
+    }
+}
--- a/crates/shard/src/keeper.rs
+++ b/crates/shard/src/keeper.rs
@@ -1,9 +1,15 @@
 //! Decides which key ranges a node grants to its target in reply to heartbeats.
 
-use crate::table::{RangeHolder, RangeRow, RangeTable, RowState};
+use crate::{
+    departures::DepartureList,
+    table::{RangeHolder, RangeRow, RangeTable, RowState},
+};
 use std::{sync::Arc, time::Duration};
 use wagtail_core::{
-    heartbeat::{GrantedRange, HeartbeatReply, RangeGrant, TargetHeartbeat, TargetIncarnation},
+    heartbeat::{
+        GrantedRange, HeartbeatReply, RangeGrant, TargetDeparture, TargetHeartbeat,
+        TargetIncarnation,
+    },
     units::LocalMoment,
 };
 
@@ -120,6 +126,7 @@
     ended: bool,
     challenge: Option<IncarnationChallenge>,
     replaced: Vec<TargetIncarnation>,
+    departures: DepartureList,
     confirmed: Option<ConfirmedTable>,
     uncertain: Vec<UncertainWrite>,
     /// The revision of the first table that this process read. Writes of the previous process
@@ -142,6 +149,7 @@
             ended: false,
             challenge: None,
             replaced: Vec::new(),
+            departures: DepartureList::default(),
             confirmed: None,
             uncertain: Vec::new(),
             first_revision: None,
@@ -153,8 +161,29 @@
         self.life.as_ref()
     }
 
+    /// Records that a target has announced its leave, whether or not it is known. Its incarnations
+    /// that this covers inherit no ranges, and no heartbeat brings them back into service.
+    pub fn depart(&mut self, departure: TargetDeparture) {
+        self.departures.add(departure);
+    }
+
+    /// Returns whether an incarnation of a target has announced its leave.
+    pub fn has_departed(&self, life: &TargetIncarnation) -> bool {
+        self.departures.covers(life)
+    }
+
+    /// Returns whether the target that sent a heartbeat is leaving, by this heartbeat or by what it
+    /// announced before.
+    fn is_leaving(&self, heartbeat: &TargetHeartbeat) -> bool {
+        heartbeat.draining || self.has_departed(&heartbeat.life)
+    }
+
     /// Records a heartbeat and returns whether it is stale, current or from a new incarnation.
     pub fn accept(&mut self, heartbeat: &TargetHeartbeat, now: LocalMoment) -> HeartbeatVerdict {
+        if heartbeat.draining {
+            self.depart(TargetDeparture::from(&heartbeat.life));
+        }
+
         let Some(life) = &self.life else {
             self.start_incarnation(heartbeat);
             return HeartbeatVerdict::NewIncarnation;
@@ -213,7 +242,7 @@
 
     /// Applies a heartbeat to the table: hands over the rows that the target released, and gives
     /// the rows of this target's ended incarnations to the one that sent the heartbeat. If that one
-    /// drains or has ended, they become unassigned. Returns whether anything changed.
+    /// has announced its leave or has ended, they become unassigned. Returns whether anything changed.
     pub fn settle(&self, heartbeat: &TargetHeartbeat, table: &mut RangeTable) -> bool {
         let omission_acknowledged = |row: &RangeRow| {
             self.omitted.iter().any(|range| {
@@ -230,7 +259,7 @@
             node: Arc::clone(&self.node),
             life: heartbeat.life.clone(),
         };
-        let can_inherit = !heartbeat.draining && !self.ended;
+        let can_inherit = !self.is_leaving(heartbeat) && !self.ended;
         let inherited = self.reassign_ended(table, can_inherit.then_some(&successor));
 
         rows_released || inherited
@@ -345,7 +374,7 @@
         table: &RangeTable,
         now: LocalMoment,
     ) -> bool {
-        let urgent = heartbeat.draining
+        let urgent = self.is_leaving(heartbeat)
             || !heartbeat.released.is_empty()
             || self.ended
             || self.life.as_ref() != Some(&heartbeat.life)
--- a/crates/shard/src/lib.rs
+++ b/crates/shard/src/lib.rs
@@ -8,12 +8,14 @@
 //! any recent enough read of the old row allows.
 //!
 //! - [`table`]: the assignment table and the operations that change it.
+//! - [`departures`]: the targets that have announced their leave.
 //! - [`keeper`]: the node's grants to its target in reply to heartbeats.
 //! - [`planner`]: plans which target holds which range.
 //! - [`balance`]: selects the moves that balance the load.
 //! - [`load`]: request rates by key.
 
 pub mod balance;
+pub mod departures;
 pub mod keeper;
 pub mod load;
 pub mod planner;
--- a/crates/shard/tests/shard/main.rs
+++ b/crates/shard/tests/shard/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the assignment of key ranges.
 
 mod decisions;
+mod departures;
 mod random_faults;
 mod simulation;
 mod support;
--- a/crates/sidecar/src/heartbeats.rs
+++ b/crates/sidecar/src/heartbeats.rs
@@ -16,7 +16,7 @@
 use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 use tracing::{info, warn};
 use wagtail_core::{
-    heartbeat::{HeartbeatReply, TargetHeartbeat},
+    heartbeat::{HeartbeatReply, TargetDeparture, TargetHeartbeat},
     objects::StoredObject,
     ports::LocalFuture,
     units::LocalMoment,
@@ -43,9 +43,6 @@
 /// The largest accepted heartbeat body in bytes.
 const MAX_HEARTBEAT_BYTES: usize = 1 << 20;
 
-/// The longest part of a leave message's body that is logged, in bytes.
-const MAX_LOGGED_BODY_BYTES: usize = 200;
-
 /// The number of attempts to write the table for one heartbeat, in case other nodes write it
 /// concurrently.
 const MAX_WRITE_ATTEMPTS: u32 = 2;
@@ -111,14 +108,6 @@
                 }
             }
             LocalRequest::Leave { target_id } => {
-                let body = match read_limited(request.into_body()).await {
-                    Ok(body) => body,
-                    Err(reason) => return bad_request(&reason),
-                };
-                info!(
-                    event = "leave-received", target = %target_id,
-                    body = %String::from_utf8_lossy(&body[..body.len().min(MAX_LOGGED_BODY_BYTES)])
-                );
                 self.leave(&target_id);
                 self.reply(&HeartbeatReply::default())
             }
@@ -144,9 +133,10 @@
             return self.reply(&HeartbeatReply::default());
         }
 
-        let verdict = self
-            .proxy
-            .with_keeper(|keeper| keeper.accept(&heartbeat, arrived));
+        let (has_departed, verdict) = self.proxy.with_keeper(|keeper| {
+            let has_departed = keeper.has_departed(&heartbeat.life);
+            (has_departed, keeper.accept(&heartbeat, arrived))
+        });
         match verdict {
             HeartbeatVerdict::Stale => {
                 info!(
@@ -154,7 +144,10 @@
                 );
                 return self.reply(&HeartbeatReply::default());
             }
-            HeartbeatVerdict::NewIncarnation => self.proxy.begin_incarnation(&heartbeat),
+            HeartbeatVerdict::NewIncarnation => {
+                self.proxy
+                    .begin_incarnation(&heartbeat, has_departed, arrived);
+            }
             HeartbeatVerdict::Current => {}
         }
         self.proxy.record_heartbeat(&heartbeat, arrived);
@@ -375,24 +368,26 @@
             })
     }
 
-    /// Records that the target is leaving. The message of another incarnation is ignored.
-    fn leave(&self, target_id: &str) {
-        let is_current = self
+    /// Records that a target is leaving. If no heartbeat of it has arrived yet, one that arrives
+    /// late does not bring it into service.
+    fn leave(&self, target_id: &Arc<str>) {
+        let life = self
             .proxy
-            .with_keeper(|keeper| keeper.life().is_some_and(|life| &*life.id == target_id));
-
+            .with_keeper(|keeper| keeper.life().filter(|life| life.id == *target_id).cloned());
+        let is_current = life.is_some();
+        info!(event = "leave-received", target = %target_id, is_current);
+
+        let departure = life.as_ref().map_or_else(
+            || TargetDeparture {
+                id: Arc::clone(target_id),
+                started_until_ms: clock::unix_millis(),
+            },
+            TargetDeparture::from,
+        );
+        self.proxy.with_keeper(|keeper| keeper.depart(departure));
         if is_current {
             self.proxy.leave(clock::now());
             self.record.publish(self.own_record());
-        } else {
-            let known = self
-                .proxy
-                .with_keeper(|keeper| keeper.life().map(ToString::to_string));
-            info!(
-                event = "leave-ignored",
-                target = target_id,
-                known = known.as_deref().unwrap_or("")
-            );
         }
     }
 
--- a/crates/sidecar/src/proxy/mod.rs
+++ b/crates/sidecar/src/proxy/mod.rs
@@ -125,21 +125,28 @@
         use_keeper(&mut self.state.borrow_mut().keeper)
     }
 
-    /// Resets the state for a new incarnation of the target and admits requests again.
-    pub fn begin_incarnation(&self, target_heartbeat: &TargetHeartbeat) {
+    /// Resets the state for a new incarnation of the target and admits requests again, unless that
+    /// incarnation announced its leave before this heartbeat, which `has_departed` states.
+    pub fn begin_incarnation(
+        &self,
+        target_heartbeat: &TargetHeartbeat,
+        has_departed: bool,
+        now: LocalMoment,
+    ) {
         self.pool.clear();
         let actions = {
             let mut state = self.state.borrow_mut();
             state.ended = false;
-            state.leaving_since = None;
+            state.leaving_since = has_departed.then_some(now);
             state.failed_share = 0.0;
-            state.gate.set_closed(false)
+            state.gate.set_closed(has_departed)
         };
         self.apply_actions(actions);
 
         info!(
             event = "target-started", life = %target_heartbeat.life, slots = target_heartbeat.slots,
             sequence = target_heartbeat.sequence, draining = target_heartbeat.draining,
+            has_departed,
             warm_up_ms = target_heartbeat.warm_up_left.as_millis()
         );
     }
--- a/crates/sidecar/tests/proxy.rs
+++ b/crates/sidecar/tests/proxy.rs
@@ -106,7 +106,7 @@
     };
     let now = clock::now();
     proxy.with_keeper(|keeper| keeper.accept(&first_heartbeat, now));
-    proxy.begin_incarnation(&first_heartbeat);
+    proxy.begin_incarnation(&first_heartbeat, false, now);
     proxy.record_heartbeat(&first_heartbeat, now);
 
     proxy
