A leave outlasts the process that acknowledged it

Targets that had announced their leave could get requests again once their node was restarted: the new process took a late heartbeat, about 2.1 s after the leave, for that of a target in service.

Cause: the node's memory of a departure ended with its process, though the acknowledgement binds the node.

Change: the node's record in the store carries the departures. A node reads them before it accepts a heartbeat, and whenever its record changes. A leave message, which the target does not repeat once it is acknowledged, is acknowledged only when the store holds the departure; until then the answer is 503 after 700 ms, the proxy is closed all the same, and the target repeats it. A target whose leave was known before its first heartbeat is closed at once, as its drain time may be over.

--- a/crates/shard/src/departures.rs
+++ b/crates/shard/src/departures.rs
@@ -33,6 +33,20 @@
         self.departures.push(departure);
     }
 
+    /// Adds the departures of another list.
+    pub fn merge(&mut self, other: &Self) {
+        for departure in &other.departures {
+            self.add(departure.clone());
+        }
+    }
+
+    /// Returns whether the list holds a departure, or a later one under the same identifier.
+    pub fn includes(&self, departure: &TargetDeparture) -> bool {
+        self.departures.iter().any(|known| {
+            known.id == departure.id && known.started_until_ms >= departure.started_until_ms
+        })
+    }
+
     /// Returns whether an incarnation of a target has announced its leave.
     pub fn covers(&self, life: &TargetIncarnation) -> bool {
         self.departures
--- a/crates/shard/src/keeper.rs
+++ b/crates/shard/src/keeper.rs
@@ -167,6 +167,17 @@
         self.departures.add(departure);
     }
 
+    /// Records departures that the store holds for this node, some of them announced to its previous
+    /// processes.
+    pub fn merge_departures(&mut self, stored: &DepartureList) {
+        self.departures.merge(stored);
+    }
+
+    /// Returns the known departures.
+    pub fn departures(&self) -> &DepartureList {
+        &self.departures
+    }
+
     /// Returns whether an incarnation of a target has announced its leave.
     pub fn has_departed(&self, life: &TargetIncarnation) -> bool {
         self.departures.covers(life)
--- a/crates/sidecar/src/heartbeats.rs
+++ b/crates/sidecar/src/heartbeats.rs
@@ -25,7 +25,7 @@
     clock,
     server::{HttpHandler, ServerBody, whole_body},
 };
-use wagtail_shard::{keeper::HeartbeatVerdict, table::RangeTable};
+use wagtail_shard::{departures::DepartureList, keeper::HeartbeatVerdict, table::RangeTable};
 
 /// The time after a heartbeat's arrival within which the table must be read. The target waits one
 /// second for the reply.
@@ -40,6 +40,13 @@
 /// started together with its node would get its keys only with the next heartbeat.
 const MAX_CONFIG_WAIT: Duration = Duration::from_millis(400);
 
+/// The longest time for which the reply to a leave message waits until the store holds the
+/// departure. The target waits one second for the reply.
+const MAX_LEAVE_WAIT: Duration = Duration::from_millis(700);
+
+/// The longest time between two checks whether the store holds a departure of the present target.
+const DEPARTURE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The largest accepted heartbeat body in bytes.
 const MAX_HEARTBEAT_BYTES: usize = 1 << 20;
 
@@ -107,10 +114,7 @@
                     }
                 }
             }
-            LocalRequest::Leave { target_id } => {
-                self.leave(&target_id);
-                self.reply(&HeartbeatReply::default())
-            }
+            LocalRequest::Leave { target_id } => Box::pin(self.handle_leave(&target_id)).await,
             LocalRequest::Metrics | LocalRequest::Unknown => {
                 let mut response = Response::new(whole_body(Bytes::new()));
                 *response.status_mut() = StatusCode::NOT_FOUND;
@@ -133,6 +137,7 @@
             return self.reply(&HeartbeatReply::default());
         }
 
+        self.merge_departures();
         let (has_departed, verdict) = self.proxy.with_keeper(|keeper| {
             let has_departed = keeper.has_departed(&heartbeat.life);
             (has_departed, keeper.accept(&heartbeat, arrived))
@@ -369,13 +374,13 @@
     }
 
     /// Records that a target is leaving. If no heartbeat of it has arrived yet, one that arrives
-    /// late does not bring it into service.
-    fn leave(&self, target_id: &Arc<str>) {
+    /// late does not bring it into service. The leave is acknowledged once the store holds it, so
+    /// that it outlasts this process; until then the target is asked to repeat it.
+    async fn handle_leave(&self, target_id: &Arc<str>) -> Response<ServerBody> {
         let life = self
             .proxy
             .with_keeper(|keeper| keeper.life().filter(|life| life.id == *target_id).cloned());
-        let is_current = life.is_some();
-        info!(event = "leave-received", target = %target_id, is_current);
+        info!(event = "leave-received", target = %target_id, is_current = life.is_some());
 
         let departure = life.as_ref().map_or_else(
             || TargetDeparture {
@@ -384,10 +389,59 @@
             },
             TargetDeparture::from,
         );
-        self.proxy.with_keeper(|keeper| keeper.depart(departure));
-        if is_current {
+        self.proxy
+            .with_keeper(|keeper| keeper.depart(departure.clone()));
+        if life.is_some() {
             self.proxy.leave(clock::now());
-            self.record.publish(self.own_record());
+        }
+        self.record.publish(self.own_record());
+
+        let is_stored = || self.stores_departures(|stored| stored.includes(&departure));
+        if self.view.until(MAX_LEAVE_WAIT, is_stored).await {
+            self.reply(&HeartbeatReply::default())
+        } else {
+            warn!(event = "leave-not-recorded", target = %target_id);
+            error_response(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "the store does not hold the departure yet",
+            )
+        }
+    }
+
+    /// Returns whether the departures that the store holds for this node meet a condition.
+    fn stores_departures(&self, condition: impl FnOnce(&DepartureList) -> bool) -> bool {
+        self.view
+            .node(&self.settings.node)
+            .is_some_and(|record| condition(&record.departures))
+    }
+
+    /// Takes the target out of service if the store holds a departure of it that this process did not
+    /// know of at its first heartbeat. Runs until it is dropped.
+    pub async fn watch_departures(&self) {
+        let covers_target = |stored: &DepartureList| {
+            self.proxy
+                .with_keeper(|keeper| keeper.life().is_some_and(|life| stored.covers(life)))
+        };
+        let has_departed = || !self.proxy.is_leaving() && self.stores_departures(covers_target);
+
+        loop {
+            if self
+                .view
+                .until(DEPARTURE_CHECK_INTERVAL, has_departed)
+                .await
+            {
+                self.merge_departures();
+                self.proxy.leave_at_once(clock::now());
+                self.record.publish(self.own_record());
+            }
+        }
+    }
+
+    /// Takes over the departures that the store holds for this node.
+    fn merge_departures(&self) {
+        if let Some(record) = self.view.node(&self.settings.node) {
+            self.proxy
+                .with_keeper(|keeper| keeper.merge_departures(&record.departures));
         }
     }
 
@@ -436,9 +490,14 @@
 
 /// Creates the response to a call that cannot be parsed.
 fn bad_request(reason: &str) -> Response<ServerBody> {
+    error_response(StatusCode::BAD_REQUEST, reason)
+}
+
+/// Creates the response to a call that is not carried out.
+fn error_response(status: StatusCode, reason: &str) -> Response<ServerBody> {
     let body = serde_json::json!({ "error": reason }).to_string();
     let mut response = Response::new(whole_body(body));
-    *response.status_mut() = StatusCode::BAD_REQUEST;
+    *response.status_mut() = status;
 
     response
 }
--- a/crates/sidecar/src/proxy/mod.rs
+++ b/crates/sidecar/src/proxy/mod.rs
@@ -169,20 +169,9 @@
     /// Records that the target is leaving. A target without keys receives no further requests. One
     /// with keys keeps serving while they move, up to 80 % of the drain time.
     pub fn leave(&self, now: LocalMoment) {
-        let first = {
-            let mut state = self.state.borrow_mut();
-            let first = state.leaving_since.is_none();
-            state.leaving_since.get_or_insert(now);
-            first
-        };
-        if !first {
+        if !self.mark_leaving(now) {
             return;
         }
-        let life = self.with_keeper(|keeper| keeper.life().map(ToString::to_string));
-        info!(
-            event = "target-leaving",
-            life = life.as_deref().unwrap_or("")
-        );
 
         if self.is_keyed() {
             let proxy = self.clone();
@@ -200,6 +189,30 @@
         }
     }
 
+    /// Records that the target announced its leave to a previous process of this node. Its drain time
+    /// may be over, so it receives no further requests even if it has keys.
+    pub fn leave_at_once(&self, now: LocalMoment) {
+        if self.mark_leaving(now) {
+            self.close();
+        }
+    }
+
+    /// Records since when the target has been leaving. Returns `false` if it was leaving already.
+    fn mark_leaving(&self, now: LocalMoment) -> bool {
+        let mut state = self.state.borrow_mut();
+        if state.leaving_since.is_some() {
+            return false;
+        }
+        state.leaving_since = Some(now);
+        let life = state.keeper.life().map(ToString::to_string);
+        info!(
+            event = "target-leaving",
+            life = life.as_deref().unwrap_or("")
+        );
+
+        true
+    }
+
     /// Refuses all queued and new requests; running ones go on.
     pub fn close(&self) {
         let actions = self.state.borrow_mut().gate.set_closed(true);
@@ -218,6 +231,11 @@
         state.gate.running() + state.gate.waiting()
     }
 
+    /// Returns whether the target is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.state.borrow().leaving_since.is_some()
+    }
+
     /// Returns whether the target has sent a heartbeat and is neither leaving nor ended.
     pub fn is_ready(&self) -> bool {
         let state = self.state.borrow();
--- a/crates/sidecar/src/record.rs
+++ b/crates/sidecar/src/record.rs
@@ -11,7 +11,7 @@
 use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
 use futures_util::StreamExt;
 use std::{rc::Rc, sync::Arc, time::Duration};
-use tracing::info;
+use tracing::{info, warn};
 use wagtail_core::objects::{ObjectStore, StoreError, StoredObject};
 
 /// The delay between two attempts to publish the record.
@@ -26,6 +26,7 @@
         service: Arc::clone(&settings.service),
         slots: proxy.slots(),
         ready: proxy.is_ready(),
+        departures: proxy.with_keeper(|keeper| keeper.departures().clone()),
     }
 }
 
@@ -107,31 +108,37 @@
             let deleted = self.store.delete(FLEET_KIND, &self.name).await;
             return matches!(deleted, Ok(()) | Err(StoreError::Absent));
         };
-        let Ok(content) = serde_json::to_string(record) else {
-            return true;
-        };
-        let content: Arc<str> = Arc::from(content);
 
         let get = StoreCall::Get {
             name: Arc::clone(&self.name),
         };
-        let call = match self.relay.call(&get).await {
+        let (revision, content) = match self.relay.call(&get).await {
             StoreOutcome::Object(object) => {
                 self.view.apply_object(object.clone());
+                let Some(content) = encode_record(record, Some(&object)) else {
+                    return true;
+                };
                 if object.content == content {
                     return true;
                 }
-                StoreCall::Replace {
-                    name: Arc::clone(&self.name),
-                    revision: object.revision,
-                    content: Arc::clone(&content),
-                }
+                (Some(object.revision), content)
             }
-            StoreOutcome::Absent => StoreCall::Create {
+            StoreOutcome::Absent => match encode_record(record, None) {
+                Some(content) => (None, content),
+                None => return true,
+            },
+            _ => return false,
+        };
+        let call = match revision {
+            Some(revision) => StoreCall::Replace {
+                name: Arc::clone(&self.name),
+                revision,
+                content: Arc::clone(&content),
+            },
+            None => StoreCall::Create {
                 name: Arc::clone(&self.name),
                 content: Arc::clone(&content),
             },
-            _ => return false,
         };
 
         match self.relay.call(&call).await {
@@ -151,3 +158,25 @@
         }
     }
 }
+
+/// Encodes a record for the store, with the departures that the stored one holds, as this process
+/// may not know of all of them. Returns `None` if that fails.
+fn encode_record(record: &NodeRecord, stored: Option<&StoredObject>) -> Option<Arc<str>> {
+    let mut merged = record.clone();
+    if let Some(object) = stored {
+        match serde_json::from_str::<NodeRecord>(&object.content) {
+            Ok(known) => merged.departures.merge(&known.departures),
+            Err(error) => {
+                warn!(event = "record-replaced", name = %object.name, reason = %error);
+            }
+        }
+    }
+
+    match serde_json::to_string(&merged) {
+        Ok(content) => Some(Arc::from(content)),
+        Err(error) => {
+            warn!(event = "record-not-encoded", node = %record.node, reason = %error);
+            None
+        }
+    }
+}
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -237,7 +237,7 @@
     }
 
     /// Creates the handler of the target's heartbeats, and spawns the tasks that publish the node's
-    /// record and watch for a silent target.
+    /// record and watch for a silent or departed target.
     fn spawn_heartbeat_handler(&self) -> Rc<HeartbeatHandler> {
         let record = RecordPublisher::spawn(
             &self.settings,
@@ -255,6 +255,8 @@
         ));
         let watched = Rc::clone(&heartbeats);
         compio::runtime::spawn(async move { watched.watch_target().await }).detach();
+        let watched = Rc::clone(&heartbeats);
+        compio::runtime::spawn(async move { watched.watch_departures().await }).detach();
 
         heartbeats
     }
--- a/crates/sidecar/src/view.rs
+++ b/crates/sidecar/src/view.rs
@@ -21,7 +21,7 @@
     units::LocalMoment,
 };
 use wagtail_route::hosts::HostTable;
-use wagtail_shard::table::RangeTable;
+use wagtail_shard::{departures::DepartureList, table::RangeTable};
 
 /// The kind of the stored objects that the nodes share: node records and assignment tables.
 pub const FLEET_KIND: &str = "fleet";
@@ -48,6 +48,9 @@
     pub slots: u32,
     /// Whether the target accepts new requests.
     pub ready: bool,
+    /// The targets of the node that announced their leave, so that a restarted node knows of them.
+    #[serde(default)]
+    pub departures: DepartureList,
 }
 
 /// `VersionedTable` is an assignment table with the revision of its stored object.
--- a/crates/sidecar/tests/view.rs
+++ b/crates/sidecar/tests/view.rs
@@ -8,6 +8,7 @@
     routing::RoutingConfig,
     units::LocalMoment,
 };
+use wagtail_shard::departures::DepartureList;
 use wagtail_shard::table::RangeTable;
 use wagtail_sidecar::{
     messages::KnownVersions,
@@ -38,6 +39,7 @@
         service: Arc::from("rooms"),
         slots: 4,
         ready,
+        departures: DepartureList::default(),
     };
 
     object(
