A heartbeat waits for the first list of the fleet

A node that knows the configuration before the fleet took the heartbeat of a draining target with keys for the first one it ever heard of, and served its keys for another 80 % of the drain time, though its previous process had acknowledged the drain.

Change: the wait for the first configuration, up to 400 ms, moves before the heartbeat is accepted and covers the first list of the fleet.

a_restart_does_not_extend_the_drain_time_of_a_target_with_keys was seen failing before (200 instead of 503).

--- a/crates/sidecar/src/heartbeats.rs
+++ b/crates/sidecar/src/heartbeats.rs
@@ -35,10 +35,11 @@
 /// this one. It leaves time to read the table within `MAX_TABLE_READ_TIME`.
 const MAX_HANDOVER_WAIT: Duration = Duration::from_millis(550);
 
-/// The longest time for which the reply to a heartbeat waits for the first configuration, which
-/// says whether the keys of the target's service are divided. Without this wait, a target that
-/// started together with its node would get its keys only with the next heartbeat.
-const MAX_CONFIG_WAIT: Duration = Duration::from_millis(400);
+/// The longest time for which a heartbeat waits until this node knows the configuration, which says
+/// whether the keys of the target's service are divided, and the fleet, which says whether the
+/// target has departed. Without this wait, a target that started together with its node would get
+/// its keys only with the next heartbeat.
+const MAX_DIRECTORY_WAIT: Duration = Duration::from_millis(400);
 
 /// The longest time for which the reply to a leave message waits until the store holds the
 /// departure. The target waits one second for the reply.
@@ -137,6 +138,7 @@
             return self.reply(&HeartbeatReply::default());
         }
 
+        self.await_directory().await;
         self.merge_departures();
         let (has_departed, verdict) = self.proxy.with_keeper(|keeper| {
             let has_departed = keeper.has_departed(&heartbeat.life);
@@ -158,7 +160,6 @@
         self.proxy.record_heartbeat(&heartbeat, arrived);
         self.record.publish(self.own_record());
 
-        self.await_config().await;
         let reply = if self.proxy.is_keyed() {
             Box::pin(self.grant(&heartbeat, arrived)).await
         } else {
@@ -203,14 +204,15 @@
         reply
     }
 
-    /// Waits up to `MAX_CONFIG_WAIT` for the first configuration.
-    async fn await_config(&self) {
-        let known = self
-            .view
-            .until(MAX_CONFIG_WAIT, || self.view.hosts().is_some())
-            .await;
-        if !known {
-            warn!(event = "heartbeat-without-config", node = %self.settings.node);
+    /// Waits up to `MAX_DIRECTORY_WAIT` for the first configuration and the first list of the fleet.
+    async fn await_directory(&self) {
+        let is_known = || self.view.hosts().is_some() && self.view.knows_fleet();
+
+        if !self.view.until(MAX_DIRECTORY_WAIT, is_known).await {
+            warn!(
+                event = "heartbeat-without-directory", node = %self.settings.node,
+                config = self.view.hosts().is_some(), fleet = self.view.knows_fleet()
+            );
         }
     }
 
--- a/crates/sidecar/src/view.rs
+++ b/crates/sidecar/src/view.rs
@@ -193,6 +193,11 @@
         self.objects.borrow().values().cloned().collect()
     }
 
+    /// Returns whether a complete list of the fleet was applied.
+    pub fn knows_fleet(&self) -> bool {
+        self.fleet_revision.get() > 0
+    }
+
     /// Replaces the objects of the fleet by a complete list at a revision. A list that is older
     /// than what is known already is ignored.
     pub fn apply_list(&self, objects: Vec<StoredObject>, revision: u64) {
