A shutdown no longer cuts off the end of a response on a slow link

Cause: the server closed the socket as soon as it had handed the last byte of the last stream to the kernel. The window updates that the peer sent meanwhile then found a closed socket, which answers with a reset and drops what the link had not carried yet.

Change: after the last stream the server reads and discards until the peer closes the connection.

--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -9,6 +9,7 @@
 };
 use bytes::Bytes;
 use compio::{
+    io::AsyncRead,
     net::{TcpListener, TcpStream},
     time::sleep,
 };
@@ -32,6 +33,9 @@
 /// the loop would spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// The size of the buffer for bytes that are read only to be discarded.
+const DRAIN_BUFFER_BYTES: usize = 4 << 10;
+
 /// `PeerHandler` processes the requests and control messages of the peers.
 pub trait PeerHandler: Debug {
     /// The type of a control message.
@@ -108,6 +112,7 @@
         return;
     }
 
+    let socket = stream.clone();
     let handshake = Builder::new()
         .initial_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
@@ -143,6 +148,20 @@
         let stream_task = serve_stream(request, responder, Rc::clone(&handler), stop.clone());
         compio::runtime::spawn(stream_task).detach();
     }
+    drop(connection);
+    drain_socket(socket).await;
+}
+
+/// Reads and discards what the peer still sends, until it closes the connection. Closing the socket
+/// with unread bytes would reset it, and cut off the end of a response that the link has not carried
+/// yet.
+async fn drain_socket(mut socket: TcpStream) {
+    loop {
+        let read = socket.read(Vec::with_capacity(DRAIN_BUFFER_BYTES)).await;
+        if !matches!(read.0, Ok(count) if count > 0) {
+            return;
+        }
+    }
 }
 
 /// Checks the protocol version of a stream and dispatches it by its path.
--- a/crates/peer/tests/silence.rs
+++ b/crates/peer/tests/silence.rs
@@ -8,7 +8,7 @@
 use compio::{
     io::{AsyncRead, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    runtime::Runtime,
+    runtime::{JoinHandle, Runtime},
     time::{sleep, timeout},
 };
 use std::{
@@ -44,6 +44,10 @@
 /// silence limit, with an allowance for a late timer on each.
 const DETECTION_TIME: Duration = Duration::from_millis(900);
 
+/// The time within which a shutdown must end if no request is in flight: that within which a key must
+/// be served again after a failure.
+const SHUTDOWN_TIME: Duration = Duration::from_secs(3);
+
 /// `SizedHandler` responds with a body of the requested size in bytes. For size 0 it sends an empty
 /// body after [`SLOW_WORK`].
 #[derive(Debug)]
@@ -108,19 +112,45 @@
     }
 }
 
+/// `SlowPeer` is a peer that is reached through the slow proxy.
+struct SlowPeer {
+    link: PeerLink,
+    /// Silences the proxy while it is `true`.
+    silent: Rc<Cell<bool>>,
+    /// Shuts the server of the peer down.
+    stop: StopSignal,
+    /// The server of the peer, which ends with its shutdown.
+    server: JoinHandle<()>,
+}
+
 /// Runs a test against a peer behind the slow proxy. Setting the cell to `true` silences the proxy.
 fn with_slow_peer<F: Future<Output = ()>>(test: impl FnOnce(PeerLink, Rc<Cell<bool>>) -> F) {
+    with_slow_server(|peer| {
+        peer.server.detach();
+        test(peer.link, peer.silent)
+    });
+}
+
+/// Runs a test against a peer behind the slow proxy, and its server.
+fn with_slow_server<F: Future<Output = ()>>(test: impl FnOnce(SlowPeer) -> F) {
     Runtime::new().unwrap().block_on(async {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let target = listener.local_addr().unwrap();
-        compio::runtime::spawn(serve(listener, Rc::new(SizedHandler), StopSignal::new())).detach();
+        let stop = StopSignal::new();
+        let server = compio::runtime::spawn(serve(listener, Rc::new(SizedHandler), stop.clone()));
 
         let proxy = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = proxy.local_addr().unwrap();
         let silent = Rc::new(Cell::new(false));
         compio::runtime::spawn(serve_slow_proxy(proxy, target, Rc::clone(&silent))).detach();
 
-        test(PeerLink::new(address), silent).await;
+        test(SlowPeer {
+            link: PeerLink::new(address),
+            silent,
+            stop,
+            server,
+        })
+        .await;
     });
 }
 
@@ -208,6 +238,50 @@
     });
 }
 
+/// Guards against a shutdown that takes the whole grace period because the connection of a lost peer
+/// is still open.
+#[test]
+fn a_silent_peer_does_not_hold_up_the_shutdown() {
+    with_slow_server(|peer| async move {
+        peer.link
+            .exchange::<usize, usize>(&1, WorkClass::Short, SilencePolicy::FailFast, Bytes::new())
+            .await
+            .unwrap();
+        peer.silent.set(true);
+
+        peer.stop.trigger();
+
+        assert!(timeout(SHUTDOWN_TIME, peer.server).await.is_ok());
+    });
+}
+
+/// Guards against a shutdown that cuts off a response which the server has produced but the link has
+/// not carried yet.
+#[test]
+fn a_shutdown_waits_for_a_download_on_a_slow_link() {
+    with_slow_server(|peer| async move {
+        peer.server.detach();
+        let large = peer.link.exchange::<usize, usize>(
+            &LARGE_BYTES,
+            WorkClass::Long,
+            SilencePolicy::FailFast,
+            Bytes::new(),
+        );
+        let mut answer = large.await.unwrap();
+
+        peer.stop.trigger();
+        let mut received = 0;
+        while let Ok(part) = timeout(SHUTDOWN_TIME, answer.body.next()).await {
+            let Some(part) = part.unwrap() else {
+                break;
+            };
+            received += part.len();
+        }
+
+        assert_eq!(received, LARGE_BYTES);
+    });
+}
+
 #[test]
 fn pings_that_queue_behind_data_lengthen_the_silence_allowed() {
     let mut limit = SilenceLimit::new();
