A lost peer no longer holds up a shutdown

Targets got no reply to heartbeats or leaves, and callers no service, for about 3 s longer than needed at each restart after a VM had been lost.

Cause: a server that shuts down waited for every peer to close its connection. A lost one never does, so the shutdown took the whole grace period.

Change: once no stream is open and nothing has arrived for a second, the connection is dropped. A peer that still receives a response sends window updates, so a slow link is not taken for a lost peer.

--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -4,7 +4,7 @@
     PROTOCOL_VERSION, REQUEST_PATH, VERSION_HEADER,
     answer::PeerResponse,
     frame,
-    silence::{AwaitedCounter, LastRead, ReadTrackingStream, SilenceDetector},
+    silence::{LastRead, ReadTrackingStream, SilenceDetector, StreamCounter},
     stream::FrameReader,
 };
 use bytes::Bytes;
@@ -45,7 +45,7 @@
     address: SocketAddr,
     short: RefCell<Option<PeerConnection>>,
     long: RefCell<Option<PeerConnection>>,
-    awaited: AwaitedCounter,
+    awaited: StreamCounter,
 }
 
 /// `PeerConnection` is an open HTTP/2 connection to a peer. Clones share it.
@@ -73,7 +73,7 @@
             address,
             short: RefCell::default(),
             long: RefCell::default(),
-            awaited: AwaitedCounter::default(),
+            awaited: StreamCounter::default(),
         }
     }
 
@@ -259,10 +259,7 @@
 /// # Errors
 ///
 /// Fails with the verdict `NotRun` when connecting, the handshake or the time limit fails.
-pub(crate) async fn connect(
-    address: SocketAddr,
-    awaited: AwaitedCounter,
-) -> Result<PeerConnection> {
+pub(crate) async fn connect(address: SocketAddr, awaited: StreamCounter) -> Result<PeerConnection> {
     let opening = timeout(CONNECT_TIMEOUT, open(address, awaited)).await;
 
     opening
@@ -275,7 +272,7 @@
 /// Opens a connection to a peer, without a timeout.
 async fn open(
     address: SocketAddr,
-    awaited: AwaitedCounter,
+    awaited: StreamCounter,
 ) -> std::result::Result<PeerConnection, String> {
     let stream = TcpStream::connect(address)
         .await
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -5,6 +5,7 @@
     answer::PeerResponse,
     frame,
     link::{CONNECTION_WINDOW_BYTES, STREAM_WINDOW_BYTES},
+    silence::{LastRead, ReadTrackingStream, StreamCounter},
     stream::FrameReader,
 };
 use bytes::Bytes;
@@ -33,6 +34,12 @@
 /// the loop would spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// The interval between two checks whether the peer of a connection that is shutting down is lost.
+const LOST_PEER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The number of checks in a row without a byte of the peer after which it counts as lost.
+const LOST_PEER_CHECKS: u32 = 10;
+
 /// The size of the buffer for bytes that are read only to be discarded.
 const DRAIN_BUFFER_BYTES: usize = 4 << 10;
 
@@ -113,16 +120,29 @@
     }
 
     let socket = stream.clone();
+    let last_read = LastRead::default();
+    let tracked = ReadTrackingStream::new(HyperStream::new_plain(stream), last_read.clone());
     let handshake = Builder::new()
         .initial_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
         .max_concurrent_streams(MAX_STREAMS)
-        .handshake(HyperStream::new_plain(stream).compat())
+        .handshake(tracked.compat())
         .await;
     let Ok(mut connection) = handshake else {
         return;
     };
 
+    let open_streams = StreamCounter::default();
+    let spawn_stream = |request, responder| {
+        let open_stream = open_streams.begin();
+        let (handler, stop) = (Rc::clone(&handler), stop.clone());
+        compio::runtime::spawn(async move {
+            let _open_stream = open_stream;
+            serve_stream(request, responder, handler, stop).await;
+        })
+        .detach();
+    };
+
     loop {
         let accepted = {
             let stopped = pin!(stop.wait());
@@ -137,30 +157,47 @@
         let Some(Ok((request, responder))) = accepted else {
             return;
         };
-        let stream_task = serve_stream(request, responder, Rc::clone(&handler), stop.clone());
-        compio::runtime::spawn(stream_task).detach();
+        spawn_stream(request, responder);
     }
 
     // Sends GOAWAY, so that the peer opens no further streams. Open ones, and those that were
     // already on their way, are still served.
     connection.graceful_shutdown();
-    while let Some(Ok((request, responder))) = connection.accept().await {
-        let stream_task = serve_stream(request, responder, Rc::clone(&handler), stop.clone());
-        compio::runtime::spawn(stream_task).detach();
-    }
-    drop(connection);
-    drain_socket(socket).await;
+    let finish = async {
+        while let Some(Ok((request, responder))) = connection.accept().await {
+            spawn_stream(request, responder);
+        }
+        drain_socket(socket, &last_read).await;
+    };
+    let lost = wait_for_lost_peer(&open_streams, &last_read);
+    select(pin!(finish), pin!(lost)).await;
 }
 
 /// Reads and discards what the peer still sends, until it closes the connection. Closing the socket
 /// with unread bytes would reset it, and cut off the end of a response that the link has not carried
 /// yet.
-async fn drain_socket(mut socket: TcpStream) {
+async fn drain_socket(mut socket: TcpStream, last_read: &LastRead) {
     loop {
         let read = socket.read(Vec::with_capacity(DRAIN_BUFFER_BYTES)).await;
         if !matches!(read.0, Ok(count) if count > 0) {
             return;
         }
+        last_read.record();
+    }
+}
+
+/// Returns when a connection that is shutting down has no open streams and its peer has sent nothing
+/// for [`LOST_PEER_CHECKS`] checks. A peer that still receives sends window updates. The checks are
+/// counted instead of the time, so that a suspension of this process does not count.
+async fn wait_for_lost_peer(open_streams: &StreamCounter, last_read: &LastRead) {
+    let mut silent_checks = 0;
+    let mut heard_at = last_read.moment();
+
+    while silent_checks < LOST_PEER_CHECKS {
+        sleep(LOST_PEER_CHECK_INTERVAL).await;
+        let is_silent = !open_streams.any() && last_read.moment() == heard_at;
+        silent_checks = if is_silent { silent_checks + 1 } else { 0 };
+        heard_at = last_read.moment();
     }
 }
 
--- a/crates/peer/src/silence.rs
+++ b/crates/peer/src/silence.rs
@@ -64,29 +64,30 @@
     }
 }
 
-/// `AwaitedCounter` counts the responses that requests on a link are waiting for.
+/// `StreamCounter` counts open streams: those of a link until the head of the response arrives, those
+/// of a server until the response has been produced.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct AwaitedCounter(Rc<Cell<usize>>);
+pub(crate) struct StreamCounter(Rc<Cell<usize>>);
 
-impl AwaitedCounter {
-    /// Counts one more response until the returned guard is dropped.
-    pub(crate) fn begin(&self) -> AwaitedGuard {
+impl StreamCounter {
+    /// Counts one more stream until the returned guard is dropped.
+    pub(crate) fn begin(&self) -> StreamGuard {
         self.0.set(self.0.get() + 1);
 
-        AwaitedGuard(self.clone())
+        StreamGuard(self.clone())
     }
 
-    /// Returns whether any response is awaited.
-    fn any(&self) -> bool {
+    /// Returns whether any stream is open.
+    pub(crate) fn any(&self) -> bool {
         self.0.get() > 0
     }
 }
 
-/// `AwaitedGuard` keeps one awaited response in the count until it is dropped.
+/// `StreamGuard` keeps one open stream in the count until it is dropped.
 #[derive(Debug)]
-pub(crate) struct AwaitedGuard(AwaitedCounter);
+pub(crate) struct StreamGuard(StreamCounter);
 
-impl Drop for AwaitedGuard {
+impl Drop for StreamGuard {
     fn drop(&mut self) {
         let count = &self.0.0;
         count.set(count.get() - 1);
@@ -97,6 +98,18 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct LastRead(Rc<Cell<LocalMoment>>);
 
+impl LastRead {
+    /// Records that bytes have arrived.
+    pub(crate) fn record(&self) {
+        self.0.set(clock::now());
+    }
+
+    /// Returns the time at which bytes last arrived.
+    pub(crate) fn moment(&self) -> LocalMoment {
+        self.0.get()
+    }
+}
+
 /// `ReadTrackingStream` wraps a byte stream and records when bytes arrive on it.
 #[derive(Debug)]
 pub(crate) struct ReadTrackingStream<S> {
@@ -119,7 +132,7 @@
     ) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut self.inner).poll_read(cx, buf);
         if matches!(polled, Poll::Ready(Ok(count)) if count > 0) {
-            self.last_read.0.set(clock::now());
+            self.last_read.record();
         }
 
         polled
@@ -148,7 +161,7 @@
 pub(crate) struct SilenceDetector {
     pub(crate) address: SocketAddr,
     pub(crate) pings: PingPong,
-    pub(crate) awaited: AwaitedCounter,
+    pub(crate) awaited: StreamCounter,
     pub(crate) last_read: LastRead,
     /// Triggered when the connection is suspected.
     pub(crate) suspected: StopSignal,
@@ -194,8 +207,8 @@
 
             let now = clock::now();
             let silent = now.since(last_heard);
-            if self.last_read.0.get() > last_heard {
-                last_heard = self.last_read.0.get();
+            if self.last_read.moment() > last_heard {
+                last_heard = self.last_read.moment();
             } else if now.since(deadline) > LATE_TIMER {
                 last_heard = now;
             } else if silent < MAX_SILENCE {
