--- a/crates/peer/tests/silence.rs
+++ b/crates/peer/tests/silence.rs
@@ -4,6 +4,7 @@
 //! download, is taken for a lost one; and a connection that goes silent without a reset is not
 //! noticed.
 
+use assert_matches::assert_matches;
 use bytes::Bytes;
 use compio::{
     io::{AsyncRead, AsyncWriteExt},
@@ -251,7 +252,8 @@
 
         peer.stop.trigger();
 
-        assert!(timeout(SHUTDOWN_TIME, peer.server).await.is_ok());
+        let ended = timeout(SHUTDOWN_TIME, peer.server).await;
+        assert_matches!(ended, Ok(Ok(())));
     });
 }
 
