A handover outlasts a heartbeat during which the table cannot be read

Cause: a target reports a released range once, with the state for the next holder. Its heartbeat is acknowledged whether or not the table could be read and written, so in an outage of the store the state was lost and the keys were cold at their next holder.

Change: the keeper keeps the releases until a table shows that nothing waits for them, or until the target holds or releases the keys anew.

a_handover_outlasts_an_outage_of_the_store was seen failing before (an empty handover instead of the reported one).

--- a/crates/shard/src/keeper.rs
+++ b/crates/shard/src/keeper.rs
@@ -7,7 +7,7 @@
 use std::{sync::Arc, time::Duration};
 use wagtail_core::{
     heartbeat::{
-        GrantedRange, HeartbeatReply, RangeGrant, TargetDeparture, TargetHeartbeat,
+        GrantedRange, HeartbeatReply, RangeGrant, ReleasedRange, TargetDeparture, TargetHeartbeat,
         TargetIncarnation,
     },
     units::LocalMoment,
@@ -121,6 +121,10 @@
     life: Option<TargetIncarnation>,
     sequence: u64,
     omitted: Vec<OmittedRange>,
+    /// The ranges that the target released and that the table does not show as handed over yet. The
+    /// target reports each once, as its heartbeat is acknowledged whether or not the table could be
+    /// written.
+    unsettled: Vec<ReleasedRange>,
     granted: Vec<GrantedRange>,
     granted_until: LocalMoment,
     ended: bool,
@@ -144,6 +148,7 @@
             life: None,
             sequence: 0,
             omitted: Vec::new(),
+            unsettled: Vec::new(),
             granted: Vec::new(),
             granted_until: LocalMoment::ZERO,
             ended: false,
@@ -206,6 +211,7 @@
             }
             self.sequence = heartbeat.sequence;
             self.challenge = None;
+            self.record_releases(heartbeat);
             return HeartbeatVerdict::Current;
         }
         let seems_older = heartbeat.life.started_ms <= life.started_ms;
@@ -263,7 +269,7 @@
         let rows_released = table.release(
             &heartbeat.life,
             &heartbeat.holds,
-            &heartbeat.released,
+            &self.unsettled,
             omission_acknowledged,
         );
         let successor = RangeHolder {
@@ -318,10 +324,20 @@
     }
 
     /// Records the table that a read sent at `read_sent_at` returned, or that a write based on that
-    /// read produced. Drops the uncertain writes that this revision rules out.
+    /// read produced. Drops the uncertain writes that this revision rules out, and the releases that
+    /// the table does not wait for.
     pub fn record_table(&mut self, table: RangeTable, revision: u64, read_sent_at: LocalMoment) {
         self.uncertain.retain(|write| write.expected >= revision);
         self.first_revision.get_or_insert(revision);
+        if let Some(life) = &self.life {
+            let awaits_release = |row: &RangeRow, range: &ReleasedRange| {
+                row.is_held_by(life)
+                    && row.state != RowState::Held
+                    && row.overlaps(range.from, range.to)
+            };
+            self.unsettled
+                .retain(|range| table.rows.iter().any(|row| awaits_release(row, range)));
+        }
         self.confirmed = Some(ConfirmedTable {
             revision,
             table,
@@ -340,7 +356,7 @@
         confirmed.revision < known
             || now.since(confirmed.read_sent_at) > self.options.table_validity / READS_PER_VALIDITY
             || self.has_unresolved_writes(confirmed.revision)
-            || !heartbeat.released.is_empty()
+            || !self.unsettled.is_empty()
             || confirmed.table.rows.iter().any(|row| {
                 let is_local = row
                     .holder
@@ -386,7 +402,7 @@
         now: LocalMoment,
     ) -> bool {
         let urgent = self.is_leaving(heartbeat)
-            || !heartbeat.released.is_empty()
+            || !self.unsettled.is_empty()
             || self.ended
             || self.life.as_ref() != Some(&heartbeat.life)
             || self.granted_until.since(now) < self.options.max_reply_delay;
@@ -510,13 +526,35 @@
             .collect();
     }
 
+    /// Records the ranges that the target released. They replace earlier releases of the same keys, as
+    /// do grants that the target holds.
+    fn record_releases(&mut self, heartbeat: &TargetHeartbeat) {
+        let overlap =
+            |range: &ReleasedRange, from: u16, to: u16| range.from <= to && from <= range.to;
+        self.unsettled.retain(|range| {
+            let held = heartbeat
+                .holds
+                .iter()
+                .any(|other| overlap(range, other.from, other.to));
+            let replaced = heartbeat
+                .released
+                .iter()
+                .any(|other| overlap(range, other.from, other.to));
+
+            !held && !replaced
+        });
+        self.unsettled.extend(heartbeat.released.iter().cloned());
+    }
+
     /// Starts over with the incarnation that sent a heartbeat.
     fn start_incarnation(&mut self, heartbeat: &TargetHeartbeat) {
         self.life = Some(heartbeat.life.clone());
         self.sequence = heartbeat.sequence;
         self.omitted.clear();
+        self.unsettled.clear();
         self.granted.clear();
         self.ended = false;
         self.challenge = None;
+        self.record_releases(heartbeat);
     }
 }
--- a/crates/shard/tests/shard/decisions.rs
+++ b/crates/shard/tests/shard/decisions.rs
@@ -80,6 +80,46 @@
     assert!(table.is_sound());
 }
 
+/// Guards against keys that are cold at their next holder because the heartbeat that released them was
+/// acknowledged while the table could not be read.
+#[test]
+fn a_handover_outlasts_an_outage_of_the_store() {
+    let mut table = RangeTable::new();
+    table.assign(0, LAST_KEY, &holder("a", 1));
+    table.start_move(100, 200, &holder("b", 1));
+    let token = table.row(150).unwrap().token;
+    let kept = || {
+        [(0, 99), (201, LAST_KEY)]
+            .map(|(from, to)| HeldRange { from, to, token })
+            .to_vec()
+    };
+
+    let mut keeper = GrantKeeper::new(Arc::from("a"), KeeperOptions::default(), at(0));
+    let first = heartbeat("a", 1, 1, Vec::new(), Vec::new());
+    keeper.accept(&first, at(10));
+    confirm_table(&mut keeper, &table, at(10));
+    keeper.reply(&first, at(10), at(12));
+
+    let released = vec![ReleasedRange {
+        from: 100,
+        to: 200,
+        handover: Arc::from("warm"),
+    }];
+    let during_outage = heartbeat("a", 1, 2, kept(), released);
+    keeper.accept(&during_outage, at(100));
+    keeper.reply(&during_outage, at(100), at(102));
+
+    let after_outage = heartbeat("a", 1, 3, kept(), Vec::new());
+    keeper.accept(&after_outage, at(200));
+    assert!(keeper.needs_read(&after_outage, 2, at(200)));
+    assert!(keeper.settle(&after_outage, &mut table));
+    assert_eq!(&*table.row(150).unwrap().handover, "warm");
+
+    // Once the table shows the move, nothing is left to hand over.
+    keeper.record_table(table.clone(), 3, at(200));
+    assert!(!keeper.needs_read(&after_outage, 3, at(200)));
+}
+
 /// Guards against a gap in service when keys move between targets whose heartbeats do not coincide:
 /// if the reply did not wait, nobody would serve the keys from their release to the receiver's next
 /// heartbeat.
