A suspension of the VM does not extend a drain time

Cause: a leaving target with keys was closed by a timer of 80 % of the drain time. Timers stand still while the VM is suspended, so a node that was frozen after the acknowledgement went on sending requests after its return.

Change: the end of the drain time is kept on the clock that counts a suspension and checked for each request that gets a slot.

--- a/crates/sidecar/src/proxy/mod.rs
+++ b/crates/sidecar/src/proxy/mod.rs
@@ -43,6 +43,10 @@
 /// The time limit for opening a connection to the target.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// The share of the drain time for which a leaving target with keys keeps serving. The rest is for
+/// requests that are on their way to it.
+const SERVING_SHARE: f32 = 0.8;
+
 /// The approximate number of key ranges for which a target's load is reported to the planner.
 const LOAD_PIECES: usize = 24;
 
@@ -74,6 +78,8 @@
     failed_share: f32,
     slots: u32,
     leaving_since: Option<LocalMoment>,
+    /// The end of the drain time of a leaving target with keys.
+    serving_until: Option<LocalMoment>,
     ended: bool,
     stopping: bool,
     last_heartbeat: Option<LocalMoment>,
@@ -105,6 +111,7 @@
             failed_share: 0.0,
             slots: 0,
             leaving_since: None,
+            serving_until: None,
             ended: false,
             stopping: false,
             last_heartbeat: None,
@@ -138,6 +145,7 @@
             let mut state = self.state.borrow_mut();
             state.ended = false;
             state.leaving_since = has_departed.then_some(now);
+            state.serving_until = None;
             state.failed_share = 0.0;
             state.gate.set_closed(has_departed)
         };
@@ -167,21 +175,20 @@
     }
 
     /// Records that the target is leaving. A target without keys receives no further requests. One
-    /// with keys keeps serving while they move, up to 80 % of the drain time.
+    /// with keys keeps serving while they move, for `SERVING_SHARE` of the drain time.
     pub fn leave(&self, now: LocalMoment) {
         if !self.mark_leaving(now) {
             return;
         }
 
         if self.is_keyed() {
+            let serving_time = self.settings.drain.mul_f32(SERVING_SHARE);
+            self.state.borrow_mut().serving_until = Some(now + serving_time);
+
             let proxy = self.clone();
-            let serving_time = self.settings.drain.mul_f32(0.8);
             compio::runtime::spawn(async move {
                 sleep(serving_time).await;
-                // A new incarnation may have started meanwhile and reopened the gate.
-                if proxy.state.borrow().leaving_since == Some(now) {
-                    proxy.close();
-                }
+                proxy.close_if_drained();
             })
             .detach();
         } else {
@@ -189,6 +196,22 @@
         }
     }
 
+    /// Closes the gate if the drain time of a target with keys is over, and returns whether it is. This
+    /// is checked with each request as well, because timers stand still while the VM is suspended.
+    fn close_if_drained(&self) -> bool {
+        let now = clock::now();
+        let is_drained = self
+            .state
+            .borrow()
+            .serving_until
+            .is_some_and(|until| now >= until);
+
+        if is_drained {
+            self.close();
+        }
+        is_drained
+    }
+
     /// Records that the target announced its leave to a previous process of this node. Its drain time
     /// may be over, so it receives no further requests even if it has keys.
     pub fn leave_at_once(&self, now: LocalMoment) {
--- a/crates/sidecar/src/proxy/serve.rs
+++ b/crates/sidecar/src/proxy/serve.rs
@@ -72,6 +72,9 @@
         {
             return self.not_run(self.key_not_held(key));
         }
+        if self.close_if_drained() {
+            return self.not_run(replies::elsewhere(GateRefusal::Closed.as_str()));
+        }
 
         started.set(Some(clock::now()));
         let mut response = self.dispatch(dispatch_head, body, deadline, guard).await;
--- a/crates/sidecar/tests/proxy.rs
+++ b/crates/sidecar/tests/proxy.rs
@@ -6,7 +6,8 @@
 use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 use wagtail_core::{
     heartbeat::{HeartbeatReply, TargetHeartbeat, TargetIncarnation},
-    routing::{RequestKind, RoutingConfig},
+    objects::StoredObject,
+    routing::{RequestKind, RoutingConfig, ServiceEntry},
 };
 use wagtail_net::clock;
 use wagtail_shard::keeper::KeeperOptions;
@@ -84,10 +85,15 @@
 
 /// Returns a proxy whose target has sent its first heartbeat.
 fn proxy() -> TargetProxy {
+    proxy_with(settings(), FleetView::default())
+}
+
+/// Returns a proxy with the given settings and view, whose target has sent its first heartbeat.
+fn proxy_with(settings: SidecarSettings, view: FleetView) -> TargetProxy {
     let proxy = TargetProxy::new(
-        Rc::new(settings()),
+        Rc::new(settings),
         Rc::new(SilentDialect),
-        FleetView::default(),
+        view,
         Rc::default(),
         KeeperOptions::default(),
     );
@@ -206,3 +212,44 @@
         );
     });
 }
+
+/// Guards against requests to a leaving target with keys after the VM was suspended for longer than the
+/// drain time, during which timers stand still.
+#[test]
+fn a_suspension_does_not_extend_the_drain_time() {
+    let view = FleetView::default();
+    let config = RoutingConfig {
+        version: 1,
+        services: vec![ServiceEntry {
+            name: Arc::from("agenda"),
+            keyed: true,
+            connections: 10,
+            warm_up: Duration::ZERO,
+        }],
+        ..RoutingConfig::default()
+    };
+    let object = StoredObject {
+        name: Arc::from("main"),
+        revision: 1,
+        content: Arc::from(""),
+    };
+    view.apply_config(&object, &config);
+    let drain = Duration::from_millis(50);
+    let settings = SidecarSettings {
+        drain,
+        ..settings()
+    };
+
+    Runtime::new().unwrap().block_on(async {
+        let proxy = proxy_with(settings, view);
+        proxy.leave(clock::now());
+
+        // Blocks the thread, so that no timer of the runtime fires.
+        std::thread::sleep(drain);
+
+        assert_eq!(
+            refusal_reason(&proxy, &request_head("agenda", None)).await,
+            "target-leaving"
+        );
+    });
+}
