Merged lists of departures keep the latest ones

The list dropped the departure that was added first, so merging an older stored list could displace a later departure, and equal lists could differ in order. merged_lists_keep_the_latest_departures_in_any_order was seen failing before.

--- a/crates/shard/src/departures.rs
+++ b/crates/shard/src/departures.rs
@@ -7,7 +7,8 @@
 /// targets before it may arrive late.
 const MAX_DEPARTURES: usize = 4;
 
-/// `DepartureList` holds the latest departures of the targets of one VM, at most one an identifier.
+/// `DepartureList` holds the latest departures of the targets of one VM, the oldest first and at most
+/// one for each identifier.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 #[derive(Serialize, Deserialize)]
 #[serde(transparent)]
@@ -22,15 +23,19 @@
             .departures
             .iter_mut()
             .find(|known| known.id == departure.id);
-        if let Some(known) = known {
-            known.started_until_ms = known.started_until_ms.max(departure.started_until_ms);
-            return;
+        match known {
+            Some(known) => {
+                known.started_until_ms = known.started_until_ms.max(departure.started_until_ms);
+            }
+            None => self.departures.push(departure),
         }
 
-        if self.departures.len() == MAX_DEPARTURES {
+        // Equal lists are stored alike, in whatever order they were merged.
+        self.departures
+            .sort_by(|a, b| (a.started_until_ms, &a.id).cmp(&(b.started_until_ms, &b.id)));
+        if self.departures.len() > MAX_DEPARTURES {
             self.departures.remove(0);
         }
-        self.departures.push(departure);
     }
 
     /// Adds the departures of another list.
--- a/crates/shard/tests/shard/departures.rs
+++ b/crates/shard/tests/shard/departures.rs
@@ -74,6 +74,26 @@
     assert!(!list.covers(&life("t1", 1)));
 }
 
+/// Guards against a late departure that takes the place of a later one when lists are merged.
+#[test]
+fn merged_lists_keep_the_latest_departures_in_any_order() {
+    let list = |starts: std::ops::Range<u64>| {
+        let mut list = DepartureList::default();
+        for start in starts {
+            list.add(departure(&format!("t{start}"), start));
+        }
+        list
+    };
+    let (mut early, mut late) = (list(1..5), list(3..7));
+
+    early.merge(&list(3..7));
+    late.merge(&list(1..5));
+
+    assert_eq!(early, late);
+    assert!(late.covers(&life("t6", 6)));
+    assert!(!late.covers(&life("t2", 2)));
+}
+
 #[test]
 fn a_draining_heartbeat_is_a_departure() {
     let now = LocalMoment::from_millis(10);
