Log and count what a target states about itself in its responses

Cause: neither logs nor metrics show whether a target names a limit, so that the hypotheses on the incident cannot be told apart. No decision uses them yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,12 +13,14 @@
 //! - [`objects`]: the object store of the platform, with its errors.
 //! - [`routing`]: the active configuration of routes, services and caller limits.
 //! - [`heartbeat`]: the heartbeats of targets and the key ranges granted in reply.
+//! - [`notice`]: what a target states about itself in its responses.
 //! - [`errors`]: the error type of requests, records and messages.
 
 pub mod errors;
 pub mod heartbeat;
 pub mod ids;
 pub mod lease;
+pub mod notice;
 pub mod objects;
 pub mod ports;
 pub mod request;
--- /dev/null
+++ b/crates/core/src/notice.rs
@@ -0,0 +1,55 @@
+//! What a target states about itself in the header fields of its responses.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// `RequestRate` is a number of requests per second, finite and not negative.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+#[derive(Serialize, Deserialize)]
+#[serde(try_from = "f64", into = "f64")]
+pub struct RequestRate(f64);
+
+impl RequestRate {
+    /// Creates a rate, or returns `None` if the number is negative or not finite.
+    pub fn new(per_second: f64) -> Option<Self> {
+        (per_second.is_finite() && per_second >= 0.0).then_some(Self(per_second))
+    }
+
+    /// Returns the requests per second.
+    pub const fn per_second(self) -> f64 {
+        self.0
+    }
+}
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl TryFrom<f64> for RequestRate {
+    type Error = &'static str;
+
+    fn try_from(per_second: f64) -> Result<Self, Self::Error> {
+        Self::new(per_second).ok_or("a request rate is finite and not negative")
+    }
+}
+
+impl From<RequestRate> for f64 {
+    fn from(rate: RequestRate) -> Self {
+        rate.0
+    }
+}
+
+/// `LimitStatement` is what one response states about the rate of requests that its target accepts
+/// from all nodes together. It holds until a later response states something else.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub enum LimitStatement {
+    /// The target names no limit.
+    #[default]
+    Unlimited,
+    /// The target accepts this rate.
+    Limited(RequestRate),
+    /// The target names a limit that cannot be parsed.
+    Malformed,
+}
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -4,7 +4,7 @@
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use prometheus_client::metrics::gauge::Gauge;
 use std::{fmt::Debug, rc::Rc, sync::atomic::AtomicU64};
-use wagtail_core::ports::LocalFuture;
+use wagtail_core::{notice::RequestRate, ports::LocalFuture};
 use wagtail_net::{
     clock,
     server::{HttpHandler, ServerBody, whole_body},
@@ -25,6 +25,7 @@
     slots: StateGauge,
     running: StateGauge,
     waiting: StateGauge,
+    limit: StateGauge,
     config: StateGauge,
     fleet: StateGauge,
     nodes: StateGauge,
@@ -58,6 +59,10 @@
             slots: gauge("slots", "Requests that the target runs at a time"),
             running: gauge("running", "Requests that run at the target"),
             waiting: gauge("waiting", "Requests that wait for the target"),
+            limit: gauge(
+                "target_limit",
+                "Requests per second that the target accepts, infinite without a limit",
+            ),
             config: gauge("config_version", "Version of the configuration in force"),
             fleet: gauge("fleet_revision", "Revision of the newest known object"),
             nodes: gauge("known_nodes", "Nodes with a record"),
@@ -91,6 +96,10 @@
         gauges.slots.set(f64::from(load.slots));
         gauges.running.set(f64::from(load.running));
         gauges.waiting.set(f64::from(load.waiting));
+        let limit = self.proxy.limit();
+        gauges
+            .limit
+            .set(limit.map_or(f64::INFINITY, RequestRate::per_second));
         gauges.config.set(versions.config as f64);
         gauges.fleet.set(versions.fleet as f64);
         gauges.nodes.set(self.view.nodes().len() as f64);
--- a/crates/sidecar/src/ports.rs
+++ b/crates/sidecar/src/ports.rs
@@ -6,6 +6,7 @@
 use thiserror::Error;
 use wagtail_core::{
     heartbeat::{HeartbeatReply, TargetHeartbeat},
+    notice::LimitStatement,
     routing::RoutingConfig,
 };
 
@@ -58,7 +59,7 @@
 
 /// `ResponseFields` holds what the status and the header fields of a target's response tell about
 /// it.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct ResponseFields {
     /// The identifier of the request that the response belongs to.
     pub id: Option<Arc<str>>,
@@ -67,6 +68,10 @@
     /// Whether the response carries the seal of the target, and its body is as the target produced
     /// it. A successful response must.
     pub is_genuine: bool,
+    /// The rate of requests that the target accepts from now on.
+    pub limit: LimitStatement,
+    /// Whether the target states that it is leaving.
+    pub is_leaving: bool,
 }
 
 /// `LocalRequest` is a request that a target or a local collector of metrics sends to the node.
--- a/crates/sidecar/src/proxy/dispatch.rs
+++ b/crates/sidecar/src/proxy/dispatch.rs
@@ -7,7 +7,7 @@
 };
 use crate::{
     messages::{DispatchHead, NotRunFields, PeerReply},
-    ports::RequestFields,
+    ports::{RequestFields, ResponseFields},
 };
 use bytes::{Bytes, BytesMut};
 use compio::time::{sleep, timeout};
@@ -40,6 +40,7 @@
         guard: SlotGuard,
     ) -> PeerResponse<PeerReply> {
         let time_left = deadline.since(clock::now());
+        let life = self.state.borrow().keeper.life().cloned();
         let http_request = match self.http_request(dispatch_head, body, time_left) {
             Ok(http_request) => http_request,
             Err(reason) => {
@@ -48,6 +49,7 @@
             }
         };
 
+        self.recorder.metrics().count_sent();
         let sent = timeout(time_left, self.pool.send(http_request)).await;
         let response = match sent {
             Ok(Ok(response)) => response,
@@ -62,8 +64,15 @@
             }
             Err(_elapsed) => return self.failed(dispatch_head, "target-too-late", ""),
         };
+        let parts = response.parts();
+        let fields = self.dialect.read_response(parts.status, &parts.headers);
+        if let Some(life) = life {
+            let is_latest = fields.id.as_ref().is_none_or(|id| *id == dispatch_head.id);
+            self.record_notice(&life, &fields, is_latest);
+        }
 
-        self.classify_response(dispatch_head, response, guard).await
+        self.classify_response(dispatch_head, response, &fields, guard)
+            .await
     }
 
     /// Classifies a response of the target: it is relayed, or the request was refused or has
@@ -73,11 +82,11 @@
         &self,
         dispatch_head: &DispatchHead,
         mut response: PooledResponse,
+        fields: &ResponseFields,
         guard: SlotGuard,
     ) -> PeerResponse<PeerReply> {
         let parts = response.parts();
         let status = parts.status;
-        let fields = self.dialect.read_response(status, &parts.headers);
 
         if fields.not_run {
             self.record_result(status != StatusCode::MISDIRECTED_REQUEST);
--- a/crates/sidecar/src/proxy/mod.rs
+++ b/crates/sidecar/src/proxy/mod.rs
@@ -3,11 +3,13 @@
 //! - [`serve`](TargetProxy::serve): decides whether and when a request may run here.
 //! - `dispatch`: sends the request to the target and classifies its response.
 //! - `slots`: guards that free a slot or a queue position when they are dropped.
+//! - `notices`: what the target states about itself in its responses.
 //! - `replies`: builds the replies to other nodes.
 //! - [`headers`]: selects the end-to-end header fields.
 
 mod dispatch;
 pub mod headers;
+mod notices;
 mod replies;
 mod serve;
 mod slots;
@@ -17,6 +19,7 @@
 };
 use compio::time::sleep;
 use futures_channel::oneshot;
+use notices::NoticeState;
 use slots::Admission;
 use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc, time::Duration};
 use tracing::info;
@@ -76,6 +79,7 @@
     waiters: HashMap<u64, oneshot::Sender<Admission>>,
     next_ticket: u64,
     failed_share: f32,
+    notices: NoticeState,
     slots: u32,
     leaving_since: Option<LocalMoment>,
     /// The end of the drain time of a leaving target with keys.
@@ -109,6 +113,7 @@
             waiters: HashMap::new(),
             next_ticket: 0,
             failed_share: 0.0,
+            notices: NoticeState::default(),
             slots: 0,
             leaving_since: None,
             serving_until: None,
@@ -147,6 +152,7 @@
             state.leaving_since = has_departed.then_some(now);
             state.serving_until = None;
             state.failed_share = 0.0;
+            state.notices = NoticeState::default();
             state.gate.set_closed(has_departed)
         };
         self.apply_actions(actions);
--- /dev/null
+++ b/crates/sidecar/src/proxy/notices.rs
@@ -0,0 +1,89 @@
+//! What the target states about itself in its responses.
+
+use super::TargetProxy;
+use crate::ports::ResponseFields;
+use std::time::Duration;
+use tracing::{info, warn};
+use wagtail_core::{
+    heartbeat::TargetIncarnation,
+    notice::{LimitStatement, RequestRate},
+    units::LocalMoment,
+};
+use wagtail_net::clock;
+
+/// The shortest time between two log lines on changes of the value of a limit.
+const MIN_LIMIT_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// `NoticeState` holds what the present incarnation of the target has stated so far.
+#[derive(Debug, Default)]
+pub(super) struct NoticeState {
+    limit: Option<RequestRate>,
+    limit_logged_at: LocalMoment,
+    malformed_logged: bool,
+    leave_logged: bool,
+}
+
+impl TargetProxy {
+    /// Returns the rate of requests that the target accepts, or `None` if it names no limit.
+    pub fn limit(&self) -> Option<RequestRate> {
+        self.state.borrow().notices.limit
+    }
+
+    /// Records what a response of an incarnation of the target states, unless that one has been
+    /// replaced. `is_latest` says that the response belongs to the latest request on its connection; an
+    /// extra response may be old, so it withdraws no limit.
+    pub(super) fn record_notice(
+        &self,
+        life: &TargetIncarnation,
+        fields: &ResponseFields,
+        is_latest: bool,
+    ) {
+        let now = clock::now();
+        let mut state = self.state.borrow_mut();
+        if state.keeper.life() != Some(life) {
+            return;
+        }
+        let notices = &mut state.notices;
+
+        let limit = match fields.limit {
+            LimitStatement::Limited(rate) => Some(rate),
+            LimitStatement::Unlimited if is_latest => None,
+            LimitStatement::Unlimited => notices.limit,
+            LimitStatement::Malformed => {
+                if !std::mem::replace(&mut notices.malformed_logged, true) {
+                    warn!(event = "target-limit-malformed", life = %life);
+                }
+                notices.limit
+            }
+        };
+        notices.log_limit(life, limit, now);
+        notices.limit = limit;
+
+        if fields.is_leaving && !std::mem::replace(&mut notices.leave_logged, true) {
+            info!(event = "target-states-leave", life = %life);
+        }
+    }
+}
+
+impl NoticeState {
+    /// Logs a limit that differs from the known one. Changes of its value are logged at most every
+    /// `MIN_LIMIT_LOG_INTERVAL`.
+    fn log_limit(
+        &mut self,
+        life: &TargetIncarnation,
+        limit: Option<RequestRate>,
+        now: LocalMoment,
+    ) {
+        let is_value_change = self.limit.is_some() && limit.is_some();
+        let is_recent = now.since(self.limit_logged_at) < MIN_LIMIT_LOG_INTERVAL;
+        if limit == self.limit || (is_value_change && is_recent) {
+            return;
+        }
+
+        self.limit_logged_at = now;
+        info!(
+            event = "target-limit", life = %life, per_second = limit.map(RequestRate::per_second),
+            before = self.limit.map(RequestRate::per_second)
+        );
+    }
+}
--- a/crates/telemetry/src/requests.rs
+++ b/crates/telemetry/src/requests.rs
@@ -66,6 +66,8 @@
     ended: Family<ClassOutcome, Counter>,
     latency: Family<RequestClass, Histogram>,
     reasons: Family<ReasonLabel, Counter>,
+    /// The requests that were sent to the target.
+    sent: Counter,
     /// The times that requests waited for a slot of the target.
     slot_waits: Histogram,
     /// The times from taking a slot to the head of the target's response.
@@ -85,6 +87,7 @@
         let ended = Family::default();
         let latency = Family::new_with_constructor(seconds_histogram as fn() -> Histogram);
         let reasons = Family::default();
+        let sent = Counter::default();
         let (slot_waits, slot_uses) = (seconds_histogram(), seconds_histogram());
 
         registry.register(
@@ -103,6 +106,11 @@
             "Refusals and failures by their reason, where they were decided",
             reasons.clone(),
         );
+        registry.register(
+            "target_requests",
+            "Requests that were sent to the target",
+            sent.clone(),
+        );
         registry.register_with_unit(
             "slot_wait",
             "Time that requests waited for a slot of the target",
@@ -122,6 +130,7 @@
             ended,
             latency,
             reasons,
+            sent,
             slot_waits,
             slot_uses,
         }
@@ -153,6 +162,11 @@
             .observe(took.as_secs_f64());
     }
 
+    /// Counts a request that is sent to the target.
+    pub fn count_sent(&self) {
+        self.sent.inc();
+    }
+
     /// Counts a refusal or a failure by the stable code of its reason.
     pub fn count_reason(&self, reason: &str) {
         let label = ReasonLabel {
