The limit that a target names bounds the requests that start at it

Cause: no code read the limit; the gate admitted by slots alone. Change: the gate of the node beside a target, which all its requests pass, has a token bucket at the rate of the limit. What is not admitted is refused at once with limit-reached: to another target where one may run it, otherwise to the caller, with a token reserved for the time of its return. The capacity that the planner of keys sees is at most the limit.

--- a/crates/gate/src/admission.rs
+++ b/crates/gate/src/admission.rs
@@ -3,9 +3,12 @@
 //! The gate is a state machine without I/O: each event returns the actions that the caller has to
 //! carry out.
 
-use crate::estimate::ServiceTimes;
+use crate::{
+    estimate::ServiceTimes,
+    limit::{LimitOptions, LimitedArrival, RateLimiter},
+};
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
-use wagtail_core::units::LocalMoment;
+use wagtail_core::{notice::RequestRate, units::LocalMoment};
 
 /// `GateOptions` limits how long and how many requests wait for a slot.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -21,8 +24,11 @@
     pub max_waiting: usize,
     /// The shortest delay before a retry that a refused caller is asked for.
     pub min_retry_after: Duration,
-    /// The longest delay before a retry that a refused caller is asked for.
+    /// The longest delay before a retry that a refused caller is asked for, except at a limit of the
+    /// target.
     pub max_retry_after: Duration,
+    /// The tolerances of the limit that the target names.
+    pub limit: LimitOptions,
 }
 
 impl Default for GateOptions {
@@ -34,6 +40,7 @@
             max_waiting: 256,
             min_retry_after: Duration::from_millis(50),
             max_retry_after: Duration::from_secs(1),
+            limit: LimitOptions::default(),
         }
     }
 }
@@ -55,6 +62,8 @@
     pub objective: Duration,
     /// The moment after which the caller no longer waits for the response.
     pub deadline: LocalMoment,
+    /// Identifies the request when its caller repeats it, if no other target may run it.
+    pub repeat_id: Option<u64>,
 }
 
 /// `GateRefusal` is the reason why a request is refused.
@@ -70,6 +79,8 @@
     Closed,
     /// A service that the new work would call is overloaded.
     CalleeBusy,
+    /// The limit that the target names is reached.
+    LimitReached,
 }
 
 impl GateRefusal {
@@ -81,6 +92,7 @@
             Self::QueueFull => "queue-full",
             Self::Closed => "target-leaving",
             Self::CalleeBusy => "callee-busy",
+            Self::LimitReached => "limit-reached",
         }
     }
 }
@@ -129,6 +141,7 @@
     options: GateOptions,
     slots: u32,
     closed: bool,
+    limiter: RateLimiter,
     service_times: ServiceTimes,
     waiting: BTreeMap<QueueKey, WaitingRequest>,
     running: BTreeMap<u64, RunningRequest>,
@@ -141,6 +154,7 @@
             options,
             slots: 0,
             closed: false,
+            limiter: RateLimiter::new(options.limit),
             service_times: ServiceTimes::new(options.initial_service_time),
             waiting: BTreeMap::new(),
             running: BTreeMap::new(),
@@ -155,6 +169,42 @@
         self.start_queued(now)
     }
 
+    /// Sets the limit that the target names. Queued requests that it does not admit are refused.
+    pub fn set_limit(&mut self, limit: Option<RequestRate>, now: LocalMoment) -> Vec<GateAction> {
+        if limit == self.limiter.limit() {
+            return Vec::new();
+        }
+        self.limiter.set_limit(limit, now);
+
+        let queued = std::mem::take(&mut self.waiting);
+        let mut actions = Vec::new();
+        for (queue_key, request) in queued {
+            let arrival = LimitedArrival {
+                is_call: !queue_key.0,
+                repeat_id: None,
+                time_left: request.deadline.since(now),
+            };
+            match self.limiter.admit(arrival, self.waiting.len(), now) {
+                Ok(()) => {
+                    self.waiting.insert(queue_key, request);
+                }
+                Err(retry_after) => actions.push(limit_refusal(queue_key.2, retry_after)),
+            }
+        }
+
+        actions
+    }
+
+    /// Returns the limit that the target names.
+    pub fn limit(&self) -> Option<RequestRate> {
+        self.limiter.limit()
+    }
+
+    /// Returns how long it takes until the limit admits new work.
+    pub fn limit_wait(&self, now: LocalMoment) -> Duration {
+        self.limiter.expected_wait(false, now)
+    }
+
     /// Opens or closes the gate. Closing it refuses all queued requests and leaves running ones
     /// alone.
     pub fn set_closed(&mut self, closed: bool) -> Vec<GateAction> {
@@ -175,6 +225,16 @@
 
     /// Starts, queues or refuses a request. The actions may also concern other queued requests.
     pub fn arrive(&mut self, arrival: GateArrival, now: LocalMoment) -> Vec<GateAction> {
+        if !self.closed && self.slots > 0 {
+            let limited = LimitedArrival {
+                is_call: arrival.is_call,
+                repeat_id: arrival.repeat_id,
+                time_left: arrival.deadline.since(now),
+            };
+            if let Err(retry_after) = self.limiter.admit(limited, self.waiting.len(), now) {
+                return vec![limit_refusal(arrival.ticket, retry_after)];
+            }
+        }
         if let Some(refusal) = self.find_refusal(&arrival, now) {
             let retry_after = self.retry_after(&arrival, refusal, now);
 
@@ -234,18 +294,30 @@
         self.service_times.overall()
     }
 
-    /// Returns the estimated throughput of the target, in requests per second.
+    /// Returns the estimated throughput of the target, in requests per second; its limit if that is
+    /// lower.
+    #[expect(clippy::cast_possible_truncation, reason = "an estimate")]
     pub fn capacity(&self) -> f32 {
         let slots = f32::from(u16::try_from(self.slots).unwrap_or(u16::MAX));
+        let throughput = slots / self.service_times.overall().max(0.001);
+        let limit = self.limiter.limit().map(RequestRate::per_second);
+
+        limit.map_or(throughput, |limit| throughput.min(limit as f32))
+    }
+
+    /// Returns how long a request of this kind and priority would wait for a slot, or for the limit
+    /// of the target if that takes longer, in seconds.
+    pub fn expected_wait(&self, is_call: bool, priority: u32, now: LocalMoment) -> f32 {
+        let limit_wait = self.limiter.expected_wait(is_call, now).as_secs_f32();
 
-        slots / self.service_times.overall().max(0.001)
+        self.slot_wait(is_call, priority, now).max(limit_wait)
     }
 
     /// Returns how long a request of this kind and priority would wait for a slot, in seconds.
     ///
     /// The estimate is the work queued ahead of it plus the rest of the running work, divided by
     /// the number of slots.
-    pub fn expected_wait(&self, is_call: bool, priority: u32, now: LocalMoment) -> f32 {
+    fn slot_wait(&self, is_call: bool, priority: u32, now: LocalMoment) -> f32 {
         if self.running.len() < self.slots as usize && self.waiting.is_empty() {
             return 0.0;
         }
@@ -274,7 +346,7 @@
             return Some(GateRefusal::QueueFull);
         }
 
-        let wait = self.expected_wait(arrival.is_call, arrival.priority, now);
+        let wait = self.slot_wait(arrival.is_call, arrival.priority, now);
         let service_time = self.service_times.expected(&arrival.class);
         let time_left = arrival.deadline.since(now).as_secs_f32();
         if wait + service_time > time_left {
@@ -305,7 +377,7 @@
         if refusal == GateRefusal::Closed {
             return Duration::ZERO;
         }
-        let wait = self.expected_wait(arrival.is_call, arrival.priority, now);
+        let wait = self.slot_wait(arrival.is_call, arrival.priority, now);
 
         Duration::from_secs_f32(wait.max(0.0))
             .clamp(self.options.min_retry_after, self.options.max_retry_after)
@@ -328,6 +400,11 @@
                 });
                 continue;
             }
+            if !self.limiter.take(now) {
+                let retry_after = self.limiter.expected_wait(!queue_key.0, now);
+                actions.push(limit_refusal(ticket, retry_after));
+                continue;
+            }
 
             self.running.insert(
                 ticket,
@@ -355,6 +432,15 @@
     }
 }
 
+/// Returns the refusal of a request that the limit of the target does not admit.
+fn limit_refusal(ticket: u64, retry_after: Duration) -> GateAction {
+    GateAction::Refuse {
+        ticket,
+        refusal: GateRefusal::LimitReached,
+        retry_after,
+    }
+}
+
 /// Returns the sort key of a request in the queue.
 fn queue_key(arrival: &GateArrival) -> QueueKey {
     (!arrival.is_call, arrival.priority, arrival.ticket)
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -8,12 +8,14 @@
 //!
 //! - [`admission`]: the request queue and the slots.
 //! - [`estimate`]: how long requests occupy a slot.
+//! - [`limit`]: the limit that a target names on the rate of its requests.
 //! - [`origins`]: which requests are calls from running work.
 //! - [`pressure`]: how much new work the callers of an overloaded service should start.
 //! - [`waits`]: how long callers waited on earlier, refused attempts.
 
 pub mod admission;
 pub mod estimate;
+pub mod limit;
 pub mod origins;
 pub mod pressure;
 pub mod waits;
--- a/crates/gate/tests/gate/slots.rs
+++ b/crates/gate/tests/gate/slots.rs
@@ -28,6 +28,7 @@
         objective_left: Duration::from_millis(200),
         objective: Duration::from_millis(200),
         deadline: at(now + 800),
+        repeat_id: None,
     }
 }
 
--- a/crates/gate/tests/waits.rs
+++ b/crates/gate/tests/waits.rs
@@ -87,6 +87,7 @@
         objective_left: ms(300).saturating_sub(waited),
         objective: ms(300),
         deadline: LocalMoment::from_millis(2_000),
+        repeat_id: None,
     }
 }
 
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -2,7 +2,9 @@
 
 use crate::{
     links::NodeLinks,
-    messages::{CompletedFields, DispatchHead, NotRunFields, PeerReply, PeerRequest, ReplyBody},
+    messages::{
+        CompletedFields, DispatchHead, NotRunFields, PauseKind, PeerReply, PeerRequest, ReplyBody,
+    },
     proxy::{NODE_STOPPING, TargetProxy},
     settings::SidecarSettings,
     view::FleetView,
@@ -390,13 +392,22 @@
             return ForwardOutcome::Failed { reason };
         }
 
-        let (reason, pause_ms) = match attempts.refusal {
-            Some(refusal) => (refusal.reason, refusal.pause_ms),
-            None if job.keyed => (Arc::from("holder-unreachable"), NO_TARGET_RETRY_AFTER_MS),
-            None => (Arc::from("no-target"), NO_TARGET_RETRY_AFTER_MS),
+        let default_reason = if job.keyed {
+            "holder-unreachable"
+        } else {
+            "no-target"
         };
-        // The random factor spreads the retries of callers that were refused together.
-        let spread = self.random.borrow_mut().random_range(0.8..1.6);
+        let (reason, pause_ms, kind) = attempts.refusal.map_or_else(
+            || {
+                (
+                    Arc::from(default_reason),
+                    NO_TARGET_RETRY_AFTER_MS,
+                    PauseKind::Estimate,
+                )
+            },
+            |refusal| (refusal.reason, refusal.pause_ms, refusal.pause_kind),
+        );
+        let spread = self.pause_spread(kind);
 
         ForwardOutcome::NotRun {
             reason,
@@ -404,6 +415,16 @@
         }
     }
 
+    /// Returns a factor for the time after which a caller may retry. A random factor spreads the
+    /// retries of callers that were refused together.
+    fn pause_spread(&self, kind: PauseKind) -> f64 {
+        match kind {
+            PauseKind::Estimate => self.random.borrow_mut().random_range(0.8..1.6),
+            PauseKind::Minimum => self.random.borrow_mut().random_range(1.0..1.6),
+            PauseKind::Exact => 1.0,
+        }
+    }
+
     /// Calls a function with the retry budget of a service, which is created on first use.
     fn with_budget<T>(
         &self,
@@ -465,6 +486,7 @@
         pause_ms: NO_TARGET_RETRY_AFTER_MS,
         reached_target: false,
         elsewhere: true,
+        pause_kind: PauseKind::Estimate,
         holder: None,
         load: None,
     }
--- a/crates/sidecar/src/messages.rs
+++ b/crates/sidecar/src/messages.rs
@@ -176,6 +176,18 @@
     pub load: LoadReport,
 }
 
+/// `PauseKind` tells how close to the end of a pause a refused caller should retry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum PauseKind {
+    /// The pause is an estimate; a retry somewhat earlier may succeed as well.
+    Estimate,
+    /// No earlier retry succeeds.
+    Minimum,
+    /// Room is kept for the retry at the end of the pause only.
+    Exact,
+}
+
 /// `NotRunFields` tells why a request did not run and where a retry may succeed.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -188,6 +200,8 @@
     pub reached_target: bool,
     /// Whether another target may have a free slot or hold the key.
     pub elsewhere: bool,
+    /// How close to `pause_ms` a retry should come.
+    pub pause_kind: PauseKind,
     /// The node of the target that holds the key, if known.
     pub holder: Option<Arc<str>>,
     /// The load of the target, if the refusal carries it.
--- a/crates/sidecar/src/proxy/mod.rs
+++ b/crates/sidecar/src/proxy/mod.rs
@@ -153,7 +153,9 @@
             state.serving_until = None;
             state.failed_share = 0.0;
             state.notices = NoticeState::default();
-            state.gate.set_closed(has_departed)
+            let mut actions = state.gate.set_limit(None, now);
+            actions.extend(state.gate.set_closed(has_departed));
+            actions
         };
         self.apply_actions(actions);
 
--- a/crates/sidecar/src/proxy/notices.rs
+++ b/crates/sidecar/src/proxy/notices.rs
@@ -17,7 +17,6 @@
 /// `NoticeState` holds what the present incarnation of the target has stated so far.
 #[derive(Debug, Default)]
 pub(super) struct NoticeState {
-    limit: Option<RequestRate>,
     limit_logged_at: LocalMoment,
     malformed_logged: bool,
     leave_logged: bool,
@@ -26,7 +25,7 @@
 impl TargetProxy {
     /// Returns the rate of requests that the target accepts, or `None` if it names no limit.
     pub fn limit(&self) -> Option<RequestRate> {
-        self.state.borrow().notices.limit
+        self.state.borrow().gate.limit()
     }
 
     /// Records what a response of an incarnation of the target states, unless that one has been
@@ -38,31 +37,41 @@
         fields: &ResponseFields,
         is_latest: bool,
     ) {
-        let now = clock::now();
-        let mut state = self.state.borrow_mut();
-        if state.keeper.life() != Some(life) {
+        if self.state.borrow().keeper.life() != Some(life) {
             return;
         }
-        let notices = &mut state.notices;
 
+        let known = self.limit();
         let limit = match fields.limit {
             LimitStatement::Limited(rate) => Some(rate),
             LimitStatement::Unlimited if is_latest => None,
-            LimitStatement::Unlimited => notices.limit,
-            LimitStatement::Malformed => {
-                if !std::mem::replace(&mut notices.malformed_logged, true) {
-                    warn!(event = "target-limit-malformed", life = %life);
-                }
-                notices.limit
-            }
+            LimitStatement::Unlimited | LimitStatement::Malformed => known,
         };
-        notices.log_limit(life, limit, now);
-        notices.limit = limit;
+        self.apply_limit(life, limit);
 
+        let notices = &mut self.state.borrow_mut().notices;
+        let is_malformed = fields.limit == LimitStatement::Malformed;
+        if is_malformed && !std::mem::replace(&mut notices.malformed_logged, true) {
+            warn!(event = "target-limit-malformed", life = %life, kept = known.map(RequestRate::per_second));
+        }
         if fields.is_leaving && !std::mem::replace(&mut notices.leave_logged, true) {
             info!(event = "target-states-leave", life = %life);
         }
     }
+
+    /// Puts a limit in force, which may refuse queued requests.
+    fn apply_limit(&self, life: &TargetIncarnation, limit: Option<RequestRate>) {
+        let now = clock::now();
+        let actions = {
+            let state = &mut *self.state.borrow_mut();
+            state
+                .notices
+                .log_limit(life, state.gate.limit(), limit, now);
+            state.gate.set_limit(limit, now)
+        };
+
+        self.apply_actions(actions);
+    }
 }
 
 impl NoticeState {
@@ -71,19 +80,20 @@
     fn log_limit(
         &mut self,
         life: &TargetIncarnation,
+        known: Option<RequestRate>,
         limit: Option<RequestRate>,
         now: LocalMoment,
     ) {
-        let is_value_change = self.limit.is_some() && limit.is_some();
+        let is_value_change = known.is_some() && limit.is_some();
         let is_recent = now.since(self.limit_logged_at) < MIN_LIMIT_LOG_INTERVAL;
-        if limit == self.limit || (is_value_change && is_recent) {
+        if limit == known || (is_value_change && is_recent) {
             return;
         }
 
         self.limit_logged_at = now;
         info!(
             event = "target-limit", life = %life, per_second = limit.map(RequestRate::per_second),
-            before = self.limit.map(RequestRate::per_second)
+            before = known.map(RequestRate::per_second)
         );
     }
 }
--- a/crates/sidecar/src/proxy/replies.rs
+++ b/crates/sidecar/src/proxy/replies.rs
@@ -1,7 +1,9 @@
 //! Builds the replies to other nodes.
 
 use super::TargetProxy;
-use crate::messages::{CompletedFields, DispatchHead, NotRunFields, PeerReply, ReplyBody};
+use crate::messages::{
+    CompletedFields, DispatchHead, NotRunFields, PauseKind, PeerReply, ReplyBody,
+};
 use http::StatusCode;
 use std::sync::Arc;
 use wagtail_core::{ports::BodyStream, request::HeaderField};
@@ -90,6 +92,7 @@
         pause_ms: NO_HOLDER_RETRY_AFTER_MS,
         reached_target: false,
         elsewhere: true,
+        pause_kind: PauseKind::Estimate,
         holder: None,
         load: None,
     }
--- a/crates/sidecar/src/proxy/serve.rs
+++ b/crates/sidecar/src/proxy/serve.rs
@@ -5,13 +5,18 @@
     slots::{Admission, SlotGuard},
 };
 use crate::{
-    messages::{DispatchHead, NotRunFields, PeerReply, ReplyBody},
+    messages::{DispatchHead, NotRunFields, PauseKind, PeerReply, ReplyBody},
     outcomes::DispatchEnd,
 };
 use bytes::Bytes;
 use compio::time::sleep;
 use futures_channel::oneshot;
-use std::{cell::Cell, sync::Arc, time::Duration};
+use std::{
+    cell::Cell,
+    hash::{DefaultHasher, Hash, Hasher},
+    sync::Arc,
+    time::Duration,
+};
 use wagtail_core::units::LocalMoment;
 use wagtail_gate::{GateArrival, GateOptions, GateRefusal};
 use wagtail_net::clock;
@@ -231,6 +236,7 @@
             pause_ms: replies::NO_HOLDER_RETRY_AFTER_MS,
             reached_target: false,
             elsewhere: holder.is_some(),
+            pause_kind: PauseKind::Estimate,
             holder,
             load: None,
         }
@@ -275,6 +281,10 @@
                 objective_left: objective.saturating_sub(elapsed),
                 objective,
                 deadline,
+                repeat_id: dispatch_head
+                    .key
+                    .is_some()
+                    .then(|| repeat_id(dispatch_head)),
             };
             (ticket, state.gate.arrive(arrival, now))
         };
@@ -308,13 +318,30 @@
         refusal: GateRefusal,
         retry_after: Duration,
     ) -> NotRunFields {
+        let pause_kind = match refusal {
+            GateRefusal::LimitReached if dispatch_head.key.is_some() => PauseKind::Exact,
+            GateRefusal::LimitReached => PauseKind::Minimum,
+            _ => PauseKind::Estimate,
+        };
+
         NotRunFields {
             reason: Arc::from(refusal.as_str()),
-            pause_ms: u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX),
+            pause_ms: u32::try_from(retry_after.as_micros().div_ceil(1_000)).unwrap_or(u32::MAX),
             reached_target: false,
             elsewhere: dispatch_head.key.is_none(),
+            pause_kind,
             holder: None,
             load: Some(self.load_for(is_call)),
         }
     }
 }
+
+/// Returns a number that a request and its repetitions by the same caller have in common.
+fn repeat_id(dispatch_head: &DispatchHead) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    dispatch_head.method.hash(&mut hasher);
+    dispatch_head.path.hash(&mut hasher);
+    dispatch_head.key.hash(&mut hasher);
+
+    hasher.finish()
+}
