--- a/crates/gate/tests/gate/limits.rs
+++ b/crates/gate/tests/gate/limits.rs
@@ -26,8 +26,8 @@
 }
 
 /// Returns a limit in requests per second.
-fn rate(per_second: f64) -> Option<RequestRate> {
-    Some(RequestRate::new(per_second).unwrap())
+fn rate(per_second: f64) -> RequestRate {
+    RequestRate::new(per_second).unwrap()
 }
 
 /// Returns new work that may return to any target.
@@ -75,7 +75,7 @@
     let mut limiter = RateLimiter::new(LimitOptions::default());
     let interval = usize::try_from(1_000 / per_second).unwrap();
     count_starts(&mut limiter, 0, 3_000, interval);
-    limiter.set_limit(rate(limit), at(3_000));
+    limiter.set_limit(Some(rate(limit)), at(3_000));
 
     limiter
 }
@@ -113,10 +113,10 @@
 fn a_lower_limit_counts_the_requests_before_and_a_higher_one_applies_at_once() {
     let mut limiter = limited(10, 20.0);
     count_starts(&mut limiter, 3_000, 6_000, 5);
-    limiter.set_limit(rate(5.0), at(6_000));
+    limiter.set_limit(Some(rate(5.0)), at(6_000));
     assert_matches!(count_starts(&mut limiter, 6_000, 8_000, 5), 0..=2);
 
-    limiter.set_limit(rate(40.0), at(8_000));
+    limiter.set_limit(Some(rate(40.0)), at(8_000));
     assert_matches!(count_starts(&mut limiter, 8_000, 9_000, 5), 25..=42);
 }
 
@@ -214,7 +214,7 @@
             let gap = random.random_range(0.0..2.0 * gap) as u64;
             now += gap;
             if now >= 5_000 && limited_since.is_none() {
-                limiter.set_limit(rate(limit), at(now));
+                limiter.set_limit(Some(rate(limit)), at(now));
                 limited_since = Some(at(now));
             }
             let arrival = match random.random_range(0..3) {
@@ -260,7 +260,7 @@
 fn a_gate_refuses_what_the_limit_does_not_admit_although_slots_are_free() {
     let mut gate = AdmissionGate::new(GateOptions::default());
     gate.set_slots(6, at(0));
-    gate.set_limit(rate(2.0), at(0));
+    gate.set_limit(Some(rate(2.0)), at(0));
 
     let actions: Vec<_> = (0..4)
         .flat_map(|ticket| gate.arrive(gate_arrival(ticket, 0), at(0)))
@@ -288,7 +288,7 @@
     }
     assert_eq!((gate.running(), gate.waiting()), (1, 2));
 
-    let actions = gate.set_limit(rate(0.5), at(10));
+    let actions = gate.set_limit(Some(rate(0.5)), at(10));
 
     assert_eq!(gate.waiting(), 0);
     assert_eq!(actions.len(), 2);
