A target that states its leave in a response gets no requests after its drain time

Cause: nothing read Server-Leaving; only heartbeats and leave messages made a target leaving. The same class as the limit: a statement that is passed on unread. Change: a response of any kind that states the leave counts like a leave message: the target drains, its keys move, and the record of the node keeps the departure. A task publishes the record then, as a target may send no further heartbeat.

--- a/crates/sidecar/src/heartbeats.rs
+++ b/crates/sidecar/src/heartbeats.rs
@@ -439,6 +439,18 @@
         }
     }
 
+    /// Publishes the record of this node whenever the target states its leave in a response, so that the
+    /// departure outlasts this process. Runs until it is dropped.
+    pub async fn watch_stated_leave(&self) {
+        loop {
+            let stated = self.proxy.stated_leave();
+            if self.proxy.is_leaving() {
+                self.record.publish(self.own_record());
+            }
+            stated.await;
+        }
+    }
+
     /// Takes over the departures that the store holds for this node.
     fn merge_departures(&self) {
         if let Some(record) = self.view.node(&self.settings.node) {
--- a/crates/sidecar/src/proxy/mod.rs
+++ b/crates/sidecar/src/proxy/mod.rs
@@ -18,6 +18,7 @@
     outcomes::RequestRecorder, ports::WireDialect, settings::SidecarSettings, view::FleetView,
 };
 use compio::time::sleep;
+use event_listener::Event;
 use futures_channel::oneshot;
 use notices::NoticeState;
 use slots::Admission;
@@ -63,6 +64,8 @@
     view: FleetView,
     recorder: Rc<RequestRecorder>,
     state: Rc<RefCell<ProxyState>>,
+    /// Notified when the target states its leave in a response.
+    departed: Rc<Event>,
     pool: HttpPool,
 }
 
@@ -129,6 +132,7 @@
             view,
             recorder,
             state: Rc::new(RefCell::new(state)),
+            departed: Rc::default(),
         }
     }
 
--- a/crates/sidecar/src/proxy/notices.rs
+++ b/crates/sidecar/src/proxy/notices.rs
@@ -2,10 +2,11 @@
 
 use super::TargetProxy;
 use crate::ports::ResponseFields;
+use event_listener::EventListener;
 use std::time::Duration;
 use tracing::{info, warn};
 use wagtail_core::{
-    heartbeat::TargetIncarnation,
+    heartbeat::{TargetDeparture, TargetIncarnation},
     notice::{LimitStatement, RequestRate},
     units::LocalMoment,
 };
@@ -19,7 +20,6 @@
 pub(super) struct NoticeState {
     limit_logged_at: LocalMoment,
     malformed_logged: bool,
-    leave_logged: bool,
 }
 
 impl TargetProxy {
@@ -49,13 +49,40 @@
         };
         self.apply_limit(life, limit);
 
-        let notices = &mut self.state.borrow_mut().notices;
-        let is_malformed = fields.limit == LimitStatement::Malformed;
-        if is_malformed && !std::mem::replace(&mut notices.malformed_logged, true) {
-            warn!(event = "target-limit-malformed", life = %life, kept = known.map(RequestRate::per_second));
+        if fields.limit == LimitStatement::Malformed {
+            self.log_malformed_limit(life, known);
+        }
+        if fields.is_leaving {
+            self.record_stated_leave(life);
         }
-        if fields.is_leaving && !std::mem::replace(&mut notices.leave_logged, true) {
-            info!(event = "target-states-leave", life = %life);
+    }
+
+    /// Records that an incarnation of the target states its leave, which is final: it gets no requests
+    /// after its drain time, and heartbeats that it sent before do not bring it back into service.
+    fn record_stated_leave(&self, life: &TargetIncarnation) {
+        let is_known = self.with_keeper(|keeper| keeper.has_departed(life));
+        if is_known {
+            return;
+        }
+        info!(event = "target-states-leave", life = %life);
+        self.with_keeper(|keeper| keeper.depart(TargetDeparture::from(life)));
+        self.departed.notify(usize::MAX);
+
+        self.leave(clock::now());
+    }
+
+    /// Returns a future that ends when the target next states its leave in a response.
+    pub fn stated_leave(&self) -> EventListener {
+        self.departed.listen()
+    }
+
+    /// Logs, once for each incarnation, that a limit cannot be parsed and which one stays in force.
+    fn log_malformed_limit(&self, life: &TargetIncarnation, kept: Option<RequestRate>) {
+        let notices = &mut self.state.borrow_mut().notices;
+
+        if !std::mem::replace(&mut notices.malformed_logged, true) {
+            let kept = kept.map(RequestRate::per_second);
+            warn!(event = "target-limit-malformed", life = %life, kept);
         }
     }
 
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -257,6 +257,8 @@
         compio::runtime::spawn(async move { watched.watch_target().await }).detach();
         let watched = Rc::clone(&heartbeats);
         compio::runtime::spawn(async move { watched.watch_departures().await }).detach();
+        let watched = Rc::clone(&heartbeats);
+        compio::runtime::spawn(async move { watched.watch_stated_leave().await }).detach();
 
         heartbeats
     }
