The other nodes tell a restarted node what its target stated

Cause: the limit and a stated leave that the store does not hold yet were known to the process of one node only. After its restart, requests from nodes whose callers had been told reached the target beyond its limit until it responded, or after its drain time. Change: each reply of a node says what its target stated, with the run of the target. The other nodes remember it and send it with each request; a process that has not heard from the target itself applies it, a leave always. Four tests of the proxy are new.

--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -3,7 +3,8 @@
 use crate::{
     links::NodeLinks,
     messages::{
-        CompletedFields, DispatchHead, NotRunFields, PauseKind, PeerReply, PeerRequest, ReplyBody,
+        CompletedFields, DispatchHead, NotRunFields, NoticeReport, PauseKind, PeerReply,
+        PeerRequest, ReplyBody, TargetNotice,
     },
     proxy::{NODE_STOPPING, TargetProxy},
     settings::SidecarSettings,
@@ -131,6 +132,8 @@
     /// The unreachable nodes that are being probed.
     probing: Rc<RefCell<HashSet<Arc<str>>>>,
     budgets: RefCell<HashMap<Arc<str>, RetryBudget>>,
+    /// What nodes last reported of their targets, if it binds requests to them.
+    notices: RefCell<HashMap<Arc<str>, TargetNotice>>,
     /// The mean response size of each route in kilobytes.
     response_kb: RefCell<HashMap<Arc<str>, f32>>,
     random: RefCell<ChaCha8Rng>,
@@ -156,6 +159,7 @@
             ))),
             probing: Rc::default(),
             budgets: RefCell::default(),
+            notices: RefCell::default(),
             response_kb: RefCell::default(),
             random: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
         }
@@ -217,6 +221,7 @@
             }
         };
 
+        self.record_notice(node, response.head.notice);
         match response.head.body {
             ReplyBody::Completed(fields) => {
                 self.record_load(node, fields.load);
@@ -281,6 +286,22 @@
         .detach();
     }
 
+    /// Records what a node reported of its target, so that a later process of that node learns of it.
+    fn record_notice(&self, node: &Arc<str>, report: NoticeReport) {
+        let mut notices = self.notices.borrow_mut();
+
+        match report {
+            NoticeReport::Unknown => {}
+            NoticeReport::Nothing => {
+                notices.remove(node);
+            }
+            NoticeReport::Stated(notice) => {
+                notices.retain(|known, _| self.view.node(known).is_some());
+                notices.insert(Arc::clone(node), notice);
+            }
+        }
+    }
+
     /// Records the load that came with a reply.
     fn record_load(&self, node: &Arc<str>, load: LoadReport) {
         self.picker.borrow_mut().reported(node, load, clock::now());
@@ -299,6 +320,7 @@
         let dispatch_head = DispatchHead {
             elapsed_ms: millis(job.waited + now.since(job.started_at)),
             time_left_ms: millis(job.deadline.since(now)),
+            notice: self.notices.borrow().get(node).cloned(),
             ..job.dispatch_head.clone()
         };
         if *node == self.settings.node {
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -238,6 +238,7 @@
             method: Arc::from(parts.method.as_str()),
             path: Arc::from(path),
             headers: end_to_end(&parts.headers),
+            notice: None,
         };
 
         Ok(ForwardJob {
--- a/crates/sidecar/src/inbound.rs
+++ b/crates/sidecar/src/inbound.rs
@@ -103,11 +103,8 @@
                 return self.proxy.serve(dispatch_head, body).await;
             }
 
-            let reply = PeerReply {
-                body: self.respond(head).await,
-                versions: self.view.versions(),
-            };
-            PeerResponse::new(reply, Box::new(EmptyBody))
+            let body = self.respond(head).await;
+            PeerResponse::new(self.proxy.reply(body), Box::new(EmptyBody))
         })
     }
 
--- a/crates/sidecar/src/messages.rs
+++ b/crates/sidecar/src/messages.rs
@@ -4,6 +4,8 @@
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use wagtail_core::{
+    heartbeat::TargetIncarnation,
+    notice::RequestRate,
     objects::{StoreError, StoredObject},
     request::HeaderField,
     routing::RequestKind,
@@ -12,7 +14,7 @@
 use wagtail_shard::planner::TargetStatus;
 
 /// `DispatchHead` is the head of a caller's request that is dispatched to the node of a target.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct DispatchHead {
     /// The identifier of the request, which the caller chose.
@@ -43,6 +45,32 @@
     pub path: Arc<str>,
     /// The end-to-end header fields.
     pub headers: Vec<HeaderField>,
+    /// What the sending node was told of the target.
+    pub notice: Option<TargetNotice>,
+}
+
+/// `TargetNotice` is what a target has stated about itself in its responses.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct TargetNotice {
+    /// The run of the target.
+    pub life: TargetIncarnation,
+    /// The rate of requests that it accepts from all nodes together; `None` without a limit.
+    pub limit: Option<RequestRate>,
+    /// Whether it is leaving.
+    pub is_leaving: bool,
+}
+
+/// `NoticeReport` tells another node what this one knows from responses of its target.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub enum NoticeReport {
+    /// The target has not responded to this process of the node yet, so earlier reports still hold.
+    Unknown,
+    /// The target states nothing that other nodes need to know.
+    Nothing,
+    /// The target states a limit or its leave.
+    Stated(TargetNotice),
 }
 
 /// `StoreCall` is a call to the store that a node can make for another one.
@@ -214,6 +242,8 @@
 pub struct PeerReply {
     /// The versions that the replying node knows.
     pub versions: KnownVersions,
+    /// What the replying node knows from responses of its target.
+    pub notice: NoticeReport,
     /// The result of the request; its variant depends on the kind of the request.
     pub body: ReplyBody,
 }
--- a/crates/sidecar/src/proxy/notices.rs
+++ b/crates/sidecar/src/proxy/notices.rs
@@ -1,7 +1,10 @@
 //! What the target states about itself in its responses.
 
 use super::TargetProxy;
-use crate::ports::ResponseFields;
+use crate::{
+    messages::{NoticeReport, TargetNotice},
+    ports::ResponseFields,
+};
 use event_listener::EventListener;
 use std::time::Duration;
 use tracing::{info, warn};
@@ -18,6 +21,8 @@
 /// `NoticeState` holds what the present incarnation of the target has stated so far.
 #[derive(Debug, Default)]
 pub(super) struct NoticeState {
+    /// Whether the target has responded to this process.
+    has_responded: bool,
     limit_logged_at: LocalMoment,
     malformed_logged: bool,
 }
@@ -41,6 +46,7 @@
             return;
         }
 
+        self.state.borrow_mut().notices.has_responded = true;
         let known = self.limit();
         let limit = match fields.limit {
             LimitStatement::Limited(rate) => Some(rate),
@@ -76,6 +82,53 @@
         self.departed.listen()
     }
 
+    /// Applies what another node was told of the target by an earlier process of this one. A leave is
+    /// final. A limit holds until the target responds to this process.
+    pub(super) fn apply_notice(&self, notice: &TargetNotice) {
+        let is_present = self.state.borrow().keeper.life() == Some(&notice.life);
+        let is_news =
+            notice.is_leaving && self.with_keeper(|keeper| !keeper.has_departed(&notice.life));
+        if is_news {
+            info!(event = "target-leave-reported", life = %notice.life, is_present);
+            self.with_keeper(|keeper| keeper.depart(TargetDeparture::from(&notice.life)));
+            self.departed.notify(usize::MAX);
+            if is_present {
+                self.leave_at_once(clock::now());
+            }
+        }
+
+        let has_responded = self.state.borrow().notices.has_responded;
+        let is_lower = match (notice.limit, self.limit()) {
+            (Some(reported), Some(known)) => reported < known,
+            (reported, None) => reported.is_some(),
+            (None, Some(_)) => false,
+        };
+        if is_present && !has_responded && is_lower {
+            self.apply_limit(&notice.life, notice.limit);
+        }
+    }
+
+    /// Returns what this node knows from responses of its target.
+    pub(super) fn notice_report(&self) -> NoticeReport {
+        let state = self.state.borrow();
+        let Some(life) = state.keeper.life() else {
+            return NoticeReport::Unknown;
+        };
+        let notice = TargetNotice {
+            life: life.clone(),
+            limit: state.gate.limit(),
+            is_leaving: state.keeper.has_departed(life),
+        };
+
+        if notice.is_leaving || notice.limit.is_some() {
+            NoticeReport::Stated(notice)
+        } else if state.notices.has_responded {
+            NoticeReport::Nothing
+        } else {
+            NoticeReport::Unknown
+        }
+    }
+
     /// Logs, once for each incarnation, that a limit cannot be parsed and which one stays in force.
     fn log_malformed_limit(&self, life: &TargetIncarnation, kept: Option<RequestRate>) {
         let notices = &mut self.state.borrow_mut().notices;
--- a/crates/sidecar/src/proxy/replies.rs
+++ b/crates/sidecar/src/proxy/replies.rs
@@ -62,10 +62,11 @@
         PeerResponse::new(self.reply(body), Box::new(EmptyBody))
     }
 
-    /// Creates a reply that also carries the versions of the objects known to this node.
-    pub(super) fn reply(&self, body: ReplyBody) -> PeerReply {
+    /// Creates a reply that also carries what this node knows of objects and of its target.
+    pub fn reply(&self, body: ReplyBody) -> PeerReply {
         PeerReply {
             versions: self.view.versions(),
+            notice: self.notice_report(),
             body,
         }
     }
--- a/crates/sidecar/src/proxy/serve.rs
+++ b/crates/sidecar/src/proxy/serve.rs
@@ -58,6 +58,9 @@
         started: &Cell<Option<LocalMoment>>,
     ) -> PeerResponse<PeerReply> {
         let deadline = arrived + Duration::from_millis(u64::from(dispatch_head.time_left_ms));
+        if let Some(notice) = &dispatch_head.notice {
+            self.apply_notice(notice);
+        }
         if let Some(refusal) = self.check(dispatch_head) {
             return self.not_run(refusal);
         }
--- a/crates/sidecar/tests/proxy.rs
+++ b/crates/sidecar/tests/proxy.rs
@@ -6,13 +6,14 @@
 use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 use wagtail_core::{
     heartbeat::{HeartbeatReply, TargetHeartbeat, TargetIncarnation},
+    notice::RequestRate,
     objects::StoredObject,
     routing::{RequestKind, RoutingConfig, ServiceEntry},
 };
 use wagtail_net::clock;
 use wagtail_shard::keeper::KeeperOptions;
 use wagtail_sidecar::{
-    messages::{DispatchHead, ReplyBody},
+    messages::{DispatchHead, ReplyBody, TargetNotice},
     ports::{
         CallerFields, FormatError, LocalRequest, RequestFields, ResponseFields, Result, WireDialect,
     },
@@ -135,6 +136,7 @@
         method: Arc::from("GET"),
         path: Arc::from("/x"),
         headers: Vec::new(),
+        notice: None,
     }
 }
 
@@ -213,6 +215,78 @@
     });
 }
 
+/// Returns the head of a request whose sender was told that a run of the target, by its start time, is
+/// leaving or has a limit.
+fn head_with_notice(started_ms: u64, is_leaving: bool, limit: Option<f64>) -> DispatchHead {
+    let notice = TargetNotice {
+        life: TargetIncarnation {
+            started_ms,
+            id: Arc::from("i-1"),
+        },
+        limit: limit.and_then(RequestRate::new),
+        is_leaving,
+    };
+
+    DispatchHead {
+        notice: Some(notice),
+        ..request_head("agenda", None)
+    }
+}
+
+/// Guards against requests to a target that stated its leave to the previous process of its node only.
+#[test]
+fn a_leave_that_another_node_was_told_of_counts() {
+    Runtime::new().unwrap().block_on(async {
+        let proxy = proxy();
+
+        let reason = refusal_reason(&proxy, &head_with_notice(1, true, None)).await;
+
+        assert_eq!(reason, "target-leaving");
+        assert!(!proxy.is_ready());
+    });
+}
+
+#[test]
+fn a_leave_of_an_earlier_run_of_the_target_does_not_count() {
+    Runtime::new().unwrap().block_on(async {
+        let proxy = proxy();
+
+        let reason = refusal_reason(&proxy, &head_with_notice(0, true, None)).await;
+
+        assert_eq!(reason, "target-unreachable");
+        assert!(proxy.is_ready());
+    });
+}
+
+/// Guards against requests beyond a limit that the target named to the previous process of its node.
+#[test]
+fn a_limit_that_another_node_was_told_of_counts() {
+    Runtime::new().unwrap().block_on(async {
+        let proxy = proxy();
+        let limited_head = head_with_notice(1, false, Some(0.5));
+
+        assert_eq!(
+            refusal_reason(&proxy, &limited_head).await,
+            "target-unreachable"
+        );
+        assert_eq!(refusal_reason(&proxy, &limited_head).await, "limit-reached");
+        assert_eq!(
+            refusal_reason(&proxy, &request_head("agenda", None)).await,
+            "limit-reached"
+        );
+    });
+}
+
+#[test]
+fn a_limit_of_an_earlier_run_of_the_target_does_not_count() {
+    Runtime::new().unwrap().block_on(async {
+        let proxy = proxy();
+        refusal_reason(&proxy, &head_with_notice(0, false, Some(0.5))).await;
+
+        assert_eq!(proxy.limit(), None);
+    });
+}
+
 /// Guards against requests to a leaving target with keys after the VM was suspended for longer than the
 /// drain time, during which timers stand still.
 #[test]
