Requests prefer targets whose limit admits them now

Cause: a target at its limit looks idle to the callers' nodes, as it runs little, so that it is asked first and three of its kind end a request while another has room. Change: replies tell how long the limit admits no new work, which counts as expected time in the choice among targets. Evidence: a_target_at_its_limit_is_not_chosen_until_the_limit_admits_another_request and of_several_targets_at_their_limits_the_first_to_admit_is_chosen failed before, with the field in place, and pass now.

--- a/crates/route/src/pick.rs
+++ b/crates/route/src/pick.rs
@@ -24,6 +24,8 @@
     pub service_ms: f32,
     /// The fraction of recent requests that failed at the target, from 0 to 1.
     pub failed_share: f32,
+    /// The time until the limit of the target admits new work, in milliseconds; zero if it does now.
+    pub limited_ms: u32,
     /// The fraction of new work that callers of this service should start, from 0 to 1. Only
     /// reports to callers carry it.
     pub begin_share: Option<f32>,
@@ -231,6 +233,7 @@
         if let Some(report) = report {
             let age = now.since(observed.map_or(now, |observed| observed.reported_at));
             cost += self.options.failure_ms * self.decayed_failure_share(report.failed_share, age);
+            cost += limit_wait(report, age).as_secs_f32() * 1_000.0;
         }
         if candidate.cold {
             cost *= COLD_COST_FACTOR;
@@ -245,3 +248,8 @@
         cost
     }
 }
+
+/// Returns the time until the limit of a target admits new work, from a report of the given age.
+fn limit_wait(report: LoadReport, age: Duration) -> Duration {
+    Duration::from_millis(report.limited_ms.into()).saturating_sub(age)
+}
--- a/crates/route/tests/hosts_and_picks.rs
+++ b/crates/route/tests/hosts_and_picks.rs
@@ -54,6 +54,7 @@
         slots: 6,
         service_ms,
         failed_share: 0.0,
+        limited_ms: 0,
         begin_share: None,
     }
 }
@@ -188,3 +189,39 @@
     let choice = picker.pick(&candidates, &[], 0.0, at(8_000));
     assert_eq!(choice.as_deref(), Some("grey"));
 }
+
+/// Guards against requests that go to a target at its limit, which looks idle, while others have room.
+#[test]
+fn a_target_at_its_limit_is_not_chosen_until_the_limit_admits_another_request() {
+    let mut picker = TargetPicker::new(PickOptions::default(), 7);
+    let candidates = [candidate("limited", false), candidate("free", false)];
+    let limited = LoadReport {
+        limited_ms: 1_500,
+        ..report(0, 0, 22.0)
+    };
+    picker.reported(&Arc::from("limited"), limited, at(0));
+    picker.reported(&Arc::from("free"), report(6, 3, 22.0), at(0));
+
+    let choice = picker.pick(&candidates, &[], 0.0, at(1_000));
+    assert_eq!(choice.as_deref(), Some("free"));
+
+    let choice = picker.pick(&candidates, &[], 0.0, at(1_500));
+    assert_eq!(choice.as_deref(), Some("limited"));
+}
+
+#[test]
+fn of_several_targets_at_their_limits_the_first_to_admit_is_chosen() {
+    let mut picker = TargetPicker::new(PickOptions::default(), 7);
+    let candidates = [candidate("late", false), candidate("soon", false)];
+    for (node, limited_ms) in [("late", 900), ("soon", 300)] {
+        let limited = LoadReport {
+            limited_ms,
+            ..report(0, 0, 22.0)
+        };
+        picker.reported(&Arc::from(node), limited, at(0));
+    }
+
+    let choice = picker.pick(&candidates, &[], 0.0, at(100));
+
+    assert_eq!(choice.as_deref(), Some("soon"));
+}
--- a/crates/sidecar/src/proxy/mod.rs
+++ b/crates/sidecar/src/proxy/mod.rs
@@ -21,6 +21,7 @@
 use event_listener::Event;
 use futures_channel::oneshot;
 use notices::NoticeState;
+use replies::millis_up;
 use slots::Admission;
 use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc, time::Duration};
 use tracing::info;
@@ -306,6 +307,7 @@
             slots: state.gate.slots(),
             service_ms: state.gate.service_seconds() * 1_000.0,
             failed_share: state.failed_share,
+            limited_ms: millis_up(state.gate.limit_wait(clock::now())),
             begin_share: None,
         }
     }
--- a/crates/sidecar/src/proxy/replies.rs
+++ b/crates/sidecar/src/proxy/replies.rs
@@ -5,7 +5,7 @@
     CompletedFields, DispatchHead, NotRunFields, PauseKind, PeerReply, ReplyBody,
 };
 use http::StatusCode;
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 use wagtail_core::{ports::BodyStream, request::HeaderField};
 use wagtail_peer::{answer::PeerResponse, stream::EmptyBody};
 use wagtail_route::pick::LoadReport;
@@ -98,3 +98,8 @@
         load: None,
     }
 }
+
+/// Returns a duration in milliseconds, rounded up.
+pub(super) fn millis_up(duration: Duration) -> u32 {
+    u32::try_from(duration.as_micros().div_ceil(1_000)).unwrap_or(u32::MAX)
+}
--- a/crates/sidecar/src/proxy/serve.rs
+++ b/crates/sidecar/src/proxy/serve.rs
@@ -329,7 +329,7 @@
 
         NotRunFields {
             reason: Arc::from(refusal.as_str()),
-            pause_ms: u32::try_from(retry_after.as_micros().div_ceil(1_000)).unwrap_or(u32::MAX),
+            pause_ms: replies::millis_up(retry_after),
             reached_target: false,
             elsewhere: dispatch_head.key.is_none(),
             pause_kind,
