A busy key moves off a target although it is more than half of the excess load

Cause: only ranges that leave the receiving target the less loaded one were moved. The one busy key of a target with a limit of 7.3 a second stayed there at 40 a second, while another target had room for all of it. Change: if no such range exists, the one moves that lowers the higher of both utilisations most, if by the least difference for which anything moves. Evidence: the_only_busy_key_moves_off_a_target_with_a_limit failed before and passes now; a_busy_key_that_has_moved_stays and a_key_does_not_move_when_no_other_target_would_serve_ more_of_it bound it.

--- a/crates/shard/src/balance.rs
+++ b/crates/shard/src/balance.rs
@@ -2,6 +2,9 @@
 
 use crate::{load::RangeLoad, table::RangeHolder};
 
+/// The least capacity that a holder counts with, in requests per second.
+const MIN_CAPACITY: f32 = 0.1;
+
 /// `BalanceOptions` holds the thresholds and the limit of rebalancing moves.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct BalanceOptions {
@@ -43,7 +46,7 @@
 
     /// Returns the rate as a share of the capacity; 1.0 is full use.
     pub fn utilisation(&self) -> f32 {
-        self.rate() / self.capacity.max(0.1)
+        self.rate() / self.capacity.max(MIN_CAPACITY)
     }
 }
 
@@ -77,7 +80,9 @@
         // Moving this rate would make both utilisations equal.
         let (a, b) = (loads[busy].capacity, loads[idle].capacity);
         let wanted = (most - least) * a * b / (a + b);
-        let Some(index) = densest_piece(&loads[busy].pieces, wanted) else {
+        let piece = densest_piece(&loads[busy].pieces, wanted)
+            .or_else(|| largest_relief(&loads[busy], &loads[idle], options.min_difference));
+        let Some(index) = piece else {
             break;
         };
 
@@ -113,3 +118,23 @@
         .filter(|&index| pieces[index].rate > 0.0 && pieces[index].rate <= wanted)
         .max_by(|&a, &b| density(&pieces[a]).total_cmp(&density(&pieces[b])))
 }
+
+/// Returns the index of the piece whose move leaves the least utilisation to the busier one of two
+/// holders, if that is at least `min_relief` below the present utilisation of `busy`.
+///
+/// Such a piece has more than the rate that would make both equal, such as a single key at a target
+/// whose limit is far below the rate of the key.
+fn largest_relief(busy: &HolderLoad, idle: &HolderLoad, min_relief: f32) -> Option<usize> {
+    let peak_after = |index: usize| {
+        let rate = busy.pieces[index].rate;
+        let left = (busy.rate() - rate) / busy.capacity.max(MIN_CAPACITY);
+        let received = (idle.rate() + rate) / idle.capacity.max(MIN_CAPACITY);
+
+        left.max(received)
+    };
+    let best = (0..busy.pieces.len())
+        .filter(|&index| busy.pieces[index].rate > 0.0)
+        .min_by(|&a, &b| peak_after(a).total_cmp(&peak_after(b)))?;
+
+    (peak_after(best) + min_relief <= busy.utilisation()).then_some(best)
+}
--- a/crates/shard/tests/shard/decisions.rs
+++ b/crates/shard/tests/shard/decisions.rs
@@ -423,3 +423,48 @@
     assert!(rate > 80.0, "{rate} of {} moved", busy.rate());
     assert!(keys < 6_554, "{keys} keys moved, over a tenth of all");
 }
+
+/// Returns a holder with the given capacity, and one range of keys with the given rate.
+fn loaded(name: &str, capacity: f32, from: u16, to: u16, rate: f32) -> HolderLoad {
+    HolderLoad {
+        holder: holder(name, 1),
+        capacity,
+        pieces: vec![RangeLoad { from, to, rate }],
+    }
+}
+
+/// Guards against a busy key that stays with a target that named a limit far below the key's rate,
+/// as it is more than half of the difference in load.
+#[test]
+fn the_only_busy_key_moves_off_a_target_with_a_limit() {
+    let limited = loaded("limited", 7.3, 500, 500, 40.0);
+    let free = loaded("free", 120.0, 501, 1_000, 10.0);
+
+    let moves = rebalance(&[limited, free], &BalanceOptions::default());
+
+    assert_eq!(moves.len(), 1, "{moves:?}");
+    assert_eq!((moves[0].from, moves[0].to), (500, 500));
+    assert_eq!(&*moves[0].next.node, "free");
+}
+
+#[test]
+fn a_key_does_not_move_when_no_other_target_would_serve_more_of_it() {
+    let limited = loaded("limited", 7.3, 500, 500, 40.0);
+    let as_limited = loaded("other", 7.3, 501, 1_000, 4.0);
+    let nearly_full = loaded("full", 40.0, 1_001, 2_000, 180.0);
+
+    for other in [as_limited, nearly_full] {
+        let moves = rebalance(&[limited.clone(), other], &BalanceOptions::default());
+
+        assert!(moves.iter().all(|change| change.from != 500), "{moves:?}");
+    }
+}
+
+/// Guards against a busy key that moves to and fro between two targets.
+#[test]
+fn a_busy_key_that_has_moved_stays() {
+    let before = loaded("a", 50.0, 1, 499, 5.0);
+    let after = loaded("b", 60.0, 500, 500, 45.0);
+
+    assert_eq!(rebalance(&[before, after], &BalanceOptions::default()), []);
+}
