A refused request is told the soonest time at which one of its targets has room

Cause: the pause of the target that was asked last was passed on: too long if another one admits sooner, or zero if the last one is leaving. Change: refusals of one request are merged; the soonest pause of a target that names one counts.

--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -240,7 +240,7 @@
                 }
                 attempts.target_attempts += u32::from(fields.reached_target);
                 attempts.holder_hint.clone_from(&fields.holder);
-                attempts.refusal = Some(fields);
+                attempts.refusal = Some(fields.with_sooner(attempts.refusal.take()));
                 None
             }
             ReplyBody::Failed { reason, load } => {
--- a/crates/sidecar/src/messages.rs
+++ b/crates/sidecar/src/messages.rs
@@ -236,6 +236,29 @@
     pub load: Option<LoadReport>,
 }
 
+impl NotRunFields {
+    /// Returns this refusal with the reason and the pause of an earlier one of the same request, if
+    /// that target expects to have room sooner. A target that names no pause will not have room.
+    #[must_use]
+    pub fn with_sooner(self, earlier: Option<Self>) -> Self {
+        let is_sooner = |earlier: &Self| {
+            earlier.load.is_some()
+                && earlier.pause_ms > 0
+                && (self.pause_ms == 0 || earlier.pause_ms < self.pause_ms)
+        };
+
+        match earlier {
+            Some(earlier) if is_sooner(&earlier) => Self {
+                reason: earlier.reason,
+                pause_ms: earlier.pause_ms,
+                pause_kind: earlier.pause_kind,
+                ..self
+            },
+            _ => self,
+        }
+    }
+}
+
 /// `PeerReply` is the head of a reply to a [`PeerRequest`].
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
