--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -6,7 +6,7 @@
 use cyper_core::HyperStream;
 use http_body_util::{BodyExt, Full};
 use hyper::{
-    Request, Response,
+    HeaderMap, Request, Response,
     body::Incoming,
     client::conn::http1::{self, SendRequest},
 };
@@ -22,6 +22,10 @@
 /// The maximum number of idle connections in a pool.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 
+/// How much earlier than the server states an idle connection is given up, as a request may still be
+/// on its way when the server closes it.
+const IDLE_MARGIN: Duration = Duration::from_millis(200);
+
 /// The number of unanswered TCP keepalive probes after which the kernel closes a connection.
 const UNANSWERED_PROBES: u32 = 2;
 
@@ -56,6 +60,8 @@
     /// The task that drives the connection; dropping the handle cancels it.
     driver: JoinHandle<()>,
     idle_since: LocalMoment,
+    /// How long the connection may be idle and still be reused.
+    max_idle: Duration,
 }
 
 /// `HttpPool` sends requests to one server and reuses its idle connections. Clones share them.
@@ -149,16 +155,12 @@
 
     /// Takes the most recently used idle connection, unless it has been idle for too long.
     fn take_idle(&self) -> Option<PooledConnection> {
+        let now = clock::now();
         let mut idle = self.idle.borrow_mut();
-        let connection = idle.pop()?;
-
-        if clock::now().since(connection.idle_since) > self.options.max_idle {
-            // The rest have been idle for even longer.
-            idle.clear();
-            return None;
-        }
+        // A later response may have stated a shorter time than an earlier one.
+        idle.retain(|connection| now.since(connection.idle_since) < connection.max_idle);
 
-        Some(connection)
+        idle.pop()
     }
 
     /// Returns a connection to the pool after its response was read to the end. Drops it instead
@@ -202,10 +204,26 @@
             sender,
             driver,
             idle_since: clock::now(),
+            max_idle: self.options.max_idle,
         })
     }
 }
 
+/// Returns the idle time after which the server closes the connection of a response, if it states one
+/// in whole seconds.
+fn stated_idle_timeout(headers: &HeaderMap) -> Option<Duration> {
+    headers
+        .get("keep-alive")?
+        .to_str()
+        .ok()?
+        .split(',')
+        .find_map(|parameter| parameter.trim().strip_prefix("timeout="))?
+        .trim()
+        .parse()
+        .ok()
+        .map(Duration::from_secs)
+}
+
 /// Enables TCP keepalive: after `interval` without traffic the kernel probes the connection, and
 /// closes it after [`UNANSWERED_PROBES`] unanswered probes.
 fn enable_keep_alive(stream: &TcpStream, interval: Duration) -> rustix::io::Result<()> {
@@ -228,8 +246,13 @@
 
 impl PooledResponse {
     /// Joins a response with the connection that it arrived on.
-    fn new(response: Response<Incoming>, connection: PooledConnection, pool: HttpPool) -> Self {
+    fn new(response: Response<Incoming>, mut connection: PooledConnection, pool: HttpPool) -> Self {
         let (parts, body) = response.into_parts();
+        if let Some(timeout) = stated_idle_timeout(&parts.headers) {
+            connection.max_idle = timeout
+                .saturating_sub(IDLE_MARGIN)
+                .min(pool.options.max_idle);
+        }
 
         Self {
             parts,
