--- a/crates/gate/src/limit.rs
+++ b/crates/gate/src/limit.rs
@@ -7,6 +7,9 @@
 use std::{collections::VecDeque, time::Duration};
 use wagtail_core::{notice::RequestRate, units::LocalMoment};
 
+/// The span over which a target counts its requests against its limit.
+const COUNTING_WINDOW: Duration = Duration::from_secs(4);
+
 /// The most reservations at a time; further refused requests get none.
 const MAX_RESERVATIONS: usize = 64;
 
@@ -37,10 +40,18 @@
 
 impl Default for LimitOptions {
     fn default() -> Self {
+        Self::with_grace(Duration::from_secs(3))
+    }
+}
+
+impl LimitOptions {
+    /// Creates options for targets whose limits have to hold `grace` after they were first named. The
+    /// windows that end from then on begin before that, which `lookback` covers.
+    pub fn with_grace(grace: Duration) -> Self {
         Self {
             burst: Duration::from_secs(1),
-            lookback: Duration::from_secs(1),
-            max_debt: Duration::from_secs(3),
+            lookback: COUNTING_WINDOW.saturating_sub(grace),
+            max_debt: grace,
             min_rate: 0.5,
             call_share: 0.3,
             reserved_share: 0.5,
--- a/crates/sidecar/src/proxy/mod.rs
+++ b/crates/sidecar/src/proxy/mod.rs
@@ -28,6 +28,7 @@
 use wagtail_core::{heartbeat::TargetHeartbeat, units::LocalMoment};
 use wagtail_gate::{
     AdmissionGate, GateOptions,
+    limit::LimitOptions,
     origins::RouteOrigins,
     pressure::{CallPressure, WorkThrottle},
 };
@@ -106,8 +107,12 @@
             connect_timeout: CONNECT_TIMEOUT,
             ..PoolOptions::default()
         };
+        let gate_options = GateOptions {
+            limit: LimitOptions::with_grace(settings.limit_grace),
+            ..GateOptions::default()
+        };
         let state = ProxyState {
-            gate: AdmissionGate::new(GateOptions::default()),
+            gate: AdmissionGate::new(gate_options),
             keeper: GrantKeeper::new(Arc::clone(&settings.node), options, clock::now()),
             keys: KeyCounter::default(),
             origins: RouteOrigins::default(),
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -37,6 +37,8 @@
     pub max_hold: Duration,
     /// The time for which a target that announced that it is leaving may still receive requests.
     pub drain: Duration,
+    /// The time after a target first named a limit from which the limit has to hold.
+    pub limit_grace: Duration,
     /// The time from the signal to shut down until the forced end of the process.
     pub grace: Duration,
     /// The maximum retries of all nodes together, as a fraction of the requests.
--- a/crates/sidecar/tests/proxy.rs
+++ b/crates/sidecar/tests/proxy.rs
@@ -78,6 +78,7 @@
         heartbeat: Duration::from_millis(870),
         max_hold: Duration::from_secs(10),
         drain: Duration::from_secs(2),
+        limit_grace: Duration::from_secs(3),
         grace: Duration::from_secs(6),
         retry_ratio: 0.2,
         retry_slack: 60.0,
