A target at its limit does not make the callers of its service start less work

Cause: the wait for the limit counted as pressure of calls. One limited target of several would have made callers refuse new work whose calls the other targets have room for. Change: the expected wait is that for a slot only; a call at a limit goes to another target. Evidence: a_limit_does_not_count_as_a_wait_for_a_slot failed before and passes now.

--- a/crates/gate/src/admission.rs
+++ b/crates/gate/src/admission.rs
@@ -305,19 +305,11 @@
         limit.map_or(throughput, |limit| throughput.min(limit as f32))
     }
 
-    /// Returns how long a request of this kind and priority would wait for a slot, or for the limit
-    /// of the target if that takes longer, in seconds.
-    pub fn expected_wait(&self, is_call: bool, priority: u32, now: LocalMoment) -> f32 {
-        let limit_wait = self.limiter.expected_wait(is_call, now).as_secs_f32();
-
-        self.slot_wait(is_call, priority, now).max(limit_wait)
-    }
-
     /// Returns how long a request of this kind and priority would wait for a slot, in seconds.
     ///
     /// The estimate is the work queued ahead of it plus the rest of the running work, divided by
-    /// the number of slots.
-    fn slot_wait(&self, is_call: bool, priority: u32, now: LocalMoment) -> f32 {
+    /// the number of slots. It leaves the limit of the target out, as requests do not wait for that.
+    pub fn expected_wait(&self, is_call: bool, priority: u32, now: LocalMoment) -> f32 {
         if self.running.len() < self.slots as usize && self.waiting.is_empty() {
             return 0.0;
         }
@@ -346,7 +338,7 @@
             return Some(GateRefusal::QueueFull);
         }
 
-        let wait = self.slot_wait(arrival.is_call, arrival.priority, now);
+        let wait = self.expected_wait(arrival.is_call, arrival.priority, now);
         let service_time = self.service_times.expected(&arrival.class);
         let time_left = arrival.deadline.since(now).as_secs_f32();
         if wait + service_time > time_left {
@@ -377,7 +369,7 @@
         if refusal == GateRefusal::Closed {
             return Duration::ZERO;
         }
-        let wait = self.slot_wait(arrival.is_call, arrival.priority, now);
+        let wait = self.expected_wait(arrival.is_call, arrival.priority, now);
 
         Duration::from_secs_f32(wait.max(0.0))
             .clamp(self.options.min_retry_after, self.options.max_retry_after)
--- a/crates/gate/tests/gate/limits.rs
+++ b/crates/gate/tests/gate/limits.rs
@@ -303,3 +303,18 @@
         }
     );
 }
+
+/// Guards against callers that start less work because one of several targets of the service that they
+/// call is at its limit, although the others have room.
+#[test]
+fn a_limit_does_not_count_as_a_wait_for_a_slot() {
+    let mut gate = AdmissionGate::new(GateOptions::default());
+    gate.set_slots(6, at(0));
+    gate.set_limit(Some(rate(0.5)), at(0));
+    for ticket in 0..3 {
+        gate.arrive(gate_arrival(ticket, 0), at(0));
+    }
+
+    assert!(gate.limit_wait(at(0)) > Duration::from_secs(1));
+    assert!(gate.expected_wait(true, 1, at(0)) < 0.001);
+}
