--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -212,7 +212,8 @@
                     verdict = error.verdict().as_str(), reason = %reason
                 );
                 if error.verdict() == RunVerdict::NotRun {
-                    attempts.refusal = Some(unreachable_refusal());
+                    let refusal = unreachable_refusal();
+                    attempts.refusal = Some(refusal.with_sooner(attempts.refusal.take()));
                 } else {
                     attempts.target_attempts += 1;
                     attempts.may_have_run = Some(Arc::from("node-lost"));
--- a/crates/sidecar/src/proxy/notices.rs
+++ b/crates/sidecar/src/proxy/notices.rs
@@ -18,7 +18,8 @@
 /// The shortest time between two log lines on changes of the value of a limit.
 const MIN_LIMIT_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// `NoticeState` holds what the present incarnation of the target has stated so far.
+/// `NoticeState` tracks the statements of the present incarnation of the target. The limit itself is
+/// in force at the gate, and a leave is kept as a departure.
 #[derive(Debug, Default)]
 pub(super) struct NoticeState {
     /// Whether the target has responded to this process.
