--- a/crates/sidecar/src/directory.rs
+++ b/crates/sidecar/src/directory.rs
@@ -150,10 +150,12 @@
     async fn run(&self) {
         let mut revision = None;
         let mut failures = 0;
+        let mut answered_at = clock::now();
 
         loop {
             match self.step(revision).await {
                 Ok(next) => {
+                    answered_at = clock::now();
                     if failures > 0 {
                         info!(event = "store-followed", kind = self.kind, failures);
                     }
@@ -167,7 +169,11 @@
                 }
                 Err(error) => {
                     if failures == 0 {
-                        warn!(event = "store-not-followed", kind = self.kind, reason = %error);
+                        warn!(
+                            event = "store-not-followed", kind = self.kind, revision,
+                            answered_ms_ago = clock::now().since(answered_at).as_millis(),
+                            reason = %error
+                        );
                     }
                     failures += 1;
                     revision = None;
@@ -199,6 +205,12 @@
     /// Reads all objects of the kind from the store. Returns the revision of the list.
     async fn list(&self) -> Result<u64> {
         let list = self.options.store.list(self.kind).await?;
+        info!(
+            event = "store-listed",
+            kind = self.kind,
+            revision = list.revision,
+            objects = list.objects.len()
+        );
         self.apply_list(list.objects, list.revision);
 
         Ok(list.revision)
@@ -213,7 +225,10 @@
             match select(watch, behind).await {
                 Either::Left((changes, _)) => changes?,
                 // Another node knows a newer version, so this watch may have gone silent.
-                Either::Right(((), _)) => return Err(StoreError::HistoryGone),
+                Either::Right(((), _)) => {
+                    self.log_behind(&WatchSource::Store, revision);
+                    return Err(StoreError::HistoryGone);
+                }
             }
         };
 
@@ -244,6 +259,7 @@
             Either::Left((response, _)) => response,
             Either::Right(((), _)) => {
                 // Others know a newer version than the node, so its own watch may have gone silent.
+                self.log_behind(&WatchSource::Node(Arc::clone(node)), revision);
                 self.avoid_source(node, SourceFailure::NotWatching);
                 return Err(StoreError::HistoryGone);
             }
@@ -268,6 +284,26 @@
         self.choice.avoid(node, failure, clock::now());
     }
 
+    /// Logs that other nodes know newer versions than this one, which follows `source` from
+    /// `revision` on.
+    fn log_behind(&self, source: &WatchSource, revision: u64) {
+        let (own, others) = (
+            self.options.view.versions(),
+            self.options.view.peer_versions(),
+        );
+
+        info!(
+            event = "behind-others",
+            kind = self.kind,
+            source = ?source,
+            revision,
+            config = own.config,
+            fleet = own.fleet,
+            others_config = others.config,
+            others_fleet = others.fleet
+        );
+    }
+
     /// Chooses the source of the next changes, and logs a new choice.
     fn choose_source(&self) -> WatchSource {
         let zone_nodes: BTreeSet<Arc<str>> = self
--- a/crates/sidecar/src/view.rs
+++ b/crates/sidecar/src/view.rs
@@ -137,6 +137,11 @@
         self.peer_versions.set(peer_versions);
     }
 
+    /// Returns the newest versions that other nodes have reported.
+    pub fn peer_versions(&self) -> KnownVersions {
+        self.peer_versions.get().versions
+    }
+
     /// Returns since when another node has been known to have a newer configuration, or `None` if
     /// this node is up to date.
     pub fn config_behind_since(&self) -> Option<LocalMoment> {
@@ -165,6 +170,14 @@
     /// Puts a configuration in force if it is newer than the current one. Returns whether it did.
     pub fn apply_config(&self, object: &StoredObject, config: &RoutingConfig) -> bool {
         let known = self.config.borrow().version();
+        if config.version < known {
+            info!(
+                event = "config-kept",
+                version = known,
+                offered = config.version,
+                revision = object.revision
+            );
+        }
         if config.version <= known {
             return false;
         }
