Order what the store says by era and revision

Callers saw a route refused with 404 over 3 s after the store had returned from an older copy. Cause: a watch waits at a bare revision. After the return revisions are given out again, so that the watch reports nothing that was written below its own number; lists of the fleet with lower numbers were dropped, and a follower was told of nothing. Nodes tell each other the era with the versions; followers of an earlier era get all objects, a record is written again after a return, and a keeper ignores a table of an earlier era.

--- a/crates/core/src/objects.rs
+++ b/crates/core/src/objects.rs
@@ -1,16 +1,48 @@
 //! The object store of the platform.
 //!
 //! Objects are grouped by kind. Each change raises the revision of the store, which conditional
-//! writes and watches refer to.
+//! writes and watches refer to. A store that returns from an older copy begins a new era, in which the
+//! lost revision numbers are given out again.
 
 use crate::{ports::LocalFuture, verdict::RunVerdict};
 use serde::{Deserialize, Serialize};
-use std::{fmt::Debug, sync::Arc, time::Duration};
+use std::{
+    fmt::{self, Debug, Display, Formatter},
+    sync::Arc,
+    time::Duration,
+};
 use thiserror::Error;
 
 /// `Result` is the result of a call to the object store.
 pub type Result<T, E = StoreError> = std::result::Result<T, E>;
 
+/// `StoreRevision` is a state of the store. The order of the fields orders all states: whatever
+/// belongs to a later era is newer, whatever its number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+#[derive(Serialize, Deserialize)]
+pub struct StoreRevision {
+    /// The number of times that the store has returned from an older copy.
+    pub era: u64,
+    /// The number of the revision within the era. An era begins with the number of its copy.
+    pub number: u64,
+}
+
+impl StoreRevision {
+    /// The state before the first revision.
+    pub const ZERO: Self = Self::new(0, 0);
+
+    /// Creates the revision with a number in an era.
+    pub const fn new(era: u64, number: u64) -> Self {
+        Self { era, number }
+    }
+}
+
+impl Display for StoreRevision {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.era, self.number)
+    }
+}
+
 /// `StoredObject` is an object as the store holds it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -18,7 +50,7 @@
     /// The name, unique within the kind.
     pub name: Arc<str>,
     /// The revision of the store at which the object last changed.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The content, encoded as JSON.
     pub content: Arc<str>,
 }
@@ -29,7 +61,7 @@
     /// All objects of the kind.
     pub objects: Vec<StoredObject>,
     /// The revision of the store at which the snapshot was taken.
-    pub revision: u64,
+    pub revision: StoreRevision,
 }
 
 /// `ObjectChange` is a change of one object, as a watch reports it.
@@ -47,7 +79,7 @@
     /// The changes, oldest first; empty when the call timed out without one.
     pub changes: Vec<ObjectChange>,
     /// The revision to pass to the next watch call.
-    pub revision: u64,
+    pub revision: StoreRevision,
 }
 
 /// `StoreError` is the reason why a call to the object store failed.
@@ -142,7 +174,7 @@
     fn watch<'a>(
         &'a self,
         kind: &'a str,
-        revision: u64,
+        revision: StoreRevision,
         wait: Duration,
     ) -> LocalFuture<'a, Result<ObjectChanges>>;
 
@@ -156,7 +188,7 @@
         kind: &'a str,
         name: &'a str,
         content: &'a str,
-    ) -> LocalFuture<'a, Result<u64>>;
+    ) -> LocalFuture<'a, Result<StoreRevision>>;
 
     /// Replaces the content of an object if it is still at `revision`, and returns the revision of
     /// the write.
@@ -168,9 +200,9 @@
         &'a self,
         kind: &'a str,
         name: &'a str,
-        revision: u64,
+        revision: StoreRevision,
         content: &'a str,
-    ) -> LocalFuture<'a, Result<u64>>;
+    ) -> LocalFuture<'a, Result<StoreRevision>>;
 
     /// Deletes an object.
     ///
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -278,16 +278,21 @@
 
         while let Some(chunk) = self.next().await? {
             if body_bytes.len() + chunk.len() > limit {
-                return Err(CoreError::unavailable(
-                    format!("{}: the answer exceeds {limit} bytes", self.pool.address),
-                    RunVerdict::Unknown,
-                ));
+                return Err(self.too_large(limit));
             }
             body_bytes.extend_from_slice(&chunk);
         }
 
         Ok(Bytes::from(body_bytes))
     }
+
+    /// Returns the error for a body that is larger than `limit` bytes.
+    fn too_large(&self, limit: usize) -> CoreError {
+        CoreError::unavailable(
+            format!("{}: the answer exceeds {limit} bytes", self.pool.address),
+            RunVerdict::Unknown,
+        )
+    }
 }
 
 impl BodyStream for PooledResponse {
--- a/crates/shard/src/keeper.rs
+++ b/crates/shard/src/keeper.rs
@@ -10,6 +10,7 @@
         GrantedRange, HeartbeatReply, RangeGrant, ReleasedRange, TargetDeparture, TargetHeartbeat,
         TargetIncarnation,
     },
+    objects::StoreRevision,
     units::LocalMoment,
 };
 
@@ -87,7 +88,7 @@
 /// `ConfirmedTable` is the table at a revision that a read returned or a write produced.
 #[derive(Debug, Clone)]
 struct ConfirmedTable {
-    revision: u64,
+    revision: StoreRevision,
     table: RangeTable,
     /// The moment at which the read was sent; the age of the table counts from here.
     read_sent_at: LocalMoment,
@@ -97,7 +98,7 @@
 /// stored table is at the revision that it expects.
 #[derive(Debug, Clone)]
 struct UncertainWrite {
-    expected: u64,
+    expected: StoreRevision,
     next: RangeTable,
 }
 
@@ -135,7 +136,7 @@
     uncertain: Vec<UncertainWrite>,
     /// The revision of the first table that this process read. Writes of the previous process
     /// without a response may take effect while the table stays at this revision.
-    first_revision: Option<u64>,
+    first_revision: Option<StoreRevision>,
 }
 
 impl GrantKeeper {
@@ -326,7 +327,21 @@
     /// Records the table that a read sent at `read_sent_at` returned, or that a write based on that
     /// read produced. Drops the uncertain writes that this revision rules out, and the releases that
     /// the table does not wait for.
-    pub fn record_table(&mut self, table: RangeTable, revision: u64, read_sent_at: LocalMoment) {
+    ///
+    /// A table of an earlier era than the last one is ignored, as the store no longer holds it.
+    pub fn record_table(
+        &mut self,
+        table: RangeTable,
+        revision: StoreRevision,
+        read_sent_at: LocalMoment,
+    ) {
+        if self
+            .confirmed
+            .as_ref()
+            .is_some_and(|confirmed| confirmed.revision.era > revision.era)
+        {
+            return;
+        }
         self.uncertain.retain(|write| write.expected >= revision);
         self.first_revision.get_or_insert(revision);
         if let Some(life) = &self.life {
@@ -348,7 +363,12 @@
     /// Returns whether the table must be read before the reply to a heartbeat: the last read is too
     /// old, the revision `known` is later, earlier writes are unresolved, or the heartbeat may
     /// change a row.
-    pub fn needs_read(&self, heartbeat: &TargetHeartbeat, known: u64, now: LocalMoment) -> bool {
+    pub fn needs_read(
+        &self,
+        heartbeat: &TargetHeartbeat,
+        known: StoreRevision,
+        now: LocalMoment,
+    ) -> bool {
         let Some(confirmed) = &self.confirmed else {
             return true;
         };
@@ -369,18 +389,18 @@
     /// Returns whether writes of the previous process of this node without a response may still
     /// take effect on the table at `revision`. If so, the table must be written once before ranges
     /// are granted from it.
-    pub fn has_unresolved_writes(&self, revision: u64) -> bool {
+    pub fn has_unresolved_writes(&self, revision: StoreRevision) -> bool {
         self.first_revision.is_none_or(|first| revision <= first)
     }
 
     /// Records a write that is about to be sent. Until its response arrives, or for good if
     /// none does, it may take effect at any time while the table is at the revision `expected`.
-    pub fn begin_write(&mut self, expected: u64, next: RangeTable) {
+    pub fn begin_write(&mut self, expected: StoreRevision, next: RangeTable) {
         self.uncertain.push(UncertainWrite { expected, next });
     }
 
     /// Forgets the latest write that expects this revision, because it was certainly not executed.
-    pub fn discard_write(&mut self, expected: u64) {
+    pub fn discard_write(&mut self, expected: StoreRevision) {
         let last = self
             .uncertain
             .iter()
--- a/crates/shard/tests/shard/decisions.rs
+++ b/crates/shard/tests/shard/decisions.rs
@@ -1,10 +1,11 @@
 //! Tests of the table, the grants, the planner and the balancing of load.
 
-use crate::support::{heartbeat, holder, life, status};
+use crate::support::{first_era, heartbeat, holder, life, status};
 use assert_matches::assert_matches;
 use std::{sync::Arc, time::Duration};
 use wagtail_core::{
     heartbeat::{HeldRange, ReleasedRange},
+    objects::StoreRevision,
     units::LocalMoment,
 };
 use wagtail_shard::{
@@ -23,8 +24,8 @@
 /// Records the table twice, as first read by the process and as of a later revision, so that no
 /// writes of the previous process are unresolved.
 fn confirm_table(keeper: &mut GrantKeeper, table: &RangeTable, now: LocalMoment) {
-    keeper.record_table(table.clone(), 1, now);
-    keeper.record_table(table.clone(), 2, now);
+    keeper.record_table(table.clone(), first_era(1), now);
+    keeper.record_table(table.clone(), first_era(2), now);
 }
 
 /// Returns planner options with short intervals and the default lapse.
@@ -111,13 +112,34 @@
 
     let after_outage = heartbeat("a", 1, 3, kept(), Vec::new());
     keeper.accept(&after_outage, at(200));
-    assert!(keeper.needs_read(&after_outage, 2, at(200)));
+    assert!(keeper.needs_read(&after_outage, first_era(2), at(200)));
     assert!(keeper.settle(&after_outage, &mut table));
     assert_eq!(&*table.row(150).unwrap().handover, "warm");
 
     // Once the table shows the move, nothing is left to hand over.
-    keeper.record_table(table.clone(), 3, at(200));
-    assert!(!keeper.needs_read(&after_outage, 3, at(200)));
+    keeper.record_table(table.clone(), first_era(3), at(200));
+    assert!(!keeper.needs_read(&after_outage, first_era(3), at(200)));
+}
+
+/// Guards against grants by a table that is lost: a read from before the store returned from a copy
+/// arrives after one from the new era.
+#[test]
+fn a_table_of_an_earlier_era_renews_no_grants() {
+    let mut table = RangeTable::new();
+    table.assign(0, LAST_KEY, &holder("a", 1));
+    let options = KeeperOptions::default();
+    let mut keeper = GrantKeeper::new(Arc::from("a"), options, at(0));
+    let mut freed = table.clone();
+    freed.reassign(None, |_| true);
+    confirm_table(&mut keeper, &table, at(10));
+    keeper.record_table(freed, StoreRevision::new(1, 2), at(20));
+
+    keeper.record_table(table, first_era(9), at(30));
+
+    let beat = heartbeat("a", 1, 1, Vec::new(), Vec::new());
+    keeper.accept(&beat, at(40));
+    let grant = keeper.reply(&beat, at(40), at(42)).grant;
+    assert!(grant.is_none_or(|grant| grant.ranges.is_empty()));
 }
 
 /// Guards against a gap in service when keys move between targets whose heartbeats do not coincide:
@@ -239,12 +261,12 @@
     let first = heartbeat("a", 1, 1, Vec::new(), Vec::new());
     keeper.accept(&first, at(10));
 
-    keeper.record_table(table.clone(), 5, at(10));
-    assert!(keeper.has_unresolved_writes(5));
+    keeper.record_table(table.clone(), first_era(5), at(10));
+    assert!(keeper.has_unresolved_writes(first_era(5)));
     assert_matches!(keeper.reply(&first, at(10), at(11)).grant, None);
 
     table.touch();
-    keeper.record_table(table, 6, at(12));
+    keeper.record_table(table, first_era(6), at(12));
     assert_matches!(keeper.reply(&first, at(10), at(13)).grant, Some(_));
 }
 
@@ -280,16 +302,16 @@
     confirm_table(&mut keeper, &table, at(0));
     let mut freed = table.clone();
     assert!(keeper.free_lapsed(&mut freed, at(9_000)));
-    keeper.begin_write(7, freed);
+    keeper.begin_write(first_era(7), freed);
 
     let second = heartbeat("a", 1, 2, Vec::new(), Vec::new());
     keeper.accept(&second, at(9_100));
-    keeper.record_table(table.clone(), 7, at(9_100));
+    keeper.record_table(table.clone(), first_era(7), at(9_100));
     let reply = keeper.reply(&second, at(9_100), at(9_101));
     assert_eq!(reply.grant.unwrap().ranges, []);
 
     // The table has a later revision, so that the write cannot take effect any more.
-    keeper.record_table(table, 8, at(9_200));
+    keeper.record_table(table, first_era(8), at(9_200));
     let reply = keeper.reply(&second, at(9_100), at(9_201));
     assert_eq!(reply.grant.unwrap().ranges.len(), 1);
 }
--- a/crates/shard/tests/shard/random_faults.rs
+++ b/crates/shard/tests/shard/random_faults.rs
@@ -3,7 +3,7 @@
 
 use crate::{
     simulation::{HeldGrant, InFlightMessage, SimulatedVm, Store, apply_reply},
-    support::{heartbeat, status},
+    support::{first_era, heartbeat, status},
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -234,8 +234,8 @@
             {
                 let mut next = table.clone();
                 let changed = vm.keeper.settle(&heartbeat, &mut next);
-                vm.keeper.record_table(table, revision, moment);
-                let unsettled = vm.keeper.has_unresolved_writes(revision);
+                vm.keeper.record_table(table, first_era(revision), moment);
+                let unsettled = vm.keeper.has_unresolved_writes(first_era(revision));
                 if unsettled && !changed {
                     next.touch();
                 }
@@ -274,10 +274,10 @@
         let written = certain && self.store.write(expected, next.clone());
         let revision = self.store.revision;
         let keeper = &mut self.vms[index].keeper;
-        keeper.begin_write(expected, next.clone());
+        keeper.begin_write(first_era(expected), next.clone());
 
         if written {
-            keeper.record_table(next, revision, moment);
+            keeper.record_table(next, first_era(revision), moment);
         } else if !certain {
             let due = self.now + self.random.random_range(500..6_000);
             self.store.delayed.push((due, expected, next));
--- a/crates/shard/tests/shard/support.rs
+++ b/crates/shard/tests/shard/support.rs
@@ -1,9 +1,17 @@
 //! Constructors of the values that the tests use.
 
 use std::{sync::Arc, time::Duration};
-use wagtail_core::heartbeat::{HeldRange, ReleasedRange, TargetHeartbeat, TargetIncarnation};
+use wagtail_core::{
+    heartbeat::{HeldRange, ReleasedRange, TargetHeartbeat, TargetIncarnation},
+    objects::StoreRevision,
+};
 use wagtail_shard::{planner::TargetStatus, table::RangeHolder};
 
+/// Returns the revision with the given number in the first era of the store.
+pub fn first_era(number: u64) -> StoreRevision {
+    StoreRevision::new(0, number)
+}
+
 /// Returns an incarnation of a target.
 pub fn life(name: &str, started_ms: u64) -> TargetIncarnation {
     TargetIncarnation {
--- a/crates/sidecar/src/directory.rs
+++ b/crates/sidecar/src/directory.rs
@@ -14,19 +14,26 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::{cell::RefCell, collections::BTreeSet, pin::pin, rc::Rc, sync::Arc, time::Duration};
+use thiserror::Error;
 use tracing::{info, warn};
 use wagtail_core::{
-    objects::{ObjectChanges, ObjectStore, Result, StoreError, StoredObject},
+    objects::{ObjectChanges, ObjectStore, StoreError, StoreRevision, StoredObject},
     service::WorkClass,
     units::LocalMoment,
 };
 use wagtail_net::clock;
 use wagtail_route::watchers::{SourceFailure, WatchSource, WatcherChoice};
 
-/// The longest wait of one watch. It ends early when another node knows a newer version.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
+/// The longest wait of one watch of the fleet. It ends early when another node knows a newer version.
+const FLEET_WATCH_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// The extra time for a watching node to respond after [`WATCH_TIMEOUT`]. A connection that goes
+/// The longest wait of one watch of the configuration.
+const CONFIG_WATCH_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// The longest time for which a node waits for changes from another one.
+const FOLLOW_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// The extra time for a watching node to respond after [`FOLLOW_TIMEOUT`]. A connection that goes
 /// silent is ended sooner.
 const FOLLOW_SLACK: Duration = Duration::from_secs(1);
 
@@ -82,6 +89,21 @@
     Fleet,
 }
 
+/// `Result` is the result of one step of following a kind.
+type Result<T, E = FollowError> = std::result::Result<T, E>;
+
+/// `FollowError` is the reason why a kind must be listed anew.
+#[derive(Debug)]
+#[derive(Error)]
+enum FollowError {
+    /// The store failed, or no longer has the changes after the known revision.
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    /// Other nodes know newer versions than the source has told of.
+    #[error("other nodes know newer versions")]
+    Behind,
+}
+
 /// `StoreFollower` follows the changes of one kind of objects.
 #[derive(Debug)]
 struct StoreFollower {
@@ -150,9 +172,12 @@
     async fn run(&self) {
         let mut revision = None;
         let mut failures = 0;
+        // The lists in a row after which this node still lacked what others know.
+        let mut vain_lists = 0;
         let mut answered_at = clock::now();
 
         loop {
+            let is_list = revision.is_none();
             match self.step(revision).await {
                 Ok(next) => {
                     answered_at = clock::now();
@@ -160,17 +185,28 @@
                         info!(event = "store-followed", kind = self.kind, failures);
                     }
                     failures = 0;
+                    if !is_list {
+                        vain_lists = 0;
+                    }
                     revision = Some(next);
                 }
-                Err(StoreError::HistoryGone) => {
+                Err(FollowError::Store(StoreError::HistoryGone)) => {
                     revision = None;
                     // Until it has read everything, this node may pass on outdated objects.
                     self.options.watching.set_watched(self.kind, false);
                 }
-                Err(error) => {
+                Err(FollowError::Behind) => {
+                    revision = None;
+                    self.options.watching.set_watched(self.kind, false);
+                    if vain_lists > 0 {
+                        sleep(self.backoff(vain_lists)).await;
+                    }
+                    vain_lists += 1;
+                }
+                Err(FollowError::Store(error)) => {
                     if failures == 0 {
                         warn!(
-                            event = "store-not-followed", kind = self.kind, revision,
+                            event = "store-not-followed", kind = self.kind, revision = ?revision,
                             answered_ms_ago = clock::now().since(answered_at).as_millis(),
                             reason = %error
                         );
@@ -178,8 +214,11 @@
                     failures += 1;
                     revision = None;
                     self.options.watching.set_watched(self.kind, false);
-                    self.apply_peer_snapshot().await;
-                    sleep(self.backoff(failures)).await;
+                    // The first failure is often that of a connection, which the next call replaces.
+                    if failures > 1 {
+                        self.apply_peer_snapshot(self.random_peer()).await;
+                        sleep(self.backoff(failures)).await;
+                    }
                 }
             }
         }
@@ -187,7 +226,7 @@
 
     /// Applies the next changes from the source that is chosen now; without a known revision it
     /// lists everything. Returns the revision to continue from.
-    async fn step(&self, revision: Option<u64>) -> Result<u64> {
+    async fn step(&self, revision: Option<StoreRevision>) -> Result<StoreRevision> {
         let Some(known) = revision else {
             return self.list().await;
         };
@@ -203,12 +242,12 @@
     }
 
     /// Reads all objects of the kind from the store. Returns the revision of the list.
-    async fn list(&self) -> Result<u64> {
+    async fn list(&self) -> Result<StoreRevision> {
         let list = self.options.store.list(self.kind).await?;
         info!(
             event = "store-listed",
             kind = self.kind,
-            revision = list.revision,
+            revision = %list.revision,
             objects = list.objects.len()
         );
         self.apply_list(list.objects, list.revision);
@@ -217,17 +256,21 @@
     }
 
     /// Waits for changes at the store and applies them. Returns the revision to continue from.
-    async fn watch(&self, revision: u64) -> Result<u64> {
+    async fn watch(&self, revision: StoreRevision) -> Result<StoreRevision> {
+        let wait = match self.followed {
+            FollowedKind::Config => CONFIG_WATCH_TIMEOUT,
+            FollowedKind::Fleet => FLEET_WATCH_TIMEOUT,
+        };
         let changes = {
-            let watch = pin!(self.options.store.watch(self.kind, revision, WATCH_TIMEOUT));
-            let behind = pin!(self.wait_until_behind());
+            let watch = pin!(self.options.store.watch(self.kind, revision, wait));
+            let behind = pin!(self.wait_until_behind(revision));
 
             match select(watch, behind).await {
                 Either::Left((changes, _)) => changes?,
                 // Another node knows a newer version, so this watch may have gone silent.
                 Either::Right(((), _)) => {
                     self.log_behind(&WatchSource::Store, revision);
-                    return Err(StoreError::HistoryGone);
+                    return Err(FollowError::Behind);
                 }
             }
         };
@@ -243,39 +286,54 @@
 
     /// Waits for changes that a watching node passes on and applies them. Returns the revision to
     /// continue from.
-    async fn follow(&self, node: &Arc<str>, revision: u64) -> Result<u64> {
+    async fn follow(&self, node: &Arc<str>, revision: StoreRevision) -> Result<StoreRevision> {
+        let response = self.ask_for_changes(node, revision).await?;
+
+        let failure = match response {
+            Ok(ReplyBody::Changes(Some(changes))) => {
+                return Ok(self.apply_followed(changes, revision));
+            }
+            Ok(_) => SourceFailure::NotWatching,
+            Err(failure) => failure,
+        };
+        self.avoid_source(node, failure);
+
+        Ok(revision)
+    }
+
+    /// Asks a watching node for the changes after a revision and waits for its reply.
+    ///
+    /// # Errors
+    ///
+    /// Fails when other nodes turn out to know newer versions.
+    async fn ask_for_changes(
+        &self,
+        node: &Arc<str>,
+        revision: StoreRevision,
+    ) -> Result<std::result::Result<ReplyBody, SourceFailure>> {
         let request = PeerRequest::Follow {
             kind: Arc::from(self.kind),
             revision,
-            wait_ms: u32::try_from(WATCH_TIMEOUT.as_millis()).unwrap_or(u32::MAX),
+            wait_ms: u32::try_from(FOLLOW_TIMEOUT.as_millis()).unwrap_or(u32::MAX),
         };
         let pending = self
             .options
             .links
             .ask(node, &request, WorkClass::Short, Bytes::new());
-        let limited = pin!(timeout(WATCH_TIMEOUT + FOLLOW_SLACK, pending));
+        let limited = pin!(timeout(FOLLOW_TIMEOUT + FOLLOW_SLACK, pending));
 
-        let response = match select(limited, pin!(self.wait_until_behind())).await {
-            Either::Left((response, _)) => response,
+        match select(limited, pin!(self.wait_until_behind(revision))).await {
+            Either::Left((Ok(Ok(response)), _)) => Ok(Ok(response.head.body)),
+            Either::Left(_) => Ok(Err(SourceFailure::Unreachable)),
             Either::Right(((), _)) => {
-                // Others know a newer version than the node, so its own watch may have gone silent.
                 self.log_behind(&WatchSource::Node(Arc::clone(node)), revision);
-                self.avoid_source(node, SourceFailure::NotWatching);
-                return Err(StoreError::HistoryGone);
-            }
-        };
-        let failure = match response {
-            Ok(Ok(response)) => match response.head.body {
-                ReplyBody::Changes(Some(changes)) => {
-                    return Ok(self.apply_followed(changes, revision));
+                if self.options.view.newest_era() == revision.era {
+                    // Others know more of the same era, so the watch of the node may be silent.
+                    self.avoid_source(node, SourceFailure::NotWatching);
                 }
-                _ => SourceFailure::NotWatching,
-            },
-            Ok(Err(_)) | Err(_) => SourceFailure::Unreachable,
-        };
-        self.avoid_source(node, failure);
-
-        Ok(revision)
+                Err(FollowError::Behind)
+            }
+        }
     }
 
     /// Avoids a node as a source for a while, after it failed as one.
@@ -286,7 +344,7 @@
 
     /// Logs that other nodes know newer versions than this one, which follows `source` from
     /// `revision` on.
-    fn log_behind(&self, source: &WatchSource, revision: u64) {
+    fn log_behind(&self, source: &WatchSource, revision: StoreRevision) {
         let (own, others) = (
             self.options.view.versions(),
             self.options.view.peer_versions(),
@@ -296,11 +354,11 @@
             event = "behind-others",
             kind = self.kind,
             source = ?source,
-            revision,
+            %revision,
             config = own.config,
-            fleet = own.fleet,
+            fleet = %own.fleet,
             others_config = others.config,
-            others_fleet = others.fleet
+            others_fleet = %others.fleet
         );
     }
 
@@ -325,7 +383,7 @@
     }
 
     /// Applies what a watching node passed on. Returns the revision to continue from.
-    fn apply_followed(&self, changes: FollowedChanges, revision: u64) -> u64 {
+    fn apply_followed(&self, changes: FollowedChanges, revision: StoreRevision) -> StoreRevision {
         let next = changes.revision.max(revision);
 
         match self.followed {
@@ -339,10 +397,14 @@
         next
     }
 
-    /// Waits until other nodes have known newer versions than this one for [`NOTIFICATION_GRACE`].
-    async fn wait_until_behind(&self) {
+    /// Waits until other nodes have known newer versions than this one for [`NOTIFICATION_GRACE`], or
+    /// until the store is known to have returned from a copy since `revision`.
+    async fn wait_until_behind(&self, revision: StoreRevision) {
         loop {
             sleep(BEHIND_CHECK_INTERVAL).await;
+            if self.options.view.newest_era() > revision.era {
+                return;
+            }
             let since = match self.followed {
                 FollowedKind::Config => self.options.view.config_behind_since(),
                 FollowedKind::Fleet => self.options.view.fleet_behind_since(),
@@ -356,7 +418,7 @@
     }
 
     /// Applies a complete list of the objects of the kind.
-    fn apply_list(&self, objects: Vec<StoredObject>, revision: u64) {
+    fn apply_list(&self, objects: Vec<StoredObject>, revision: StoreRevision) {
         match self.followed {
             FollowedKind::Config => objects.iter().for_each(|object| self.apply_config(object)),
             FollowedKind::Fleet => self.options.view.apply_list(objects, revision),
@@ -390,35 +452,41 @@
                 self.options.view.apply_config(object, &config);
             }
             Err(error) => warn!(
-                event = "config-ignored", revision = object.revision, reason = %error
+                event = "config-ignored", revision = %object.revision, reason = %error
             ),
         }
     }
 
-    /// Applies a snapshot of a random other node, while the store does not respond.
-    async fn apply_peer_snapshot(&self) {
+    /// Returns a random other node.
+    fn random_peer(&self) -> Option<Arc<str>> {
         let nodes = self.options.view.nodes();
         let others: Vec<&Arc<str>> = nodes
             .iter()
             .filter(|record| record.node != self.options.node)
             .map(|record| &record.node)
             .collect();
-        if others.is_empty() {
+
+        (!others.is_empty())
+            .then(|| Arc::clone(others[self.random.borrow_mut().random_range(0..others.len())]))
+    }
+
+    /// Applies what another node knows of the kind, if there is such a node.
+    async fn apply_peer_snapshot(&self, peer: Option<Arc<str>>) {
+        let Some(peer) = peer else {
             return;
-        }
+        };
 
-        let peer = others[self.random.borrow_mut().random_range(0..others.len())];
         let request = PeerRequest::Snapshot {
             kind: Arc::from(self.kind),
         };
         let pending = self
             .options
             .links
-            .ask(peer, &request, WorkClass::Short, Bytes::new());
+            .ask(&peer, &request, WorkClass::Short, Bytes::new());
 
         if let Ok(Ok(response)) = timeout(PEER_TIMEOUT, pending).await
             && let ReplyBody::Snapshot { revision, objects } = response.head.body
-            && revision > 0
+            && revision > StoreRevision::ZERO
         {
             match self.followed {
                 FollowedKind::Config => objects.iter().for_each(|object| self.apply_config(object)),
--- a/crates/sidecar/src/heartbeats.rs
+++ b/crates/sidecar/src/heartbeats.rs
@@ -17,7 +17,7 @@
 use tracing::{info, warn};
 use wagtail_core::{
     heartbeat::{HeartbeatReply, TargetDeparture, TargetHeartbeat},
-    objects::StoredObject,
+    objects::{StoreRevision, StoredObject},
     ports::LocalFuture,
     units::LocalMoment,
 };
@@ -177,7 +177,7 @@
         let known = self
             .view
             .table(&self.settings.service)
-            .map_or(0, |versioned| versioned.revision);
+            .map_or(StoreRevision::ZERO, |versioned| versioned.revision);
         let must_read = self
             .proxy
             .with_keeper(|keeper| keeper.needs_read(heartbeat, known, arrived));
@@ -291,7 +291,7 @@
                     return Err(reason);
                 }
                 outcome => {
-                    warn!(event = "table-write-uncertain", expected, outcome = ?outcome);
+                    warn!(event = "table-write-uncertain", %expected, outcome = ?outcome);
                     return Ok(());
                 }
             }
@@ -303,7 +303,12 @@
     }
 
     /// Replaces the stored table at a revision. After a success the view holds the new table.
-    async fn write(&self, name: &Arc<str>, revision: u64, table: &RangeTable) -> StoreOutcome {
+    async fn write(
+        &self,
+        name: &Arc<str>,
+        revision: StoreRevision,
+        table: &RangeTable,
+    ) -> StoreOutcome {
         let Ok(content) = serde_json::to_string(table) else {
             return StoreOutcome::NotDone(Arc::from("the table cannot be encoded"));
         };
--- a/crates/sidecar/src/inbound.rs
+++ b/crates/sidecar/src/inbound.rs
@@ -86,7 +86,7 @@
         let revision = objects.iter().map(|object| object.revision).max();
 
         ReplyBody::Snapshot {
-            revision: revision.unwrap_or(0),
+            revision: revision.unwrap_or_default(),
             objects,
         }
     }
--- a/crates/sidecar/src/links.rs
+++ b/crates/sidecar/src/links.rs
@@ -52,7 +52,7 @@
             .exchange(request, class, silence_policy(request), body)
             .await?;
         self.view
-            .record_peer_versions(response.head.versions, clock::now());
+            .record_peer_versions(node, response.head.versions, clock::now());
 
         Ok(response)
     }
--- a/crates/sidecar/src/messages.rs
+++ b/crates/sidecar/src/messages.rs
@@ -6,7 +6,7 @@
 use wagtail_core::{
     heartbeat::TargetIncarnation,
     notice::RequestRate,
-    objects::{StoreError, StoredObject},
+    objects::{StoreError, StoreRevision, StoredObject},
     request::HeaderField,
     routing::RequestKind,
 };
@@ -94,7 +94,7 @@
         /// The name of the object.
         name: Arc<str>,
         /// The revision that the object must still have for the write to take effect.
-        revision: u64,
+        revision: StoreRevision,
         /// The content that replaces that of the object.
         content: Arc<str>,
     },
@@ -107,7 +107,7 @@
     /// The object that was read.
     Object(StoredObject),
     /// The revision after the write.
-    Written(u64),
+    Written(StoreRevision),
     /// The write was refused as the object has changed, with its current state if the store
     /// returned it.
     Conflict(Option<StoredObject>),
@@ -135,7 +135,7 @@
 #[derive(Serialize, Deserialize)]
 pub struct FollowedChanges {
     /// The revision up to which the changes are known.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Whether `objects` holds all existing objects and not only the changed ones.
     pub complete: bool,
     /// The changed objects, or all of them.
@@ -167,7 +167,7 @@
         /// The kind of the objects.
         kind: Arc<str>,
         /// The revision up to which the sending node knows all changes.
-        revision: u64,
+        revision: StoreRevision,
         /// The maximum time to wait for changes, in milliseconds.
         wait_ms: u32,
     },
@@ -189,7 +189,7 @@
     /// The version of the configuration in force.
     pub config: u64,
     /// The highest known revision of the fleet objects.
-    pub fleet: u64,
+    pub fleet: StoreRevision,
 }
 
 /// `CompletedFields` is the head of a target's response.
@@ -293,7 +293,7 @@
     /// The newest known objects of a kind.
     Snapshot {
         /// The highest revision of the objects, or zero if there are none.
-        revision: u64,
+        revision: StoreRevision,
         /// All known objects of the kind.
         objects: Vec<StoredObject>,
     },
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -101,7 +101,7 @@
             .limit
             .set(limit.map_or(f64::INFINITY, RequestRate::per_second));
         gauges.config.set(versions.config as f64);
-        gauges.fleet.set(versions.fleet as f64);
+        gauges.fleet.set(versions.fleet.number as f64);
         gauges.nodes.set(self.view.nodes().len() as f64);
         let silence = clock::now().since(self.relay.reached_at());
         gauges.store_silence.set(silence.as_secs_f64());
--- a/crates/sidecar/src/outcomes.rs
+++ b/crates/sidecar/src/outcomes.rs
@@ -3,7 +3,7 @@
 use crate::messages::DispatchHead;
 use std::{cell::RefCell, time::Duration};
 use tracing::info;
-use wagtail_core::{routing::RequestKind, units::LocalMoment};
+use wagtail_core::{objects::StoreRevision, routing::RequestKind, units::LocalMoment};
 use wagtail_net::clock;
 use wagtail_telemetry::{
     requests::{RequestClass, RequestMetrics},
@@ -43,7 +43,7 @@
     /// The version of the configuration at the end of the request.
     pub config: u64,
     /// The revision of the fleet objects at the end of the request.
-    pub fleet: u64,
+    pub fleet: StoreRevision,
 }
 
 /// `DispatchEnd` describes how a dispatched request ended at the node of the target.
@@ -102,7 +102,7 @@
                 key = dispatch_head.key, status = end.status,
                 reason = end.reason.unwrap_or("answered"), asked = end.asked,
                 took_ms = took.as_millis(), objective_ms = dispatch_head.objective_ms,
-                config = end.config, fleet = end.fleet, skipped
+                config = end.config, fleet = %end.fleet, skipped
             );
         }
     }
--- a/crates/sidecar/src/planning.rs
+++ b/crates/sidecar/src/planning.rs
@@ -13,7 +13,11 @@
 use futures_util::future::join_all;
 use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc, time::Duration};
 use tracing::{info, warn};
-use wagtail_core::{objects::StoredObject, service::WorkClass, units::LocalMoment};
+use wagtail_core::{
+    objects::{StoreRevision, StoredObject},
+    service::WorkClass,
+    units::LocalMoment,
+};
 use wagtail_net::clock;
 use wagtail_shard::{
     balance::BalanceOptions,
@@ -177,7 +181,7 @@
 
     /// Writes the next table, provided that the stored one is still at the revision that it was
     /// planned from.
-    async fn write(&self, revision: Option<u64>, table: &RangeTable) {
+    async fn write(&self, revision: Option<StoreRevision>, table: &RangeTable) {
         let name: Arc<str> = Arc::from(table_name(&self.settings.service));
         let content: Arc<str> = match serde_json::to_string(table) {
             Ok(content) => Arc::from(content),
@@ -200,7 +204,7 @@
 
         match self.relay.call(&call).await {
             StoreOutcome::Written(revision) => {
-                info!(event = "table-planned", revision, rows = table.rows.len());
+                info!(event = "table-planned", %revision, rows = table.rows.len());
                 self.view.apply_object(StoredObject {
                     name,
                     revision,
--- a/crates/sidecar/src/record.rs
+++ b/crates/sidecar/src/record.rs
@@ -87,7 +87,9 @@
             while let Ok(newer) = records.try_recv() {
                 newest = newer;
             }
-            if written.as_ref() == Some(&newest) {
+            // A store that returned from a copy may have lost the record.
+            let era = self.view.newest_era();
+            if written.as_ref() == Some(&(newest.clone(), era)) {
                 continue;
             }
 
@@ -97,7 +99,7 @@
                     newest = newer;
                 }
             }
-            written = Some(newest);
+            written = Some((newest, era));
         }
     }
 
@@ -148,7 +150,7 @@
                     revision,
                     content,
                 });
-                info!(event = "record-written", ready = record.ready, revision);
+                info!(event = "record-written", ready = record.ready, %revision);
                 true
             }
             outcome => {
--- a/crates/sidecar/src/view.rs
+++ b/crates/sidecar/src/view.rs
@@ -16,7 +16,7 @@
 };
 use tracing::{info, warn};
 use wagtail_core::{
-    objects::{ObjectChange, StoredObject},
+    objects::{ObjectChange, StoreRevision, StoredObject},
     routing::RoutingConfig,
     units::LocalMoment,
 };
@@ -57,7 +57,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct VersionedTable {
     /// The revision of the object that holds the table.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The assignment of key ranges to targets.
     pub table: RangeTable,
 }
@@ -80,9 +80,9 @@
     objects: Rc<RefCell<BTreeMap<Arc<str>, StoredObject>>>,
     nodes: Rc<RefCell<BTreeMap<Arc<str>, Rc<NodeRecord>>>>,
     tables: Rc<RefCell<BTreeMap<Arc<str>, Rc<VersionedTable>>>>,
-    fleet_revision: Rc<Cell<u64>>,
-    newest_revision: Rc<Cell<u64>>,
-    removed_revision: Rc<Cell<u64>>,
+    fleet_revision: Rc<Cell<StoreRevision>>,
+    newest_revision: Rc<Cell<StoreRevision>>,
+    removed_revision: Rc<Cell<StoreRevision>>,
     changed: Rc<Event>,
     peer_versions: Rc<Cell<PeerVersions>>,
 }
@@ -112,8 +112,20 @@
         }
     }
 
+    /// Returns the newest era of the store that this node or another one has heard of.
+    pub fn newest_era(&self) -> u64 {
+        self.known_fleet_revision()
+            .max(self.peer_versions.get().versions.fleet)
+            .era
+    }
+
     /// Records the versions that another node reported at the given moment.
-    pub fn record_peer_versions(&self, versions: KnownVersions, now: LocalMoment) {
+    pub fn record_peer_versions(
+        &self,
+        _node: &Arc<str>,
+        versions: KnownVersions,
+        now: LocalMoment,
+    ) {
         let mut peer_versions = self.peer_versions.get();
         let known = KnownVersions {
             config: self.versions().config,
@@ -163,7 +175,7 @@
     /// Returns the revision up to which the fleet is known: that of the newest object, or of a
     /// later list or watch. The newest object alone does not suffice: an object that others knew
     /// may have been deleted before this node listed the fleet, and would then seem to be missing.
-    fn known_fleet_revision(&self) -> u64 {
+    fn known_fleet_revision(&self) -> StoreRevision {
         self.newest_revision.get().max(self.fleet_revision.get())
     }
 
@@ -175,7 +187,7 @@
                 event = "config-kept",
                 version = known,
                 offered = config.version,
-                revision = object.revision
+                revision = %object.revision
             );
         }
         if config.version <= known {
@@ -189,7 +201,7 @@
             event = "config-taken",
             version = config.version,
             before = known,
-            revision = object.revision,
+            revision = %object.revision,
             routes = config.routes.len()
         );
 
@@ -208,12 +220,12 @@
 
     /// Returns whether a complete list of the fleet was applied.
     pub fn knows_fleet(&self) -> bool {
-        self.fleet_revision.get() > 0
+        self.fleet_revision.get() > StoreRevision::ZERO
     }
 
     /// Replaces the objects of the fleet by a complete list at a revision. A list that is older
     /// than what is known already is ignored.
-    pub fn apply_list(&self, objects: Vec<StoredObject>, revision: u64) {
+    pub fn apply_list(&self, objects: Vec<StoredObject>, revision: StoreRevision) {
         if revision < self.fleet_revision.get() {
             return;
         }
@@ -237,7 +249,7 @@
     }
 
     /// Applies changes of the fleet up to a revision.
-    pub fn apply_changes(&self, changes: Vec<ObjectChange>, revision: u64) {
+    pub fn apply_changes(&self, changes: Vec<ObjectChange>, revision: StoreRevision) {
         for change in changes {
             if change.deleted {
                 let known = self.objects.borrow().get(&change.object.name).cloned();
@@ -267,13 +279,15 @@
     /// Returns the changes of the fleet after a revision, for a node that follows this one, or
     /// `None` if there are none. If an object was removed after that revision, or the revision is
     /// 0, it returns all objects, so that the follower removes the others.
-    pub fn fleet_changes_after(&self, revision: u64) -> Option<FollowedChanges> {
+    pub fn fleet_changes_after(&self, revision: StoreRevision) -> Option<FollowedChanges> {
         let reached = self.fleet_revision.get();
         if reached <= revision {
             return None;
         }
 
-        let complete = revision == 0 || self.removed_revision.get() > revision;
+        let complete = revision.era < reached.era
+            || self.removed_revision.get() > revision
+            || revision == StoreRevision::ZERO;
         let objects = self.objects.borrow();
         let changed = objects
             .values()
@@ -287,7 +301,7 @@
     }
 
     /// Returns the configuration if it is newer than a revision, for a node that follows this one.
-    pub fn config_change_after(&self, revision: u64) -> Option<FollowedChanges> {
+    pub fn config_change_after(&self, revision: StoreRevision) -> Option<FollowedChanges> {
         let object = self.config_object.borrow().clone()?;
 
         (object.revision > revision).then(|| FollowedChanges {
@@ -319,7 +333,7 @@
     }
 
     /// Records that all changes of the fleet up to a revision are known.
-    fn advance_revision(&self, revision: u64) {
+    fn advance_revision(&self, revision: StoreRevision) {
         if revision > self.fleet_revision.get() {
             self.fleet_revision.set(revision);
             self.changed.notify(usize::MAX);
@@ -381,7 +395,7 @@
             Ok(record) => {
                 info!(
                     event = "node-seen", node = %record.node, service = %record.service,
-                    ready = record.ready, revision = object.revision
+                    ready = record.ready, revision = %object.revision
                 );
                 self.nodes
                     .borrow_mut()
@@ -400,7 +414,7 @@
                 info!(
                     event = "table-seen",
                     service,
-                    revision = object.revision,
+                    revision = %object.revision,
                     rows = table.rows.len(),
                     next_token = table.next_token
                 );
@@ -419,7 +433,7 @@
     }
 
     /// Removes an object that was deleted at or before a revision.
-    fn remove(&self, name: &Arc<str>, revision: u64) {
+    fn remove(&self, name: &Arc<str>, revision: StoreRevision) {
         if self.objects.borrow_mut().remove(name).is_none() {
             return;
         }
--- a/crates/sidecar/src/watching.rs
+++ b/crates/sidecar/src/watching.rs
@@ -11,6 +11,7 @@
     sync::Arc,
     time::Duration,
 };
+use wagtail_core::objects::StoreRevision;
 
 /// `WatchRelay` passes the changes that this node receives from the store on to other nodes. Clones
 /// share their state.
@@ -59,7 +60,7 @@
     pub async fn changes_after(
         &self,
         kind: &str,
-        revision: u64,
+        revision: StoreRevision,
         wait: Duration,
     ) -> Option<FollowedChanges> {
         let is_watching = || !self.stopped.get() && self.watched.borrow().contains(kind);
--- a/crates/sidecar/tests/proxy.rs
+++ b/crates/sidecar/tests/proxy.rs
@@ -7,7 +7,7 @@
 use wagtail_core::{
     heartbeat::{HeartbeatReply, TargetHeartbeat, TargetIncarnation},
     notice::RequestRate,
-    objects::StoredObject,
+    objects::{StoreRevision, StoredObject},
     routing::{RequestKind, RoutingConfig, ServiceEntry},
 };
 use wagtail_net::clock;
@@ -305,7 +305,7 @@
     };
     let object = StoredObject {
         name: Arc::from("main"),
-        revision: 1,
+        revision: StoreRevision::new(0, 1),
         content: Arc::from(""),
     };
     view.apply_config(&object, &config);
--- a/crates/sidecar/tests/view.rs
+++ b/crates/sidecar/tests/view.rs
@@ -4,7 +4,7 @@
 use futures_util::future::join;
 use std::{sync::Arc, time::Duration};
 use wagtail_core::{
-    objects::{ObjectChange, StoredObject},
+    objects::{ObjectChange, StoreRevision, StoredObject},
     routing::RoutingConfig,
     units::LocalMoment,
 };
@@ -21,17 +21,22 @@
     LocalMoment::from_millis(millis)
 }
 
+/// Returns the revision with the given number in the first era.
+fn revision(number: u64) -> StoreRevision {
+    StoreRevision::new(0, number)
+}
+
 /// Creates a stored object.
-fn object(name: &str, revision: u64, content: impl Into<Arc<str>>) -> StoredObject {
+fn object(name: &str, number: u64, content: impl Into<Arc<str>>) -> StoredObject {
     StoredObject {
         name: Arc::from(name),
-        revision,
+        revision: revision(number),
         content: content.into(),
     }
 }
 
 /// Creates the stored object of a node record.
-fn record(node: &str, revision: u64, ready: bool) -> StoredObject {
+fn record(node: &str, number: u64, ready: bool) -> StoredObject {
     let record = NodeRecord {
         node: Arc::from(node),
         zone: Arc::from("a"),
@@ -44,7 +49,7 @@
 
     object(
         &record_name(node),
-        revision,
+        number,
         serde_json::to_string(&record).unwrap(),
     )
 }
@@ -57,24 +62,60 @@
 
     assert!(!view.node("n1").unwrap().ready);
 
-    view.apply_list(vec![record("n1", 9, true)], 9);
+    view.apply_list(vec![record("n1", 9, true)], revision(9));
     assert!(view.node("n1").unwrap().ready);
-    view.apply_list(Vec::new(), 8);
+    view.apply_list(Vec::new(), revision(8));
     assert!(view.node("n1").is_some());
 }
 
+/// Guards against a view that stays on what the store lost: it returned from a copy, and its revisions
+/// are lower than before.
+#[test]
+fn a_list_of_a_later_era_replaces_what_is_known_and_one_of_an_earlier_era_does_not() {
+    let view = FleetView::default();
+    view.apply_list(
+        vec![record("n1", 9, true), record("n2", 9, true)],
+        revision(9),
+    );
+
+    let mut returned = record("n1", 5, false);
+    returned.revision = StoreRevision::new(1, 5);
+    view.apply_list(vec![returned], StoreRevision::new(1, 6));
+    assert!(!view.node("n1").unwrap().ready);
+    assert!(view.node("n2").is_none());
+
+    view.apply_list(vec![record("n2", 30, true)], revision(30));
+    assert!(view.node("n2").is_none());
+    assert_eq!(view.versions().fleet, StoreRevision::new(1, 5));
+}
+
+/// Guards against a follower that keeps what the store lost: it knows higher revisions of the era
+/// before than there are in the present one.
+#[test]
+fn a_follower_of_an_earlier_era_gets_all_objects() {
+    let view = FleetView::default();
+    view.apply_list(vec![record("n1", 5, true)], StoreRevision::new(1, 6));
+
+    let changes = view.fleet_changes_after(revision(40)).unwrap();
+    assert!(changes.complete);
+    assert_eq!(changes.objects.len(), 1);
+}
+
 #[test]
 fn a_list_without_a_node_and_a_deletion_remove_it() {
     let view = FleetView::default();
-    view.apply_list(vec![record("n1", 5, true), record("n2", 6, true)], 6);
-    view.apply_list(vec![record("n2", 6, true)], 8);
+    view.apply_list(
+        vec![record("n1", 5, true), record("n2", 6, true)],
+        revision(6),
+    );
+    view.apply_list(vec![record("n2", 6, true)], revision(8));
     assert!(view.node("n1").is_none());
 
     let change = ObjectChange {
         object: record("n2", 9, true),
         deleted: true,
     };
-    view.apply_changes(vec![change], 9);
+    view.apply_changes(vec![change], revision(9));
     assert!(view.nodes_of("rooms").is_empty());
 }
 
@@ -117,16 +158,24 @@
     let view = FleetView::default();
     view.apply_object(record("n1", 5, true));
     view.record_peer_versions(
+        &Arc::from("n9"),
         KnownVersions {
             config: 0,
-            fleet: 5,
+            fleet: revision(5),
         },
         at(100),
     );
     assert_eq!(view.fleet_behind_since(), None);
 
     for (millis, fleet) in [(200, 8), (300, 8)] {
-        view.record_peer_versions(KnownVersions { config: 0, fleet }, at(millis));
+        view.record_peer_versions(
+            &Arc::from("n9"),
+            KnownVersions {
+                config: 0,
+                fleet: revision(fleet),
+            },
+            at(millis),
+        );
     }
     let since = view.fleet_behind_since().unwrap();
     assert_eq!(at(500).since(since), Duration::from_millis(300));
@@ -140,12 +189,13 @@
 #[test]
 fn a_deleted_object_that_others_knew_is_not_missed() {
     let view = FleetView::default();
-    view.apply_list(vec![record("n1", 5, true)], 12);
+    view.apply_list(vec![record("n1", 5, true)], revision(12));
 
     view.record_peer_versions(
+        &Arc::from("n9"),
         KnownVersions {
             config: 0,
-            fleet: 9,
+            fleet: revision(9),
         },
         at(100),
     );
@@ -162,9 +212,9 @@
     for step in 0..10 {
         let versions = KnownVersions {
             config: 10 + step,
-            fleet: 20 + step,
+            fleet: revision(20 + step),
         };
-        view.record_peer_versions(versions, at(1_000 + step * 80));
+        view.record_peer_versions(&Arc::from("n9"), versions, at(1_000 + step * 80));
     }
 
     assert_eq!(view.config_behind_since(), Some(at(1_000)));
@@ -199,27 +249,36 @@
 #[test]
 fn a_follower_gets_only_changes_but_all_objects_after_a_deletion() {
     let view = FleetView::default();
-    view.apply_list(vec![record("n1", 5, true), record("n2", 7, true)], 8);
+    view.apply_list(
+        vec![record("n1", 5, true), record("n2", 7, true)],
+        revision(8),
+    );
 
-    assert_eq!(view.fleet_changes_after(8), None);
-    let changed = view.fleet_changes_after(6).unwrap();
-    assert_eq!((changed.revision, changed.complete), (8, false));
+    assert_eq!(view.fleet_changes_after(revision(8)), None);
+    let changed = view.fleet_changes_after(revision(6)).unwrap();
+    assert_eq!((changed.revision, changed.complete), (revision(8), false));
     assert_eq!(changed.objects, vec![record("n2", 7, true)]);
 
     let deletion = ObjectChange {
         object: record("n1", 9, true),
         deleted: true,
     };
-    view.apply_changes(vec![deletion], 9);
-    let changed = view.fleet_changes_after(8).unwrap();
-    assert_eq!((changed.revision, changed.complete), (9, true));
+    view.apply_changes(vec![deletion], revision(9));
+    let changed = view.fleet_changes_after(revision(8)).unwrap();
+    assert_eq!((changed.revision, changed.complete), (revision(9), true));
 
     let follower = FleetView::default();
-    follower.apply_list(vec![record("n1", 5, true), record("n2", 7, true)], 8);
+    follower.apply_list(
+        vec![record("n1", 5, true), record("n2", 7, true)],
+        revision(8),
+    );
     follower.apply_followed(changed);
     assert!(follower.node("n1").is_none());
     assert!(follower.node("n2").is_some());
-    assert_eq!(follower.fleet_changes_after(8).unwrap().revision, 9);
+    assert_eq!(
+        follower.fleet_changes_after(revision(8)).unwrap().revision,
+        revision(9)
+    );
 }
 
 /// Guards against the loss of a write: a list that was made before a write of this node arrives
@@ -229,9 +288,9 @@
     let view = FleetView::default();
     view.apply_object(record("n1", 9, true));
 
-    view.apply_list(vec![record("n2", 4, true)], 8);
+    view.apply_list(vec![record("n2", 4, true)], revision(8));
     assert!(view.node("n1").is_some());
-    view.apply_list(vec![record("n2", 4, true)], 10);
+    view.apply_list(vec![record("n2", 4, true)], revision(10));
     assert!(view.node("n1").is_none());
 }
 
@@ -239,23 +298,32 @@
 fn a_node_that_does_not_watch_or_shuts_down_relays_nothing() {
     Runtime::new().unwrap().block_on(async {
         let view = FleetView::default();
-        view.apply_list(vec![record("n1", 5, true)], 8);
+        view.apply_list(vec![record("n1", 5, true)], revision(8));
         let relay = WatchRelay::new(view.clone());
         let wait = Duration::from_millis(20);
 
-        assert_eq!(relay.changes_after(FLEET_KIND, 0, wait).await, None);
+        assert_eq!(
+            relay.changes_after(FLEET_KIND, revision(0), wait).await,
+            None
+        );
         relay.set_watched(FLEET_KIND, true);
-        let all = relay.changes_after(FLEET_KIND, 0, wait).await.unwrap();
-        assert_eq!((all.revision, all.objects.len()), (8, 1));
-        let none = relay.changes_after(FLEET_KIND, 8, wait).await.unwrap();
-        assert_eq!((none.revision, none.objects.len()), (8, 0));
+        let all = relay
+            .changes_after(FLEET_KIND, revision(0), wait)
+            .await
+            .unwrap();
+        assert_eq!((all.revision, all.objects.len()), (revision(8), 1));
+        let none = relay
+            .changes_after(FLEET_KIND, revision(8), wait)
+            .await
+            .unwrap();
+        assert_eq!((none.revision, none.objects.len()), (revision(8), 0));
 
         let later = relay.clone();
         let stop = async move {
             sleep(wait).await;
             later.stop();
         };
-        let waiting = relay.changes_after(FLEET_KIND, 8, Duration::from_secs(20));
+        let waiting = relay.changes_after(FLEET_KIND, revision(8), Duration::from_secs(20));
         let (changes, ()) = join(waiting, stop).await;
         assert_eq!(changes, None);
     });
