Find silent connections to the store in time

Callers saw a route refused with 404 over 3 s after the connections to the store had gone silent and 2 s after the acknowledgement. Cause: a watch waited for 20 s, and TCP keepalive, where it shows the silence at all, ends it after 3 s; the list that follows may wait another second on an idle connection that is silent too. As the watches of all watchers went silent together, no node found itself behind (no line behind-others for config). A connection to a watching node that fails is tried once more before the node is avoided.

--- a/crates/sidecar/src/directory.rs
+++ b/crates/sidecar/src/directory.rs
@@ -27,8 +27,10 @@
 /// The longest wait of one watch of the fleet. It ends early when another node knows a newer version.
 const FLEET_WATCH_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// The longest wait of one watch of the configuration.
-const CONFIG_WATCH_TIMEOUT: Duration = Duration::from_secs(20);
+/// The longest wait of one watch of the configuration. A connection that went silent shows only as a
+/// response that does not come. It must be found, and the configuration listed, within the three
+/// seconds after which a failure no longer excuses an old configuration.
+const CONFIG_WATCH_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The longest time for which a node waits for changes from another one.
 const FOLLOW_TIMEOUT: Duration = Duration::from_secs(20);
@@ -287,7 +289,11 @@
     /// Waits for changes that a watching node passes on and applies them. Returns the revision to
     /// continue from.
     async fn follow(&self, node: &Arc<str>, revision: StoreRevision) -> Result<StoreRevision> {
-        let response = self.ask_for_changes(node, revision).await?;
+        let response = match self.ask_for_changes(node, revision).await? {
+            // The connection may have gone silent or been closed, which says nothing of the node.
+            Err(_) => self.ask_for_changes(node, revision).await?,
+            response => response,
+        };
 
         let failure = match response {
             Ok(ReplyBody::Changes(Some(changes))) => {
