A node that lacks a configuration asks the node that has it

Callers saw a started node refuse a route with 404 that all others served. Cause: the store held an older configuration than the other nodes; the node found itself behind, but asked only the store again, ten times a second. Evidence: the test a_node_that_starts_beside_an_older_copy_of_the_store_..., failing before, and its log: behind-others others_config=4, then store-listed, without end.

--- a/crates/sidecar/src/directory.rs
+++ b/crates/sidecar/src/directory.rs
@@ -10,7 +10,7 @@
 };
 use bytes::Bytes;
 use compio::time::{sleep, timeout};
-use futures_util::future::{Either, select};
+use futures_util::future::{Either, join, select};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::{cell::RefCell, collections::BTreeSet, pin::pin, rc::Rc, sync::Arc, time::Duration};
@@ -244,8 +244,18 @@
     }
 
     /// Reads all objects of the kind from the store. Returns the revision of the list.
+    ///
+    /// A node that lacks a configuration asks one that has it as well: the store may hold an older one,
+    /// when it has returned from a copy, or be slower to reach.
     async fn list(&self) -> Result<StoreRevision> {
-        let list = self.options.store.list(self.kind).await?;
+        let list = self.options.store.list(self.kind);
+        let list = match self.followed {
+            FollowedKind::Config => {
+                let newest = self.options.view.newest_config_node();
+                join(list, self.apply_peer_snapshot(newest)).await.0?
+            }
+            FollowedKind::Fleet => list.await?,
+        };
         info!(
             event = "store-listed",
             kind = self.kind,
--- a/crates/sidecar/src/view.rs
+++ b/crates/sidecar/src/view.rs
@@ -85,6 +85,8 @@
     removed_revision: Rc<Cell<StoreRevision>>,
     changed: Rc<Event>,
     peer_versions: Rc<Cell<PeerVersions>>,
+    /// The node that reported the newest version of the configuration.
+    newest_config_node: Rc<RefCell<Option<Arc<str>>>>,
 }
 
 /// `PeerVersions` holds the newest versions that other nodes reported, and since when this node has
@@ -119,13 +121,16 @@
             .era
     }
 
+    /// Returns the node that reported the newest version of the configuration, while this node has an
+    /// older one in force.
+    pub fn newest_config_node(&self) -> Option<Arc<str>> {
+        self.config_behind_since()?;
+
+        self.newest_config_node.borrow().clone()
+    }
+
     /// Records the versions that another node reported at the given moment.
-    pub fn record_peer_versions(
-        &self,
-        _node: &Arc<str>,
-        versions: KnownVersions,
-        now: LocalMoment,
-    ) {
+    pub fn record_peer_versions(&self, node: &Arc<str>, versions: KnownVersions, now: LocalMoment) {
         let mut peer_versions = self.peer_versions.get();
         let known = KnownVersions {
             config: self.versions().config,
@@ -134,6 +139,9 @@
 
         // In a series of changes the time counts from the first missing one: changes in quick
         // succession must not restart it.
+        if versions.config > known.config && versions.config >= peer_versions.versions.config {
+            *self.newest_config_node.borrow_mut() = Some(Arc::clone(node));
+        }
         if versions.config > peer_versions.versions.config {
             if peer_versions.versions.config <= known.config {
                 peer_versions.config_missing_since = now;
