A response of the store that keeps arriving does not time out

A long configuration over a narrow link took more than the second that a whole read was given, was dropped and read again from the start.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -286,6 +286,37 @@
         Ok(Bytes::from(body_bytes))
     }
 
+    /// Reads the rest of the body, up to `limit` bytes. Returns `None` when a piece of it does not
+    /// arrive within `piece_timeout`, or the whole not within `total_timeout`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the verdict `Unknown` when the connection closes early or the body is larger than
+    /// `limit`.
+    pub async fn read_body_within(
+        &mut self,
+        limit: usize,
+        piece_timeout: Duration,
+        total_timeout: Duration,
+    ) -> Result<Option<Bytes>> {
+        let deadline = clock::now() + total_timeout;
+        let mut body_bytes = Vec::new();
+
+        loop {
+            let time_left = deadline.since(clock::now()).min(piece_timeout);
+            let Ok(next) = timeout(time_left, self.next()).await else {
+                return Ok(None);
+            };
+            let Some(chunk) = next? else {
+                return Ok(Some(Bytes::from(body_bytes)));
+            };
+            if body_bytes.len() + chunk.len() > limit {
+                return Err(self.too_large(limit));
+            }
+            body_bytes.extend_from_slice(&chunk);
+        }
+    }
+
     /// Returns the error for a body that is larger than `limit` bytes.
     fn too_large(&self, limit: usize) -> CoreError {
         CoreError::unavailable(
