A second SIGTERM does not end the process with its requests in flight

Callers saw connections close without a response round SIGTERM (LOST). Cause: the signal library restores the default action whenever nobody waits for the signal, which was so from the first SIGTERM on; a second one, or a SIGHUP while the settings were read, ended the process at once. A peer of that process answers 502 node-lost to what it had passed on, as in the users' record. Two tasks now wait for each signal, so that one always does, and SIGTERM is handled before the node listens. wagtaild states that a second signal ends it, so it stays.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod client;
 pub mod clock;
 pub mod server;
+pub mod signals;
 pub mod stop;
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -32,6 +32,7 @@
 use wagtail_net::{
     clock,
     server::{self, ConnectionLimits, HttpHandler},
+    signals,
     stop::StopSignal,
 };
 use wagtail_shard::keeper::KeeperOptions;
@@ -103,6 +104,7 @@
     lines: Rc<dyn DroppedLines>,
     seed: u64,
 ) -> Result<()> {
+    let stop_requested = handle_stop_signal();
     let settings = Rc::new(settings);
     let context = NodeContext::new(Rc::clone(&settings), dialect, store, seed);
     let servers = start(&context).await?;
@@ -112,14 +114,35 @@
         service = %settings.service, target = %settings.target
     );
 
-    if let Err(error) = compio::signal::unix::signal(SIGTERM).await {
-        warn!(event = "signal-not-received", reason = %error);
-    }
+    stop_requested.wait().await;
     stop(&context, servers).await;
 
     Ok(())
 }
 
+/// Handles SIGTERM from now on, and returns the signal that it triggers. Further ones are logged only, as
+/// the shutdown is limited in time anyway.
+fn handle_stop_signal() -> StopSignal {
+    let requested = StopSignal::new();
+    let (on_receipt, on_failure) = (requested.clone(), requested.clone());
+
+    signals::on_signal(
+        SIGTERM,
+        move || {
+            if on_receipt.is_triggered() {
+                info!(event = "signal-repeated", signal = SIGTERM);
+            }
+            on_receipt.trigger();
+        },
+        move |error| {
+            warn!(event = "signal-not-received", signal = SIGTERM, reason = %error);
+            on_failure.trigger();
+        },
+    );
+
+    requested
+}
+
 /// `NodeListeners` holds the sockets that the node listens on.
 #[derive(Debug)]
 struct NodeListeners {
