A silent node is not given up while its target may work on a request

Cause: a repeatable request left a link that had been silent for 450 ms; where no other target or attempt was left, its caller got a failure at once. A node without processor time for a moment is silent for as long. Evidence: a_stopped_peer_does_not_end_requests_at_which_its_target_works, failing before with 502 after 0.57 s.

--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -58,10 +58,13 @@
 
 /// `SilencePolicy` decides what a request does when its connection is suspected, that is, has been
 /// silent for too long.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone)]
 pub enum SilencePolicy {
-    /// Fails at once; for requests that may be repeated elsewhere.
+    /// Fails at once; for requests whose response is of no use later.
     FailFast,
+    /// Triggers the signal and waits for the response until the connection is closed; for requests
+    /// that may be repeated elsewhere meanwhile.
+    Report(StopSignal),
     /// Waits for the response until the connection is closed.
     Wait,
 }
@@ -144,16 +147,21 @@
             let response = response.await.map_err(|error| self.stream_error(&error))?;
             self.answer(response).await
         });
-        if policy == SilencePolicy::Wait {
-            return answer.await;
-        }
+        let answer = match select(answer, pin!(suspected.wait())).await {
+            Either::Left((answer, _)) => return answer,
+            Either::Right(((), answer)) => answer,
+        };
 
-        match select(answer, pin!(suspected.wait())).await {
-            Either::Left((answer, _)) => answer,
-            Either::Right(((), _)) => Err(CoreError::unavailable(
+        match policy {
+            SilencePolicy::FailFast => Err(CoreError::unavailable(
                 format!("{}: the peer is silent", self.address),
                 RunVerdict::Unknown,
             )),
+            SilencePolicy::Report(report) => {
+                report.trigger();
+                answer.await
+            }
+            SilencePolicy::Wait => answer.await,
         }
     }
 
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -12,11 +12,17 @@
 };
 use bytes::Bytes;
 use compio::time::{sleep, timeout};
+use futures_util::{
+    StreamExt,
+    future::{Either, pending, select},
+    stream::FuturesUnordered,
+};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::{
     cell::RefCell,
     collections::{HashMap, HashSet},
+    pin::pin,
     rc::Rc,
     sync::Arc,
     time::Duration,
@@ -29,8 +35,8 @@
     units::LocalMoment,
     verdict::RunVerdict,
 };
-use wagtail_net::clock;
-use wagtail_peer::answer::PeerResponse;
+use wagtail_net::{clock, stop::StopSignal};
+use wagtail_peer::{answer::PeerResponse, link::SilencePolicy};
 use wagtail_route::{
     BudgetOptions, RetryBudget,
     pick::{LoadReport, PickCandidate, PickOptions, TargetPicker, may_ask_holder},
@@ -116,10 +122,33 @@
     /// The reason of the last attempt that may have run.
     may_have_run: Option<Arc<str>>,
     refusal: Option<NotRunFields>,
+    /// The number of attempts in flight whose node has fallen silent.
+    silent: u32,
     /// The node that the last refusal named as the holder of the key.
     holder_hint: Option<Arc<str>>,
 }
 
+impl ForwardAttempts {
+    /// Returns the number of attempts that reached a target, or may have.
+    fn at_targets(&self) -> u32 {
+        self.target_attempts + self.silent
+    }
+
+    /// Returns whether the request may have run.
+    fn may_have_run(&self) -> bool {
+        self.may_have_run.is_some() || self.silent > 0
+    }
+}
+
+/// `EndedAttempt` is an attempt whose node has replied or is lost.
+#[derive(Debug)]
+struct EndedAttempt {
+    node: Arc<str>,
+    /// The number of attempts before this one.
+    ordinal: usize,
+    response: Result<PeerResponse<PeerReply>, CoreError>,
+}
+
 /// `RequestForwarder` sends requests to the nodes of their targets, within a retry budget for each
 /// service.
 #[derive(Debug)]
@@ -171,37 +200,110 @@
     }
 
     /// Sends a request to one node after another until it has a response or must be given up.
+    ///
+    /// A node that falls silent may still be at work on the request. Another node may be asked
+    /// meanwhile, but the silent one is not given up before its connection is closed.
     pub async fn forward(&self, job: &ForwardJob) -> ForwardOutcome {
         self.with_budget(&job.dispatch_head.service, RetryBudget::deposit);
         let mut attempts = ForwardAttempts::default();
+        let mut in_flight = FuturesUnordered::new();
+        // The attempt that is not silent, by its ordinal, with the signal that it has fallen silent.
+        let mut heard: Option<(usize, StopSignal)> = None;
 
         loop {
-            let Some(node) = self.next_node(job, &attempts) else {
-                return self.give_up(job, attempts);
-            };
-            let is_retry = attempts.target_attempts > 0;
-            if is_retry && !self.may_retry(job, &attempts) {
+            if heard.is_none()
+                && let Some(node) = self.next_attempt(job, &attempts)
+            {
+                let silence = StopSignal::new();
+                let ordinal = job.asked.borrow().len();
+                job.asked.borrow_mut().push(Arc::clone(&node));
+                self.picker.borrow_mut().sent(&node);
+                in_flight.push(self.attempt(job, node, ordinal, silence.clone()));
+                heard = Some((ordinal, silence));
+            }
+            if in_flight.is_empty() {
                 return self.give_up(job, attempts);
             }
 
-            job.asked.borrow_mut().push(Arc::clone(&node));
-            if let Some(outcome) = self.attempt(job, &node, &mut attempts).await {
+            let ended = {
+                let silenced = async {
+                    match &heard {
+                        Some((_, silence)) => silence.wait().await,
+                        None => pending().await,
+                    }
+                };
+                match select(in_flight.next(), pin!(silenced)).await {
+                    Either::Left((ended, _)) => ended,
+                    Either::Right(((), _)) => None,
+                }
+            };
+
+            let Some(ended) = ended else {
+                heard = None;
+                self.record_silence(job, &mut attempts);
+                continue;
+            };
+            if heard
+                .take_if(|(ordinal, _)| *ordinal == ended.ordinal)
+                .is_none()
+            {
+                attempts.silent = attempts.silent.saturating_sub(1);
+            }
+            if let Some(outcome) = self.record_attempt(job, ended, &mut attempts) {
                 return outcome;
             }
         }
     }
 
-    /// Sends a request to one node. Returns `None` if the caller may try another one.
+    /// Returns the node to send a request to now, or `None` if no further attempt may be made.
+    fn next_attempt(&self, job: &ForwardJob, attempts: &ForwardAttempts) -> Option<Arc<str>> {
+        let node = self.next_node(job, attempts)?;
+        let is_retry = attempts.at_targets() > 0;
+
+        (!is_retry || self.may_retry(job, attempts)).then_some(node)
+    }
+
+    /// Sends a request to one node and waits for its reply. Triggers `silence` when the node falls
+    /// silent, if another one may be asked meanwhile.
     async fn attempt(
         &self,
         job: &ForwardJob,
-        node: &Arc<str>,
+        node: Arc<str>,
+        ordinal: usize,
+        silence: StopSignal,
+    ) -> EndedAttempt {
+        let response = self.send(job, &node, silence).await;
+
+        EndedAttempt {
+            node,
+            ordinal,
+            response,
+        }
+    }
+
+    /// Records that the node that was asked last has fallen silent.
+    fn record_silence(&self, job: &ForwardJob, attempts: &mut ForwardAttempts) {
+        let Some(node) = job.asked.borrow().last().cloned() else {
+            return;
+        };
+
+        attempts.silent += 1;
+        self.picker.borrow_mut().unreachable(&node, clock::now());
+        self.probe(&node);
+        tracing::info!(
+            event = "node-silent", request_id = %job.dispatch_head.id, node = %node
+        );
+    }
+
+    /// Records how an attempt ended. Returns the outcome of the request if that was its last one.
+    fn record_attempt(
+        &self,
+        job: &ForwardJob,
+        ended: EndedAttempt,
         attempts: &mut ForwardAttempts,
     ) -> Option<ForwardOutcome> {
-        self.picker.borrow_mut().sent(node);
-        let response = self.send(job, node).await;
-
-        let response = match response {
+        let node = &ended.node;
+        let response = match ended.response {
             Ok(response) => response,
             Err(error) => {
                 self.picker.borrow_mut().unreachable(node, clock::now());
@@ -311,11 +413,13 @@
         }
     }
 
-    /// Sends a request to a node, which may be this one, and waits for the head of its reply.
+    /// Sends a request to a node, which may be this one, and waits for the head of its reply. Triggers
+    /// `silence` when the node falls silent and the request may be repeated.
     async fn send(
         &self,
         job: &ForwardJob,
         node: &Arc<str>,
+        silence: StopSignal,
     ) -> Result<PeerResponse<PeerReply>, CoreError> {
         let now = clock::now();
         let dispatch_head = DispatchHead {
@@ -333,10 +437,15 @@
         } else {
             WorkClass::Short
         };
+        let policy = if job.route.kind.is_idempotent() {
+            SilencePolicy::Report(silence)
+        } else {
+            SilencePolicy::Wait
+        };
         let request = PeerRequest::Dispatch(Box::new(dispatch_head));
 
         self.links
-            .ask(node, &request, class, job.body.clone())
+            .exchange(node, &request, class, policy, job.body.clone())
             .await
     }
 
@@ -392,7 +501,7 @@
         let may_ask = may_ask_holder(
             &job.asked.borrow(),
             &node,
-            attempts.may_have_run.is_some(),
+            attempts.may_have_run(),
             job.route.kind.is_idempotent(),
         );
 
@@ -402,10 +511,10 @@
     /// Returns whether a request that reached a target may be retried, and takes the retry out of
     /// the budget if so.
     fn may_retry(&self, job: &ForwardJob, attempts: &ForwardAttempts) -> bool {
-        let cannot_have_run = attempts.may_have_run.is_none();
+        let cannot_have_run = !attempts.may_have_run();
 
         (cannot_have_run || job.route.kind.is_idempotent())
-            && attempts.target_attempts < job.route.max_attempts
+            && attempts.at_targets() < job.route.max_attempts
             && self.with_budget(&job.dispatch_head.service, RetryBudget::withdraw)
     }
 
--- a/crates/sidecar/src/links.rs
+++ b/crates/sidecar/src/links.rs
@@ -30,7 +30,7 @@
     }
 
     /// Sends a request to a node and waits for the head of its reply. Records the versions that the
-    /// reply carries.
+    /// reply carries. Fails at once when the node is suspected to be lost.
     ///
     /// # Errors
     ///
@@ -42,6 +42,25 @@
         request: &PeerRequest,
         class: WorkClass,
         body: Bytes,
+    ) -> Result<PeerResponse<PeerReply>> {
+        self.exchange(node, request, class, SilencePolicy::FailFast, body)
+            .await
+    }
+
+    /// Sends a request to a node and waits for the head of its reply, as [`Self::ask`], with a policy
+    /// for a node that is suspected to be lost.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the node has no record, or when the exchange fails. The verdict of the error
+    /// tells whether the request may have run.
+    pub async fn exchange(
+        &self,
+        node: &Arc<str>,
+        request: &PeerRequest,
+        class: WorkClass,
+        policy: SilencePolicy,
+        body: Bytes,
     ) -> Result<PeerResponse<PeerReply>> {
         let record = self.view.node(node).ok_or_else(|| {
             CoreError::unavailable(format!("{node} has no record"), RunVerdict::NotRun)
@@ -49,7 +68,7 @@
 
         let response: PeerResponse<PeerReply> = self
             .link(record.peers)
-            .exchange(request, class, silence_policy(request), body)
+            .exchange(request, class, policy, body)
             .await?;
         self.view
             .record_peer_versions(node, response.head.versions, clock::now());
@@ -67,14 +86,3 @@
         Rc::clone(link)
     }
 }
-
-/// Returns whether a request waits on a suspected connection or fails at once. Only a dispatched
-/// request that may not be retried waits.
-fn silence_policy(request: &PeerRequest) -> SilencePolicy {
-    match request {
-        PeerRequest::Dispatch(dispatch_head) if !dispatch_head.kind.is_idempotent() => {
-            SilencePolicy::Wait
-        }
-        _ => SilencePolicy::FailFast,
-    }
-}
