Responses without end are bounded in memory and time

With interim responses without end, requests to other targets timed out: the HTTP library reads them in one turn of the node's only thread. A body without end went on for as long as its caller stayed, and one that trickled held its slot.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -1,6 +1,9 @@
 //! An HTTP/1.1 client with a connection pool.
 
-use crate::clock;
+use crate::{
+    clock,
+    head_limit::{HeadBudget, HeadLimitedStream},
+};
 use bytes::Bytes;
 use compio::{net::TcpStream, runtime::JoinHandle, time::timeout};
 use cyper_core::HyperStream;
@@ -59,6 +62,7 @@
     sender: SendRequest<Full<Bytes>>,
     /// The task that drives the connection; dropping the handle cancels it.
     driver: JoinHandle<()>,
+    head_budget: HeadBudget,
     idle_since: LocalMoment,
     /// How long the connection may be idle and still be reused.
     max_idle: Duration,
@@ -119,7 +123,9 @@
     /// sent, and with `Unknown` when some of its bytes may have been sent.
     pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<PooledResponse> {
         let mut connection = self.connection().await?;
+        connection.head_budget.begin();
         let response = connection.sender.send_request(request).await;
+        connection.head_budget.end();
 
         let response = response.map_err(|error| {
             // Canceled means that the connection closed before the request left this process.
@@ -193,6 +199,8 @@
             enable_keep_alive(&stream, interval).map_err(|error| connect_error(&error))?;
         }
 
+        let head_budget = HeadBudget::default();
+        let stream = HeadLimitedStream::new(stream, head_budget.clone());
         let (sender, connection) = http1::handshake(HyperStream::new_plain(stream))
             .await
             .map_err(|error| connect_error(&error))?;
@@ -203,6 +211,7 @@
         Ok(PooledConnection {
             sender,
             driver,
+            head_budget,
             idle_since: clock::now(),
             max_idle: self.options.max_idle,
         })
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod client;
 pub mod clock;
+mod head_limit;
 pub mod server;
 pub mod signals;
 pub mod stop;
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -1,6 +1,7 @@
 //! The HTTP handlers for callers and for readiness checks.
 
 use crate::{
+    deadline::DeadlineBody,
     forward::{ForwardJob, ForwardOutcome, RequestForwarder},
     messages::{CompletedFields, DispatchHead},
     outcomes::{RequestEnd, RequestRecorder},
@@ -259,7 +260,11 @@
         let outcome = timeout(time_left, self.forwarder.forward(&job)).await;
 
         let (response, reason): (_, Option<Arc<str>>) = match outcome {
-            Ok(ForwardOutcome::Completed { fields, body }) => forwarded_response(&fields, body),
+            Ok(ForwardOutcome::Completed { fields, body }) => {
+                let id = Arc::clone(&job.dispatch_head.id);
+                let body = DeadlineBody::new(id, body, job.deadline);
+                forwarded_response(&fields, Box::new(body))
+            }
             Ok(ForwardOutcome::NotRun { reason, pause }) => (
                 plain_response(StatusCode::SERVICE_UNAVAILABLE, &reason, Some(pause)),
                 Some(reason),
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -24,6 +24,7 @@
 //! - [`planning`]: the task that distributes the keys of a service over its targets.
 //! - [`run`]: starts a node, runs it and shuts it down.
 
+mod deadline;
 pub mod directory;
 pub mod forward;
 pub mod front;
--- a/crates/sidecar/src/proxy/dispatch.rs
+++ b/crates/sidecar/src/proxy/dispatch.rs
@@ -6,6 +6,7 @@
     slots::{SlotBody, SlotGuard},
 };
 use crate::{
+    deadline::DeadlineBody,
     messages::{DispatchHead, NotRunFields, PeerReply},
     ports::{RequestFields, ResponseFields},
 };
@@ -71,7 +72,7 @@
             self.record_notice(&life, &fields, is_latest);
         }
 
-        self.classify_response(dispatch_head, response, &fields, guard)
+        self.classify_response(dispatch_head, response, &fields, deadline, guard)
             .await
     }
 
@@ -83,6 +84,7 @@
         dispatch_head: &DispatchHead,
         mut response: PooledResponse,
         fields: &ResponseFields,
+        deadline: LocalMoment,
         guard: SlotGuard,
     ) -> PeerResponse<PeerReply> {
         let parts = response.parts();
@@ -117,15 +119,19 @@
                 response,
                 guard: Some(guard),
             };
+            let id = Arc::clone(&dispatch_head.id);
+            let body = DeadlineBody::new(id, Box::new(body), deadline);
             return self.relayed_response(status, headers, Box::new(body));
         }
 
-        match read_whole(&mut response).await {
-            Ok(whole) => {
+        let time_left = deadline.since(clock::now());
+        match timeout(time_left, read_whole(&mut response)).await {
+            Ok(Ok(whole)) => {
                 drop(guard);
                 self.relayed_response(status, headers, Box::new(WholeBody::new(whole)))
             }
-            Err(error) => {
+            Err(_elapsed) => self.failed(dispatch_head, "target-too-late", "the body did not end"),
+            Ok(Err(error)) => {
                 self.record_result(true);
                 self.failed(dispatch_head, "answer-cut-short", &error.to_string())
             }
