A node in its shutdown starts no requests that it cannot finish

Cause: a node refused requests of other nodes only when its own callers had been served; one that arrived 3.9 s after its SIGTERM started, and was cut off when the process ended at 5.5 s. Requests of other nodes are now refused from the moment at which callers are, 2.4 s after SIGTERM.

--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -433,11 +433,13 @@
     let drain_timeout = context.settings.grace.saturating_sub(SHUTDOWN_MARGIN);
     let drained = timeout(drain_timeout, async {
         sleep(CALLER_DRAIN_TIME.min(drain_timeout / 2)).await;
+        // Requests of other nodes stop with those of callers: while the last callers are served, too
+        // little time may be left to finish what starts.
+        context.proxy.stop();
         servers.callers_stop.trigger();
         // A server that panicked has nothing left in flight.
         drop(servers.callers.await);
 
-        context.proxy.stop();
         context.watching.stop();
         while context.proxy.in_flight() > 0 {
             sleep(DRAIN_POLL_INTERVAL).await;
