Log what each table lets a node grant, and which revision a write of a table expected

grants-changed: life, revision and age of the table, ranges begun and ended with their tokens; only when they change. table-written and table-planned: the expected and the resulting revision, each with its era.

--- a/crates/shard/src/keeper.rs
+++ b/crates/shard/src/keeper.rs
@@ -517,6 +517,14 @@
                 .any(|range| range.from <= key && key <= range.to)
     }
 
+    /// Returns the revision of the last recorded table and the moment at which its read was sent, or
+    /// `None` before the first one.
+    pub fn confirmed_read(&self) -> Option<(StoreRevision, LocalMoment)> {
+        self.confirmed
+            .as_ref()
+            .map(|confirmed| (confirmed.revision, confirmed.read_sent_at))
+    }
+
     /// Returns the ranges of the last grant, whether or not it has lapsed.
     pub fn granted(&self) -> &[GrantedRange] {
         &self.granted
--- a/crates/sidecar/src/heartbeats.rs
+++ b/crates/sidecar/src/heartbeats.rs
@@ -1,6 +1,7 @@
 //! Handles the target's heartbeats and grants it its key ranges in the replies.
 
 use crate::{
+    grant_log::log_grant_changes,
     messages::{StoreCall, StoreOutcome},
     ports::{LocalRequest, WireDialect},
     proxy::TargetProxy,
@@ -195,9 +196,13 @@
             }
         }
 
-        let reply = self
-            .proxy
-            .with_keeper(|keeper| keeper.reply(heartbeat, arrived, clock::now()));
+        let reply = self.proxy.with_keeper(|keeper| {
+            let now = clock::now();
+            let before = keeper.granted().to_vec();
+            let reply = keeper.reply(heartbeat, arrived, now);
+            log_grant_changes(&heartbeat.life, &before, keeper, now);
+            reply
+        });
         if reply.grant.is_none() {
             warn!(event = "grant-withheld", life = %heartbeat.life, sequence = heartbeat.sequence);
         }
@@ -320,10 +325,11 @@
         };
 
         let outcome = self.relay.call(&call).await;
-        if let StoreOutcome::Written(revision) = outcome {
+        if let StoreOutcome::Written(written) = outcome {
+            info!(event = "table-written", expected = %revision, revision = %written);
             self.view.apply_object(StoredObject {
                 name: Arc::clone(name),
-                revision,
+                revision: written,
                 content,
             });
         }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -17,6 +17,7 @@
 //! - [`forward`]: forwards a caller's request to a target, with retries.
 //! - [`front`]: the handlers for callers and for readiness checks.
 //! - [`heartbeats`]: the handler of the target's heartbeats.
+//! - `grant_log`: logs what the replies begin and cease to grant.
 //! - [`record`]: publishes the record of this node.
 //! - [`outcomes`]: log lines and metrics of how requests ended.
 //! - [`metrics`]: the handler that serves metrics to collectors.
@@ -28,6 +29,7 @@
 pub mod directory;
 pub mod forward;
 pub mod front;
+mod grant_log;
 pub mod heartbeats;
 pub mod inbound;
 pub mod links;
--- a/crates/sidecar/src/planning.rs
+++ b/crates/sidecar/src/planning.rs
@@ -190,6 +190,7 @@
                 return;
             }
         };
+        let expected = revision.unwrap_or(StoreRevision::ZERO);
         let call = match revision {
             Some(revision) => StoreCall::Replace {
                 name: Arc::clone(&name),
@@ -204,7 +205,7 @@
 
         match self.relay.call(&call).await {
             StoreOutcome::Written(revision) => {
-                info!(event = "table-planned", %revision, rows = table.rows.len());
+                info!(event = "table-planned", %expected, %revision, rows = table.rows.len());
                 self.view.apply_object(StoredObject {
                     name,
                     revision,
@@ -212,7 +213,7 @@
                 });
             }
             outcome => {
-                info!(event = "table-not-planned", outcome = ?outcome);
+                info!(event = "table-not-planned", %expected, outcome = ?outcome);
                 self.refresh().await;
             }
         }
