Failing tests of OWNER: the storm and named cases with a store that returns from a copy

The storm in virtual time gains a store that returns from a copy 0.5 to 5 s old: the number of the revision goes back and is given out again, the era rises, delayed conditional writes stay in flight and match by number alone.

The planner of the storm now plans from a view that is outdated now and then, as a node's is.

--- a/crates/shard/tests/shard/main.rs
+++ b/crates/shard/tests/shard/main.rs
@@ -4,4 +4,6 @@
 mod departures;
 mod random_faults;
 mod simulation;
+mod store_returns;
+mod storm;
 mod support;
--- a/crates/shard/tests/shard/simulation.rs
+++ b/crates/shard/tests/shard/simulation.rs
@@ -1,8 +1,15 @@
 //! The simulated targets, nodes and store. All times are in milliseconds of virtual time.
 
 use std::{collections::HashMap, sync::Arc};
-use wagtail_core::heartbeat::{GrantedRange, HeartbeatReply, ReleasedRange, TargetHeartbeat};
-use wagtail_shard::{keeper::GrantKeeper, table::RangeTable};
+use wagtail_core::{
+    heartbeat::{GrantedRange, HeartbeatReply, ReleasedRange, TargetHeartbeat},
+    objects::StoreRevision,
+    units::LocalMoment,
+};
+use wagtail_shard::{
+    keeper::{GrantKeeper, KeeperOptions},
+    table::RangeTable,
+};
 
 /// A granted range that a target holds, and the true time at which its hold ends.
 #[derive(Debug, Clone)]
@@ -36,38 +43,125 @@
     pub node_up_at: u64,
     pub node_frozen_until: u64,
     pub store_cut_until: u64,
+    /// Whether the target is leaving; its keys move to others while it works.
+    pub leaving: bool,
     pub messages: Vec<(u64, InFlightMessage)>,
     pub next_free_attempt: u64,
 }
 
-/// A store in which some writes take effect with a delay.
+impl SimulatedVm {
+    /// Starts a new incarnation of the target, which is up at `up_at`.
+    pub fn restart_target(&mut self, up_at: u64) {
+        self.target_up_at = up_at;
+        self.holds.clear();
+        self.released.clear();
+        self.highest_tokens.clear();
+        self.sequence = 0;
+        self.started = up_at.max(self.started + 1);
+        self.leaving = false;
+        self.next_heartbeat = up_at;
+    }
+
+    /// Starts a new process of the node, which is up at `up_at` and remembers nothing.
+    pub fn restart_node(&mut self, up_at: u64) {
+        self.node_up_at = up_at;
+        self.keeper = GrantKeeper::new(
+            Arc::from(self.name.clone()),
+            KeeperOptions::default(),
+            LocalMoment::from_millis(up_at),
+        );
+    }
+}
+
+/// The age up to which the states of the store are kept as copies, in milliseconds.
+const MAX_COPY_AGE_MS: u64 = 12_000;
+
+/// A state of the store: the revision at which the table was written, and the table.
+pub type StoredTable = Option<(StoreRevision, RangeTable)>;
+
+/// A write that takes effect later, without a response.
+#[derive(Debug)]
+pub struct DelayedWrite {
+    pub due: u64,
+    /// The number of the revision that the write expects; the store does not compare eras.
+    pub expected: u64,
+    pub table: RangeTable,
+}
+
+/// A store in which some writes take effect with a delay, and which may return from an older copy.
 #[derive(Debug, Default)]
 pub struct Store {
-    pub table: Option<(u64, RangeTable)>,
-    pub revision: u64,
-    /// The delayed writes: when each takes effect, the revision it expects, and the new table.
-    pub delayed: Vec<(u64, u64, RangeTable)>,
+    pub table: StoredTable,
+    pub era: u64,
+    pub away_until: u64,
+    revision: u64,
+    delayed: Vec<DelayedWrite>,
+    /// The past states: since when each held, its revision and its table.
+    copies: Vec<(u64, u64, StoredTable)>,
 }
 
 impl Store {
-    pub fn write(&mut self, expected: u64, table: RangeTable) -> bool {
-        if self.table.as_ref().map_or(0, |(revision, _)| *revision) != expected {
-            return false;
+    /// Writes the table if it is at the expected number. Returns the revision of the write.
+    pub fn write(&mut self, expected: u64, table: RangeTable, now: u64) -> Option<StoreRevision> {
+        let current = self
+            .table
+            .as_ref()
+            .map_or(0, |(revision, _)| revision.number);
+        if current != expected {
+            return None;
         }
+
         self.revision += 1;
-        self.table = Some((self.revision, table));
-        true
+        let written = StoreRevision::new(self.era, self.revision);
+        self.table = Some((written, table));
+        self.copies.push((now, self.revision, self.table.clone()));
+        Some(written)
     }
 
+    /// Accepts a write that takes effect at `due`, whether or not the store returns from a copy
+    /// before then.
+    pub fn delay(&mut self, due: u64, expected: u64, table: RangeTable) {
+        self.delayed.push(DelayedWrite {
+            due,
+            expected,
+            table,
+        });
+    }
+
+    /// Lets the delayed writes that are due take effect, unless the store is away.
     pub fn settle(&mut self, now: u64) {
+        while self
+            .copies
+            .get(1)
+            .is_some_and(|(since, ..)| since + MAX_COPY_AGE_MS <= now)
+        {
+            self.copies.remove(0);
+        }
+        if now < self.away_until {
+            return;
+        }
+
         let due: Vec<_> = self
             .delayed
-            .extract_if(.., |delayed| delayed.0 <= now)
+            .extract_if(.., |delayed| delayed.due <= now)
             .collect();
-        for (_, expected, table) in due {
-            self.write(expected, table);
+        for write in due {
+            self.write(write.expected, write.table, now);
         }
     }
+
+    /// Returns to the state of `age` milliseconds ago: its revision numbers are given out again.
+    pub fn return_from_copy(&mut self, now: u64, age: u64) {
+        let copy_time = now.saturating_sub(age);
+        self.copies.retain(|(since, ..)| *since <= copy_time);
+        let (_, revision, table) = self.copies.last().cloned().unwrap_or_default();
+
+        self.era += 1;
+        self.revision = revision;
+        self.table =
+            table.map(|(revision, table)| (StoreRevision::new(self.era, revision.number), table));
+        self.copies.push((now, self.revision, self.table.clone()));
+    }
 }
 
 /// Applies a reply at the target: the granted ranges replace the held ones, and held ranges that
