Fencing tokens follow the era and the revision of the store

Cause: next_token is part of the table and goes back with it when the store returns from a copy, so that tokens of the lost span are allocated again, or lower ones follow them.

Evidence: the storm with returns, "key 61485 went from n3 at 68 to n1 at 68"; a_planner_that_is_lost_with_the_return_leaves_one_holder failed with "key 16396 went from n0 at 10 to n2 at 10".

Change: a change of the table begins with the revision that its write expects. Its one token is at least era x 2^40 + number of that revision, at most 2^53 - 1, which every JSON parser keeps exact. Within an era a conditional write takes effect at one revision only, and a later era is above all earlier ones. Era 0 starts from the tokens of today.

The named case of the lost planner passes.

--- a/crates/shard/src/planner.rs
+++ b/crates/shard/src/planner.rs
@@ -7,7 +7,7 @@
 };
 use serde::{Deserialize, Serialize};
 use std::{collections::HashMap, sync::Arc, time::Duration};
-use wagtail_core::{heartbeat::TargetIncarnation, units::LocalMoment};
+use wagtail_core::{heartbeat::TargetIncarnation, objects::StoreRevision, units::LocalMoment};
 
 /// The span of keys from which an unassigned row is divided among several targets.
 const MIN_DIVIDED_SPAN: u16 = 4_096;
@@ -118,15 +118,22 @@
     }
 
     /// Returns the changed table, or `None` if nothing should change. `table` is `None` while the
-    /// service has no table yet.
-    pub fn plan(&mut self, table: Option<&RangeTable>, now: LocalMoment) -> Option<RangeTable> {
+    /// service has no table yet. `revision` is that of the table, or the latest known one of the store
+    /// if there is no table.
+    pub fn plan(
+        &mut self,
+        table: Option<&RangeTable>,
+        revision: StoreRevision,
+        now: LocalMoment,
+    ) -> Option<RangeTable> {
         let candidates = self.candidates(now);
         let Some(table) = table else {
-            return self.first_table(&candidates, now);
+            return self.first_table(&candidates, revision, now);
         };
 
         self.observe(table, now);
         let mut next = table.clone();
+        next.begin_change(revision);
         self.revoke_lost(&mut next, now);
         self.free_expired(&mut next, now);
         if !candidates.is_empty() {
@@ -137,7 +144,7 @@
         }
         next.compact();
 
-        (next != *table).then_some(next)
+        (next.rows != table.rows).then_some(next)
     }
 
     /// Returns the ready targets on nodes that respond, sorted by holder; only these receive keys.
@@ -172,7 +179,12 @@
     /// Returns the first table, with the keys divided by capacity, or `None` while it waits for
     /// `discovery_window` and for a status from each member. It waits at most three windows once
     /// there is a candidate.
-    fn first_table(&self, candidates: &[HolderLoad], now: LocalMoment) -> Option<RangeTable> {
+    fn first_table(
+        &self,
+        candidates: &[HolderLoad],
+        revision: StoreRevision,
+        now: LocalMoment,
+    ) -> Option<RangeTable> {
         let known = self.members.values().all(|member| member.status.is_some());
         let waited = now.since(self.started_at) >= self.options.discovery_window;
         if candidates.is_empty()
@@ -182,6 +194,7 @@
         }
 
         let mut table = RangeTable::new();
+        table.begin_change(revision);
         assign_by_capacity(&mut table, 0, LAST_KEY, candidates);
 
         Some(table)
--- a/crates/shard/src/table.rs
+++ b/crates/shard/src/table.rs
@@ -2,11 +2,21 @@
 
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
-use wagtail_core::heartbeat::{GrantedRange, HeldRange, ReleasedRange, TargetIncarnation};
+use wagtail_core::{
+    heartbeat::{GrantedRange, HeldRange, ReleasedRange, TargetIncarnation},
+    objects::StoreRevision,
+};
 
 /// The highest key; keys are 16-bit numbers that start at 0.
 pub const LAST_KEY: u16 = u16::MAX;
 
+/// The bits of a fencing token that hold the number of a revision. The bits above hold the era. Both
+/// together are at most 2^53 - 1, the largest integer that every JSON parser keeps exact.
+const NUMBER_BITS: u32 = 40;
+
+/// The largest era that a fencing token can hold.
+const MAX_TOKEN_ERA: u64 = (1 << 13) - 1;
+
 /// `RangeHolder` identifies the holder of a range: one incarnation of a target, and the
 /// node of that target.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -113,6 +123,13 @@
         }
     }
 
+    /// Begins a change of the table, which is to be written if it is still at `revision`. All rows that
+    /// the change assigns get one token. It is above every token of earlier changes, also of those that
+    /// the store lost when it returned from a copy, as the revision is later than theirs.
+    pub fn begin_change(&mut self, revision: StoreRevision) {
+        self.next_token = self.next_token.max(lowest_token(revision)) + 1;
+    }
+
     /// Returns whether the rows cover all keys exactly once, in order, and every token is below
     /// `next_token`.
     pub fn is_sound(&self) -> bool {
@@ -149,10 +166,10 @@
             .collect()
     }
 
-    /// Assigns all unassigned keys of the range `from..=to` to a holder, under a new token.
+    /// Assigns all unassigned keys of the range `from..=to` to a holder, under the token of this change.
     pub fn assign(&mut self, from: u16, to: u16, holder: &RangeHolder) {
         self.split(from, to);
-        let token = self.allocate_token();
+        let token = self.change_token();
 
         for row in &mut self.rows {
             if row.holder.is_none() && row.from >= from && row.to <= to {
@@ -199,7 +216,7 @@
             return false;
         }
 
-        let token = self.allocate_token();
+        let token = self.change_token();
         let rows = std::mem::take(&mut self.rows);
         for row in rows {
             if is_free(&row) {
@@ -225,7 +242,7 @@
             return false;
         }
 
-        let new_token = self.allocate_token();
+        let new_token = self.change_token();
         for row in self.rows.iter_mut().filter(|row| is_affected(row)) {
             let next = match &row.state {
                 RowState::Moving { to } => Some(to.clone()),
@@ -257,18 +274,9 @@
         });
     }
 
-    /// Advances `next_token` only. Writing the table then raises its revision in the store, so that
-    /// earlier conditional writes without a response cannot take effect any more.
-    pub fn touch(&mut self) {
-        self.next_token += 1;
-    }
-
-    /// Allocates a token above all earlier ones.
-    fn allocate_token(&mut self) -> u64 {
-        let token = self.next_token;
-        self.next_token += 1;
-
-        token
+    /// Returns the token of the present change.
+    fn change_token(&self) -> u64 {
+        self.next_token - 1
     }
 
     /// Splits rows so that each lies either inside or outside the range `from..=to`.
@@ -291,6 +299,14 @@
     }
 }
 
+/// Returns the lowest fencing token of a change that expects a revision.
+fn lowest_token(revision: StoreRevision) -> u64 {
+    let era = revision.era.min(MAX_TOKEN_ERA);
+    let number = revision.number.min((1 << NUMBER_BITS) - 1);
+
+    (era << NUMBER_BITS) | number
+}
+
 /// Returns the rows that replace a released row: one for each released range inside it, with the
 /// handover of that range, and one for each remaining part, without a handover.
 fn successor_rows(row: &RangeRow, released: &[ReleasedRange], token: u64) -> Vec<RangeRow> {
--- a/crates/shard/tests/shard/decisions.rs
+++ b/crates/shard/tests/shard/decisions.rs
@@ -72,6 +72,7 @@
     }];
     let third = heartbeat("a", 1, 3, holds(0, 99), released);
     assert_eq!(keeper.accept(&third, at(200)), HeartbeatVerdict::Current);
+    table.begin_change(first_era(2));
     assert!(keeper.settle(&third, &mut table));
 
     let row = table.row(150).unwrap();
@@ -203,6 +204,7 @@
 fn a_new_incarnation_inherits_the_rows_of_the_previous_one() {
     let mut table = RangeTable::new();
     table.assign(0, LAST_KEY, &holder("a", 1));
+    let token = table.row(5).unwrap().token;
 
     let mut keeper = GrantKeeper::new(Arc::from("a"), KeeperOptions::default(), at(0));
     let restarted = heartbeat("a", 2, 1, Vec::new(), Vec::new());
@@ -210,10 +212,11 @@
         keeper.accept(&restarted, at(10)),
         HeartbeatVerdict::NewIncarnation
     );
+    table.begin_change(first_era(1));
     assert!(keeper.settle(&restarted, &mut table));
     let row = table.row(5).unwrap();
     assert_eq!(row.holder, Some(holder("a", 2)));
-    assert!(row.token > 1);
+    assert!(row.token > token);
 
     // A delayed heartbeat of the previous incarnation changes nothing.
     let late = heartbeat("a", 1, 9, Vec::new(), Vec::new());
@@ -265,7 +268,7 @@
     assert!(keeper.has_unresolved_writes(first_era(5)));
     assert_matches!(keeper.reply(&first, at(10), at(11)).grant, None);
 
-    table.touch();
+    table.begin_change(first_era(5));
     keeper.record_table(table, first_era(6), at(12));
     assert_matches!(keeper.reply(&first, at(10), at(13)).grant, Some(_));
 }
@@ -336,11 +339,11 @@
     let mut planner = RangePlanner::new(planner_options(), at(0));
     planner.set_members(&[Arc::from("a"), Arc::from("b")], at(0));
     planner.answered(status("a", 1, 100.0), at(100));
-    assert_eq!(planner.plan(None, at(500)), None);
+    assert_eq!(planner.plan(None, first_era(1), at(500)), None);
 
     planner.answered(status("b", 1, 300.0), at(1_100));
     planner.answered(status("a", 1, 100.0), at(1_100));
-    let table = planner.plan(None, at(1_200)).unwrap();
+    let table = planner.plan(None, first_era(1), at(1_200)).unwrap();
 
     assert!(table.is_sound());
     let keys = |name| -> u32 {
@@ -367,7 +370,7 @@
     for step in 0..150 {
         let now = at(step * 100);
         planner.answered(status("a", 1, 100.0), now);
-        let Some(next) = planner.plan(Some(&table), now) else {
+        let Some(next) = planner.plan(Some(&table), first_era(step + 1), now) else {
             continue;
         };
         let row = next.row(5_000).unwrap();
@@ -397,7 +400,7 @@
     leaving.ready = false;
     planner.answered(leaving, at(0));
 
-    let next = planner.plan(Some(&table), at(10)).unwrap();
+    let next = planner.plan(Some(&table), first_era(1), at(10)).unwrap();
 
     assert_matches!(&next.row(5_000).unwrap().state, RowState::Moving { to } if to.node.as_ref() == "a");
     assert_eq!(next.row(5).unwrap().state, RowState::Held);
--- a/crates/shard/tests/shard/main.rs
+++ b/crates/shard/tests/shard/main.rs
@@ -3,6 +3,7 @@
 mod decisions;
 mod departures;
 mod random_faults;
+mod recovery;
 mod simulation;
 mod store_returns;
 mod storm;
--- a/crates/shard/tests/shard/storm.rs
+++ b/crates/shard/tests/shard/storm.rs
@@ -77,6 +77,8 @@
     last: HashMap<u16, (String, u64)>,
     /// What the planner knows of the table; it may be outdated, as a node learns of changes late.
     planner_view: StoredTable,
+    /// The era that the planner knows.
+    planner_era: u64,
     /// For each checked key, how long it was held.
     pub served_ms: HashMap<u16, u64>,
     options: StormOptions,
@@ -119,6 +121,7 @@
             random: ChaCha8Rng::seed_from_u64(seed),
             last: HashMap::new(),
             planner_view: None,
+            planner_era: 0,
             served_ms: HashMap::new(),
             options,
         }
@@ -326,12 +329,10 @@
             }
             if reaches_store && let Some((revision, table)) = self.store.table.clone() {
                 let mut next = table.clone();
+                next.begin_change(revision);
                 let changed = vm.keeper.settle(&heartbeat, &mut next);
                 vm.keeper.record_table(table, revision, moment);
                 let unsettled = vm.keeper.has_unresolved_writes(revision);
-                if unsettled && !changed {
-                    next.touch();
-                }
                 if changed || unsettled {
                     self.write_from_node(index, revision, next);
                 }
@@ -353,6 +354,7 @@
             && let Some((revision, table)) = self.store.table.clone()
         {
             let mut next = table;
+            next.begin_change(revision);
             if vm.keeper.free_lapsed(&mut next, moment) {
                 vm.next_free_attempt = now + 300;
                 self.write_from_node(index, revision, next);
@@ -441,11 +443,16 @@
         // Now and then the node has not heard of the last change yet.
         if self.random.random_bool(0.8) {
             self.planner_view.clone_from(&self.store.table);
+            self.planner_era = self.store.era;
         }
         let known = self.planner_view.clone();
-        let next = planner.plan(known.as_ref().map(|(_, table)| table), moment);
-        if let Some(next) = next {
-            let expected = known.map_or(StoreRevision::ZERO, |(revision, _)| revision);
+        let expected = known
+            .as_ref()
+            .map_or(StoreRevision::new(self.planner_era, 0), |(revision, _)| {
+                *revision
+            });
+        let table = known.as_ref().map(|(_, table)| table);
+        if let Some(next) = planner.plan(table, expected, moment) {
             self.write(expected, next);
         }
     }
--- a/crates/sidecar/src/heartbeats.rs
+++ b/crates/sidecar/src/heartbeats.rs
@@ -269,15 +269,12 @@
                 keeper.record_table(updated.clone(), object.revision, read_sent_at);
                 keeper.has_unresolved_writes(object.revision)
             });
+            updated.begin_change(object.revision);
             let changed = change(&mut updated);
             if !changed && !has_unresolved {
                 return Ok(());
             }
-            if changed {
-                updated.compact();
-            } else {
-                updated.touch();
-            }
+            updated.compact();
 
             // Recorded before the write, as this future may be dropped while that is in flight.
             let expected = object.revision;
--- a/crates/sidecar/src/planning.rs
+++ b/crates/sidecar/src/planning.rs
@@ -150,8 +150,9 @@
 
         let known = self.view.table(&self.settings.service);
         let table = known.as_ref().map(|versioned| &versioned.table);
-        if let Some(next) = planner.plan(table, now) {
-            let revision = known.as_ref().map(|versioned| versioned.revision);
+        let revision = known.as_ref().map(|versioned| versioned.revision);
+        let latest = revision.unwrap_or_else(|| self.view.versions().fleet);
+        if let Some(next) = planner.plan(table, latest, now) {
             self.write(revision, &next).await;
         }
     }
