A revocation that is repeated starts its wait anew

Cause: the planner knew a revocation by the range and the token of its row. A revocation that the store lost with its return and that was repeated looked the same, so that the wait counted from the lost one, although the holder's node had granted the row again in between.

Change: a revocation gives the row the token of its change, which identifies it, and the planner counts from when it first saw that token.

Test: a_revocation_that_is_repeated_starts_its_wait_anew; before, the row was free at 10.0 s, 4 s after it was revoked again at 6 s; grants may last until 13.9 s.

--- a/crates/shard/src/planner.rs
+++ b/crates/shard/src/planner.rs
@@ -61,7 +61,8 @@
 pub struct RangePlanner {
     options: PlannerOptions,
     members: HashMap<Arc<str>, MemberView>,
-    revoked: HashMap<(u16, u64), LocalMoment>,
+    /// When the changes since which rows wait to become free were first seen, by their tokens.
+    waiting_since: HashMap<u64, LocalMoment>,
     started_at: LocalMoment,
     last_move_at: LocalMoment,
 }
@@ -72,7 +73,7 @@
         Self {
             options,
             members: HashMap::new(),
-            revoked: HashMap::new(),
+            waiting_since: HashMap::new(),
             started_at: now,
             last_move_at: now,
         }
@@ -101,19 +102,20 @@
         }
     }
 
-    /// Records when each revoked row of the table was first seen; its wait for the lapse starts
-    /// then.
+    /// Records when each change since which rows wait to become free was first seen; the wait for the
+    /// lapse starts then.
     pub fn observe(&mut self, table: &RangeTable, now: LocalMoment) {
-        let revoked: Vec<(u16, u64)> = table
+        let waiting: Vec<u64> = table
             .rows
             .iter()
             .filter(|row| row.state == RowState::Revoked)
-            .map(|row| (row.from, row.token))
+            .map(|row| row.token)
             .collect();
 
-        self.revoked.retain(|row, _| revoked.contains(row));
-        for row in revoked {
-            self.revoked.entry(row).or_insert(now);
+        self.waiting_since
+            .retain(|token, _| waiting.contains(token));
+        for token in waiting {
+            self.waiting_since.entry(token).or_insert(now);
         }
     }
 
@@ -203,19 +205,15 @@
     /// Revokes the rows of nodes that are presumed lost. A holder's node that is not a member is
     /// silent from the planner's start.
     fn revoke_lost(&self, table: &mut RangeTable, now: LocalMoment) {
-        for row in &mut table.rows {
-            let Some(holder) = &row.holder else {
-                continue;
-            };
-            let silent = match self.members.get(&holder.node) {
-                Some(member) => self.is_silent(member, now),
-                None => now.since(self.started_at) > self.options.suspicion,
-            };
-
-            if silent && row.state != RowState::Revoked {
-                row.state = RowState::Revoked;
-            }
-        }
+        table.revoke(|row| {
+            row.holder.as_ref().is_some_and(|holder| {
+                let member = self.members.get(&holder.node);
+                member.map_or_else(
+                    || now.since(self.started_at) > self.options.suspicion,
+                    |member| self.is_silent(member, now),
+                )
+            })
+        });
     }
 
     /// Frees the revoked rows of which no grant can be valid any more.
@@ -223,8 +221,8 @@
         table.reassign(None, |row| {
             row.state == RowState::Revoked
                 && self
-                    .revoked
-                    .get(&(row.from, row.token))
+                    .waiting_since
+                    .get(&row.token)
                     .is_some_and(|since| now.since(*since) >= self.options.lapse)
         });
     }
--- a/crates/shard/src/table.rs
+++ b/crates/shard/src/table.rs
@@ -40,7 +40,8 @@
         /// The holder that receives the row.
         to: RangeHolder,
     },
-    /// The holder is presumed lost; the row becomes free once the last grant of it has lapsed.
+    /// The holder is presumed lost; the row becomes free once the last grant of it has lapsed. Its
+    /// token is that of the change which revoked it.
     Revoked,
 }
 
@@ -52,7 +53,8 @@
     pub from: u16,
     /// The last key of the range, inclusive.
     pub to: u16,
-    /// The fencing token under which the holder has the row.
+    /// The fencing token under which the holder has the row, or that of the change since which the
+    /// row waits to become free.
     pub token: u64,
     /// The holder, or `None` while the row is unassigned.
     pub holder: Option<RangeHolder>,
@@ -180,6 +182,20 @@
         }
     }
 
+    /// Revokes the rows in state `Held` or `Moving` that `is_lost` selects. Their new token identifies
+    /// this revocation among all others of the same row.
+    pub fn revoke(&mut self, is_lost: impl Fn(&RangeRow) -> bool) {
+        let token = self.change_token();
+
+        for row in &mut self.rows {
+            let is_kept = matches!(row.state, RowState::Held | RowState::Moving { .. });
+            if is_kept && row.holder.is_some() && is_lost(row) {
+                row.state = RowState::Revoked;
+                row.token = token;
+            }
+        }
+    }
+
     /// Marks the rows in state `Held` inside the range `from..=to` as moving to another holder.
     /// Rows without a holder, or that `next` holds already, stay as they are.
     pub fn start_move(&mut self, from: u16, to: u16, next: &RangeHolder) {
