A table from an older copy of the store begins no grants

Cause: the first table that a node read in a new era renewed all its rows. The lost span may have held a revocation or a hand-over and another target's grant, whose node still grants from the table of the earlier era for table_validity, and whose target holds on after that. A conditional write from before the return could also take effect in the new era, as its condition is a bare number.

Change: a table states the era for which it was written. One that stands in a later era, as the copy held it or a late write left it, supports no grants. Whoever reads it writes it back with all rows unconfirmed. A node claims the ranges that its target holds by a grant which has not lapsed: as long as that is so, no other node can have begun to grant them, whatever was lost. Unconfirmed rows are neither released nor inherited nor assigned; what nobody claims becomes free after the same wait as after a revocation. Until a node has claimed its ranges it goes on granting from the last valid table.

Why it holds: a grant begins only after every earlier grant of its keys has lapsed, so that at any moment one node at most has a valid grant of a key. The wait starts after the return, and so covers every grant from a table that was read before.

The storm now also has writes that the store refuses, so that a recovery may fail.

--- a/crates/shard/src/keeper.rs
+++ b/crates/shard/src/keeper.rs
@@ -102,6 +102,17 @@
     next: RangeTable,
 }
 
+/// `TableChange` is a change of the table that a node is about to write.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TableChange {
+    /// The table after the change.
+    pub table: RangeTable,
+    /// Whether the stored table was written for an earlier era of the store.
+    pub is_recovery: bool,
+    /// Whether the node claims ranges that its target holds.
+    pub has_claims: bool,
+}
+
 /// `OmittedRange` is a range that the target holds but that replies have stopped granting.
 /// `sequence` is the heartbeat whose reply first left it out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -324,11 +335,72 @@
         self.last_grant_start + self.options.lapse()
     }
 
+    /// Records the table that a read sent at `read_sent_at` returned, and returns the change of it that
+    /// must be written, or `None` if none is due. `change` changes a copy of the table and returns whether
+    /// it did. A table of an earlier era is recovered, unconfirmed ranges that the target holds are
+    /// claimed, and a table on which earlier writes are unresolved is written once as it is.
+    pub fn begin_settling(
+        &mut self,
+        table: &RangeTable,
+        revision: StoreRevision,
+        read_sent_at: LocalMoment,
+        now: LocalMoment,
+        change: impl FnOnce(&Self, &mut RangeTable) -> bool,
+    ) -> Option<TableChange> {
+        self.record_table(table.clone(), revision, read_sent_at);
+
+        let mut next = table.clone();
+        let is_recovery = next.begin_change(revision);
+        let has_claims = self.claim_held(&mut next, now);
+        let is_changed = change(self, &mut next);
+        next.compact();
+
+        let is_due =
+            is_recovery || has_claims || is_changed || self.has_unresolved_writes(revision);
+        is_due.then_some(TableChange {
+            table: next,
+            is_recovery,
+            has_claims,
+        })
+    }
+
+    /// Claims the unconfirmed ranges that the target holds by a grant that has not lapsed. As long as
+    /// such a grant is valid, no other node can have begun to grant the range, whatever the store lost.
+    /// Returns whether there were any.
+    fn claim_held(&self, table: &mut RangeTable, now: LocalMoment) -> bool {
+        let Some(life) = &self.life else {
+            return false;
+        };
+        let holder = RangeHolder {
+            node: Arc::clone(&self.node),
+            life: life.clone(),
+        };
+
+        let mut has_claims = false;
+        for range in self.valid_grants(now) {
+            has_claims |= table.claim(range.from, range.to, range.token, &holder);
+        }
+
+        has_claims
+    }
+
+    /// Returns the ranges of the last grant, or none if it has lapsed.
+    fn valid_grants(&self, now: LocalMoment) -> &[GrantedRange] {
+        if now < self.granted_until {
+            &self.granted
+        } else {
+            &[]
+        }
+    }
+
     /// Records the table that a read sent at `read_sent_at` returned, or that a write based on that
     /// read produced. Drops the uncertain writes that this revision rules out, and the releases that
     /// the table does not wait for.
     ///
-    /// A table of an earlier era than the last one is ignored, as the store no longer holds it.
+    /// A table of an earlier era than the last one is ignored, as the store no longer holds it. One
+    /// that was written for an earlier era than the store is in, or in which ranges are unconfirmed that
+    /// the target still holds, is ignored as well: until the table is recovered and the ranges are claimed,
+    /// the last one supports grants for as long as it is valid.
     pub fn record_table(
         &mut self,
         table: RangeTable,
@@ -342,12 +414,19 @@
         {
             return;
         }
-        self.uncertain.retain(|write| write.expected >= revision);
         self.first_revision.get_or_insert(revision);
+        let is_unconfirmed = |range: &GrantedRange| table.has_unconfirmed(range.from, range.to);
+        if table.written_era() != revision.era
+            || self.valid_grants(read_sent_at).iter().any(is_unconfirmed)
+        {
+            return;
+        }
+
+        self.uncertain.retain(|write| write.expected >= revision);
         if let Some(life) = &self.life {
             let awaits_release = |row: &RangeRow, range: &ReleasedRange| {
                 row.is_held_by(life)
-                    && row.state != RowState::Held
+                    && matches!(row.state, RowState::Moving { .. } | RowState::Revoked)
                     && row.overlaps(range.from, range.to)
             };
             self.unsettled
@@ -428,7 +507,7 @@
             || self.granted_until.since(now) < self.options.max_reply_delay;
         let is_incoming = |row: &RangeRow| match &row.state {
             RowState::Moving { to } => to.node == self.node && to.life == heartbeat.life,
-            RowState::Held | RowState::Revoked => false,
+            RowState::Held | RowState::Revoked | RowState::Unconfirmed => false,
         };
         let is_granted = |row: &RangeRow| {
             row.state == RowState::Held
--- a/crates/shard/src/planner.rs
+++ b/crates/shard/src/planner.rs
@@ -36,7 +36,7 @@
 pub struct PlannerOptions {
     /// The time without a response after which a node is presumed lost.
     pub suspicion: Duration,
-    /// The time after a row's revocation from which no grant of it can be valid any more.
+    /// The time after a row's revocation, or after a return of the store was found, from which no grant of it can be valid any more.
     pub lapse: Duration,
     /// The time to wait for targets to appear before keys are assigned for the first time.
     pub discovery_window: Duration,
@@ -108,7 +108,7 @@
         let waiting: Vec<u64> = table
             .rows
             .iter()
-            .filter(|row| row.state == RowState::Revoked)
+            .filter(|row| matches!(row.state, RowState::Revoked | RowState::Unconfirmed))
             .map(|row| row.token)
             .collect();
 
@@ -133,9 +133,12 @@
             return self.first_table(&candidates, revision, now);
         };
 
-        self.observe(table, now);
         let mut next = table.clone();
-        next.begin_change(revision);
+        if next.begin_change(revision) {
+            next.compact();
+            return Some(next);
+        }
+        self.observe(table, now);
         self.revoke_lost(&mut next, now);
         self.free_expired(&mut next, now);
         if !candidates.is_empty() {
@@ -180,7 +183,8 @@
 
     /// Returns the first table, with the keys divided by capacity, or `None` while it waits for
     /// `discovery_window` and for a status from each member. It waits at most three windows once
-    /// there is a candidate.
+    /// there is a candidate. After a return of the store an earlier table may be lost, so that the keys
+    /// are not divided at once.
     fn first_table(
         &self,
         candidates: &[HolderLoad],
@@ -196,8 +200,9 @@
         }
 
         let mut table = RangeTable::new();
-        table.begin_change(revision);
-        assign_by_capacity(&mut table, 0, LAST_KEY, candidates);
+        if !table.begin_change(revision) {
+            assign_by_capacity(&mut table, 0, LAST_KEY, candidates);
+        }
 
         Some(table)
     }
@@ -216,14 +221,12 @@
         });
     }
 
-    /// Frees the revoked rows of which no grant can be valid any more.
+    /// Frees the rows that have waited until no grant of them can be valid any more.
     fn free_expired(&self, table: &mut RangeTable, now: LocalMoment) {
-        table.reassign(None, |row| {
-            row.state == RowState::Revoked
-                && self
-                    .waiting_since
-                    .get(&row.token)
-                    .is_some_and(|since| now.since(*since) >= self.options.lapse)
+        table.free(|row| {
+            self.waiting_since
+                .get(&row.token)
+                .is_some_and(|since| now.since(*since) >= self.options.lapse)
         });
     }
 
@@ -365,7 +368,7 @@
     let mut free: Vec<(u16, u16)> = table
         .rows
         .iter()
-        .filter(|row| row.holder.is_none())
+        .filter(|row| row.is_unassigned())
         .map(|row| (row.from, row.to))
         .collect();
     free.sort_by_key(|(from, to)| std::cmp::Reverse(to - from));
@@ -431,7 +434,7 @@
         .iter()
         .filter(|row| match &row.state {
             RowState::Moving { to } => to == holder,
-            RowState::Held => row.holder.as_ref() == Some(holder),
+            RowState::Held | RowState::Unconfirmed => row.holder.as_ref() == Some(holder),
             RowState::Revoked => false,
         })
         .map(|row| f32::from(row.to) - f32::from(row.from) + 1.0)
--- a/crates/shard/src/table.rs
+++ b/crates/shard/src/table.rs
@@ -43,6 +43,10 @@
     /// The holder is presumed lost; the row becomes free once the last grant of it has lapsed. Its
     /// token is that of the change which revoked it.
     Revoked,
+    /// The row is as an older copy of the store has it, and may have had another holder since. It
+    /// goes to a holder whose grant has not lapsed, or becomes free once every grant has lapsed. Its
+    /// token is that of the change which found the table in the copy.
+    Unconfirmed,
 }
 
 /// `RangeRow` assigns one range of keys to a holder.
@@ -77,6 +81,11 @@
             .is_some_and(|holder| &holder.life == life)
     }
 
+    /// Returns whether the row has no holder and may be assigned to one.
+    pub fn is_unassigned(&self) -> bool {
+        self.holder.is_none() && self.state == RowState::Held
+    }
+
     /// Returns whether the row shares a key with the range `from..=to`.
     pub fn overlaps(&self, from: u16, to: u16) -> bool {
         self.from <= to && from <= self.to
@@ -97,6 +106,9 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct RangeTable {
+    /// The era of the store for which the table was written; absent from tables of earlier versions.
+    /// In a later era the table is what an older copy holds, or what a late write left there.
+    pub era: Option<u64>,
     /// The next fencing token; it is above every token allocated so far.
     pub next_token: u64,
     /// The rows in ascending order of keys.
@@ -113,6 +125,7 @@
     /// Creates a table with a single row of all keys and no holder.
     pub fn new() -> Self {
         Self {
+            era: None,
             next_token: 1,
             rows: vec![RangeRow {
                 from: 0,
@@ -125,11 +138,31 @@
         }
     }
 
+    /// Returns the era of the store for which the table was written.
+    pub fn written_era(&self) -> u64 {
+        self.era.unwrap_or_default()
+    }
+
     /// Begins a change of the table, which is to be written if it is still at `revision`. All rows that
     /// the change assigns get one token. It is above every token of earlier changes, also of those that
     /// the store lost when it returned from a copy, as the revision is later than theirs.
-    pub fn begin_change(&mut self, revision: StoreRevision) {
+    ///
+    /// Makes all rows [`RowState::Unconfirmed`] if the table was written for an earlier era, and returns
+    /// whether it was.
+    pub fn begin_change(&mut self, revision: StoreRevision) -> bool {
+        let is_outdated = self.written_era() < revision.era;
+        self.era = Some(revision.era);
         self.next_token = self.next_token.max(lowest_token(revision)) + 1;
+
+        if is_outdated {
+            for row in &mut self.rows {
+                row.state = RowState::Unconfirmed;
+                row.token = self.next_token - 1;
+                row.handover = Arc::from("");
+            }
+        }
+
+        is_outdated
     }
 
     /// Returns whether the rows cover all keys exactly once, in order, and every token is below
@@ -174,12 +207,37 @@
         let token = self.change_token();
 
         for row in &mut self.rows {
-            if row.holder.is_none() && row.from >= from && row.to <= to {
+            if row.is_unassigned() && row.from >= from && row.to <= to {
+                row.holder = Some(holder.clone());
+                row.token = token;
+            }
+        }
+    }
+
+    /// Gives the unconfirmed keys of the range `from..=to` to a holder that has them under `token`.
+    /// Returns whether there were any.
+    pub fn claim(&mut self, from: u16, to: u16, token: u64, holder: &RangeHolder) -> bool {
+        if !self.has_unconfirmed(from, to) {
+            return false;
+        }
+
+        self.split(from, to);
+        for row in &mut self.rows {
+            if row.state == RowState::Unconfirmed && row.from >= from && row.to <= to {
                 row.holder = Some(holder.clone());
                 row.state = RowState::Held;
                 row.token = token;
             }
         }
+
+        true
+    }
+
+    /// Returns whether any key of the range `from..=to` is unconfirmed.
+    pub fn has_unconfirmed(&self, from: u16, to: u16) -> bool {
+        self.rows
+            .iter()
+            .any(|row| row.state == RowState::Unconfirmed && row.overlaps(from, to))
     }
 
     /// Revokes the rows in state `Held` or `Moving` that `is_lost` selects. Their new token identifies
@@ -196,6 +254,21 @@
         }
     }
 
+    /// Frees the rows in state `Revoked` or `Unconfirmed` that `is_over` selects.
+    pub fn free(&mut self, is_over: impl Fn(&RangeRow) -> bool) {
+        let token = self.change_token();
+
+        for row in &mut self.rows {
+            let waits = matches!(row.state, RowState::Revoked | RowState::Unconfirmed);
+            if waits && is_over(row) {
+                row.holder = None;
+                row.state = RowState::Held;
+                row.token = token;
+                row.handover = Arc::from("");
+            }
+        }
+    }
+
     /// Marks the rows in state `Held` inside the range `from..=to` as moving to another holder.
     /// Rows without a holder, or that `next` holds already, stay as they are.
     pub fn start_move(&mut self, from: u16, to: u16, next: &RangeHolder) {
@@ -224,7 +297,7 @@
     ) -> bool {
         let is_free = |row: &RangeRow| {
             row.is_held_by(life)
-                && row.state != RowState::Held
+                && matches!(row.state, RowState::Moving { .. } | RowState::Revoked)
                 && omission_acknowledged(row)
                 && !holds.iter().any(|held| row.overlaps(held.from, held.to))
         };
@@ -247,13 +320,16 @@
 
     /// Reassigns the rows whose holder cannot hold them any more, as decided by `ended`. A moving
     /// row goes to its next holder; any other row goes to `successor`, or becomes unassigned when
-    /// that is `None`. The new token fences off the old holder. Returns whether anything changed.
+    /// that is `None`. The new token fences off the old holder. Unconfirmed rows stay as they are, as
+    /// `ended` cannot tell of holders that are lost. Returns whether anything changed.
     pub fn reassign(
         &mut self,
         successor: Option<&RangeHolder>,
         ended: impl Fn(&RangeRow) -> bool,
     ) -> bool {
-        let is_affected = |row: &RangeRow| row.holder.is_some() && ended(row);
+        let is_affected = |row: &RangeRow| {
+            row.holder.is_some() && row.state != RowState::Unconfirmed && ended(row)
+        };
         if !self.rows.iter().any(is_affected) {
             return false;
         }
@@ -262,7 +338,7 @@
         for row in self.rows.iter_mut().filter(|row| is_affected(row)) {
             let next = match &row.state {
                 RowState::Moving { to } => Some(to.clone()),
-                RowState::Held | RowState::Revoked => successor.cloned(),
+                RowState::Held | RowState::Revoked | RowState::Unconfirmed => successor.cloned(),
             };
 
             row.holder = next;
@@ -281,7 +357,7 @@
             let mergeable = row.holder == next.holder
                 && row.state == next.state
                 && row.handover == next.handover
-                && (row.token == next.token || row.holder.is_none());
+                && (row.token == next.token || row.is_unassigned());
             if mergeable {
                 row.to = next.to;
                 row.token = row.token.max(next.token);
@@ -328,7 +404,7 @@
 fn successor_rows(row: &RangeRow, released: &[ReleasedRange], token: u64) -> Vec<RangeRow> {
     let next = match &row.state {
         RowState::Moving { to } => Some(to.clone()),
-        RowState::Held | RowState::Revoked => None,
+        RowState::Held | RowState::Revoked | RowState::Unconfirmed => None,
     };
     let piece = |from: u16, to: u16, handover: &Arc<str>| RangeRow {
         from,
--- a/crates/shard/tests/shard/simulation.rs
+++ b/crates/shard/tests/shard/simulation.rs
@@ -88,6 +88,19 @@
     pub table: RangeTable,
 }
 
+/// The outcome of a write, as its sender sees it.
+#[derive(Debug)]
+pub enum WriteOutcome {
+    /// It took effect.
+    Written(StoreRevision),
+    /// The table is at another revision.
+    Conflict,
+    /// The store did not carry it out.
+    Refused,
+    /// No response arrived; it may take effect later.
+    Unknown,
+}
+
 /// A store in which some writes take effect with a delay, and which may return from an older copy.
 #[derive(Debug, Default)]
 pub struct Store {
--- a/crates/sidecar/src/heartbeats.rs
+++ b/crates/sidecar/src/heartbeats.rs
@@ -26,7 +26,11 @@
     clock,
     server::{HttpHandler, ServerBody, whole_body},
 };
-use wagtail_shard::{departures::DepartureList, keeper::HeartbeatVerdict, table::RangeTable};
+use wagtail_shard::{
+    departures::DepartureList,
+    keeper::{GrantKeeper, HeartbeatVerdict},
+    table::RangeTable,
+};
 
 /// The time after a heartbeat's arrival within which the table must be read. The target waits one
 /// second for the reply.
@@ -183,10 +187,7 @@
             .proxy
             .with_keeper(|keeper| keeper.needs_read(heartbeat, known, arrived));
         if must_read {
-            let settling = self.settle(|table| {
-                self.proxy
-                    .with_keeper(|keeper| keeper.settle(heartbeat, table))
-            });
+            let settling = self.settle(|keeper, table| keeper.settle(heartbeat, table));
             let time_left = (arrived + MAX_TABLE_READ_TIME).since(clock::now());
             let settled = timeout(time_left, Box::pin(settling))
                 .await
@@ -236,14 +237,18 @@
         self.view.until(MAX_HANDOVER_WAIT, settled).await;
     }
 
-    /// Reads the table, applies a change to it and writes it back if that changed anything or if
-    /// earlier writes are unresolved. Succeeds without a write if there is no table.
+    /// Reads the table, applies a change to it and writes it back if that changed anything, if the
+    /// table must be recovered after a return of the store, or if earlier writes are unresolved. Succeeds
+    /// without a write if there is no table.
     ///
     /// # Errors
     ///
     /// Returns the reason if the table cannot be read or written, or if other nodes changed it
     /// during each of `MAX_WRITE_ATTEMPTS` attempts. A write whose outcome is unknown is no error.
-    async fn settle(&self, change: impl Fn(&mut RangeTable) -> bool) -> Result<(), Arc<str>> {
+    async fn settle(
+        &self,
+        change: impl Fn(&GrantKeeper, &mut RangeTable) -> bool,
+    ) -> Result<(), Arc<str>> {
         let name: Arc<str> = Arc::from(table_name(&self.settings.service));
         let get = StoreCall::Get {
             name: Arc::clone(&name),
@@ -264,20 +269,24 @@
                 }
             };
             self.view.apply_object(object.clone());
-            let mut updated = read_table(&object).map_err(Arc::<str>::from)?;
-            let has_unresolved = self.proxy.with_keeper(|keeper| {
-                keeper.record_table(updated.clone(), object.revision, read_sent_at);
-                keeper.has_unresolved_writes(object.revision)
+            let table = read_table(&object).map_err(Arc::<str>::from)?;
+            let settling = self.proxy.with_keeper(|keeper| {
+                let now = clock::now();
+                keeper.begin_settling(&table, object.revision, read_sent_at, now, &change)
             });
-            updated.begin_change(object.revision);
-            let changed = change(&mut updated);
-            if !changed && !has_unresolved {
+            let Some(settling) = settling else {
                 return Ok(());
+            };
+            let expected = object.revision;
+            if settling.is_recovery || settling.has_claims {
+                info!(
+                    event = "table-recovered", %expected, era = table.written_era(),
+                    marked = settling.is_recovery, claimed = settling.has_claims
+                );
             }
-            updated.compact();
+            let updated = settling.table;
 
             // Recorded before the write, as this future may be dropped while that is in flight.
-            let expected = object.revision;
             self.proxy
                 .with_keeper(|keeper| keeper.begin_write(expected, updated.clone()));
             match self.write(&name, expected, &updated).await {
@@ -346,12 +355,10 @@
             let lapsed = self.proxy.with_keeper(|keeper| now >= keeper.lapses_at());
             if lapsed || self.proxy.has_ended() {
                 let freed = self
-                    .settle(|table| {
-                        self.proxy.with_keeper(|keeper| {
-                            let ended = keeper.free_ended(table);
-                            let lapsed = keeper.free_lapsed(table, now);
-                            ended || lapsed
-                        })
+                    .settle(|keeper, table| {
+                        let ended = keeper.free_ended(table);
+                        let lapsed = keeper.free_lapsed(table, now);
+                        ended || lapsed
                     })
                     .await;
                 match freed {
--- a/crates/sidecar/src/view.rs
+++ b/crates/sidecar/src/view.rs
@@ -461,14 +461,22 @@
 ///
 /// # Errors
 ///
-/// Returns the reason if the content cannot be parsed, or if its rows overlap or leave gaps.
+/// Returns the reason if the content cannot be parsed, if its rows overlap or leave gaps, or if it was
+/// written for a later era than the store states.
 pub fn read_table(object: &StoredObject) -> std::result::Result<RangeTable, String> {
     let table: RangeTable =
         serde_json::from_str(&object.content).map_err(|error| error.to_string())?;
 
-    if table.is_sound() {
-        Ok(table)
-    } else {
-        Err("the rows do not cover all keys once".to_owned())
+    if !table.is_sound() {
+        return Err("the rows do not cover all keys once".to_owned());
     }
+    if table.written_era() > object.revision.era {
+        return Err(format!(
+            "the table is of era {}, the store states era {}",
+            table.written_era(),
+            object.revision.era
+        ));
+    }
+
+    Ok(table)
 }
