Node: the line of a target's end names the requests that ran there

The logs could not tell which requests ran when a target ended: they hold neither the path, caller and body of a request nor the set of requests at that moment. A digest of the content now identifies repetitions, and target-ended lists the digests and the incarnation. A broken connection is followed by the check whether the process has ended, so that the end is seen with the requests under which it happened and not at the next request; a new incarnation shows an end as well.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,10 +12,12 @@
 //! - [`ports`]: the traits through which a daemon calls the platform and its target.
 //! - [`objects`]: the object store of the platform, with its errors.
 //! - [`routing`]: the active configuration of routes, services and caller limits.
+//! - [`digest`]: what two requests with the same content have in common.
 //! - [`heartbeat`]: the heartbeats of targets and the key ranges granted in reply.
 //! - [`notice`]: what a target states about itself in its responses.
 //! - [`errors`]: the error type of requests, records and messages.
 
+pub mod digest;
 pub mod errors;
 pub mod heartbeat;
 pub mod ids;
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`limit`]: the limit that a target names on the rate of its requests.
 //! - [`origins`]: which requests are calls from running work.
 //! - [`pressure`]: how much new work the callers of an overloaded service should start.
+//! - [`runs`]: which requests may have run when the target ended.
 //! - [`waits`]: how long callers waited on earlier, refused attempts.
 
 pub mod admission;
@@ -18,6 +19,7 @@
 pub mod limit;
 pub mod origins;
 pub mod pressure;
+pub mod runs;
 pub mod waits;
 
 pub use admission::{AdmissionGate, GateAction, GateArrival, GateOptions, GateRefusal};
--- /dev/null
+++ b/crates/gate/src/runs.rs
@@ -0,0 +1,82 @@
+//! Which requests may have run at the target when its process ended.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
+use wagtail_core::{digest::RequestContent, heartbeat::TargetIncarnation, units::LocalMoment};
+
+/// The time for which a request without a whole response counts as one that may still run.
+const UNRESOLVED_TIME: Duration = Duration::from_secs(2);
+
+/// The maximum number of such requests.
+const MAX_UNRESOLVED: usize = 64;
+
+/// `RunEnd` tells how a request that was sent to the target ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunEnd {
+    /// The target responded with success, and the whole response arrived.
+    Succeeded,
+    /// The target did not run the request, or its whole response arrived but tells of a failure.
+    Settled,
+    /// There is no whole response, so the request may still run.
+    Unresolved,
+}
+
+/// `TargetRun` is a request that was sent to an incarnation of the target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct TargetRun {
+    life: TargetIncarnation,
+    content: RequestContent,
+}
+
+/// `RunTracker` holds the requests that run at the target, and those that may still run there.
+#[derive(Debug, Default)]
+pub struct RunTracker {
+    running: HashMap<u64, TargetRun>,
+    unresolved: VecDeque<(LocalMoment, TargetRun)>,
+}
+
+impl RunTracker {
+    /// Records that a request is sent to an incarnation of the target. `ticket` identifies it.
+    pub fn begin(&mut self, ticket: u64, life: TargetIncarnation, content: RequestContent) {
+        self.running.insert(ticket, TargetRun { life, content });
+    }
+
+    /// Records how a request ended. Returns its content if it succeeded.
+    pub fn finish(&mut self, ticket: u64, end: RunEnd, now: LocalMoment) -> Option<RequestContent> {
+        let run = self.running.remove(&ticket)?;
+
+        match end {
+            RunEnd::Succeeded => return Some(run.content),
+            RunEnd::Settled => {}
+            RunEnd::Unresolved => {
+                if self.unresolved.len() == MAX_UNRESOLVED {
+                    self.unresolved.pop_front();
+                }
+                self.unresolved.push_back((now, run));
+            }
+        }
+        None
+    }
+
+    /// Records that the process of an incarnation of the target has ended, and returns the requests
+    /// that may have run there at that moment.
+    pub fn end_incarnation(
+        &mut self,
+        life: &TargetIncarnation,
+        now: LocalMoment,
+    ) -> Vec<RequestContent> {
+        let running = self.running.extract_if(|_, run| run.life == *life);
+        let mut ended: Vec<RequestContent> = running.map(|(_, run)| run.content).collect();
+
+        for (at, run) in std::mem::take(&mut self.unresolved) {
+            if run.life != *life {
+                self.unresolved.push_back((at, run));
+            } else if now.since(at) <= UNRESOLVED_TIME {
+                ended.push(run.content);
+            }
+        }
+        ended
+    }
+}
--- a/crates/sidecar/src/messages.rs
+++ b/crates/sidecar/src/messages.rs
@@ -1,9 +1,11 @@
 //! The messages between nodes. They are encoded with bincode, so the order of fields and variants
 //! is part of the protocol.
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use wagtail_core::{
+    digest::RequestContent,
     heartbeat::TargetIncarnation,
     notice::RequestRate,
     objects::{StoreError, StoreRevision, StoredObject},
@@ -49,6 +51,18 @@
     pub notice: Option<TargetNotice>,
 }
 
+impl DispatchHead {
+    /// Returns the content of the request, which it has in common with its repetitions.
+    pub fn content(&self, body: Bytes) -> RequestContent {
+        RequestContent {
+            caller: Arc::clone(&self.caller_service),
+            method: Arc::clone(&self.method),
+            path: Arc::clone(&self.path),
+            body,
+        }
+    }
+}
+
 /// `TargetNotice` is what a target has stated about itself in its responses.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/sidecar/src/proxy/dispatch.rs
+++ b/crates/sidecar/src/proxy/dispatch.rs
@@ -16,7 +16,11 @@
 use http_body_util::Full;
 use std::{sync::Arc, time::Duration};
 use tracing::warn;
-use wagtail_core::{CoreError, Result, ports::BodyStream, units::LocalMoment, verdict::RunVerdict};
+use wagtail_core::{
+    CoreError, Result, heartbeat::TargetIncarnation, ports::BodyStream, units::LocalMoment,
+    verdict::RunVerdict,
+};
+use wagtail_gate::runs::RunEnd;
 use wagtail_net::{client::PooledResponse, clock};
 use wagtail_peer::{answer::PeerResponse, stream::WholeBody};
 
@@ -45,6 +49,7 @@
         let http_request = match self.http_request(dispatch_head, body, time_left) {
             Ok(http_request) => http_request,
             Err(reason) => {
+                guard.run_end.set(RunEnd::Settled);
                 warn!(event = "order-malformed", request_id = %dispatch_head.id, reason = %reason);
                 return self.not_run(elsewhere("malformed"));
             }
@@ -55,12 +60,14 @@
         let response = match sent {
             Ok(Ok(response)) => response,
             Ok(Err(error)) if error.verdict() == RunVerdict::NotRun => {
+                guard.run_end.set(RunEnd::Settled);
                 drop(guard);
                 self.check_process();
                 return self.not_run(elsewhere("target-unreachable"));
             }
             Ok(Err(error)) => {
                 self.record_result(true);
+                self.check_process();
                 return self.failed(dispatch_head, "target-broke-off", &error.to_string());
             }
             Err(_elapsed) => return self.failed(dispatch_head, "target-too-late", ""),
@@ -91,6 +98,7 @@
         let status = parts.status;
 
         if fields.not_run {
+            guard.run_end.set(RunEnd::Settled);
             self.record_result(status != StatusCode::MISDIRECTED_REQUEST);
             let refusal = NotRunFields {
                 reached_target: true,
@@ -109,6 +117,11 @@
         }
 
         guard.executed.set(true);
+        let whole_end = if status.is_success() {
+            RunEnd::Succeeded
+        } else {
+            RunEnd::Settled
+        };
         self.record_result(status.is_server_error());
         let headers = headers::end_to_end(&parts.headers);
         let length = headers::content_length(&parts.headers);
@@ -118,6 +131,7 @@
             let body = SlotBody {
                 response,
                 guard: Some(guard),
+                whole_end,
             };
             let id = Arc::clone(&dispatch_head.id);
             let body = DeadlineBody::new(id, Box::new(body), deadline);
@@ -127,12 +141,14 @@
         let time_left = deadline.since(clock::now());
         match timeout(time_left, read_whole(&mut response)).await {
             Ok(Ok(whole)) => {
+                guard.run_end.set(whole_end);
                 drop(guard);
                 self.relayed_response(status, headers, Box::new(WholeBody::new(whole)))
             }
             Err(_elapsed) => self.failed(dispatch_head, "target-too-late", "the body did not end"),
             Ok(Err(error)) => {
                 self.record_result(true);
+                self.check_process();
                 self.failed(dispatch_head, "answer-cut-short", &error.to_string())
             }
         }
@@ -189,31 +205,49 @@
     /// Checks in the background whether the target's process has ended. If it has, its keys can be
     /// freed without waiting for its grants to lapse.
     pub(super) fn check_process(&self) {
+        let Some(life) = self.state.borrow().keeper.life().cloned() else {
+            return;
+        };
+        if std::mem::replace(&mut self.state.borrow_mut().checking, true) {
+            return;
+        }
         let proxy = self.clone();
-        let life = self.state.borrow().keeper.life().cloned();
 
         compio::runtime::spawn(async move {
-            if !proxy.pool.refuses_connections().await {
-                return;
+            let has_ended = proxy.refuses_connections().await;
+            proxy.state.borrow_mut().checking = false;
+            if has_ended {
+                proxy.end_target(&life);
             }
-            sleep(REFUSAL_CONFIRM_DELAY).await;
-            if !proxy.pool.refuses_connections().await {
+        })
+        .detach();
+    }
+
+    /// Returns whether the target's port refuses two connections, `REFUSAL_CONFIRM_DELAY` apart.
+    async fn refuses_connections(&self) -> bool {
+        if !self.pool.refuses_connections().await {
+            return false;
+        }
+        sleep(REFUSAL_CONFIRM_DELAY).await;
+
+        self.pool.refuses_connections().await
+    }
+
+    /// Records that the process of an incarnation of the target has ended, unless that is known, or
+    /// it is leaving: a leaving target may close its port while it still runs requests.
+    fn end_target(&self, life: &TargetIncarnation) {
+        let actions = {
+            let mut state = self.state.borrow_mut();
+            if state.keeper.life() != Some(life) || state.leaving_since.is_some() || state.ended {
                 return;
             }
+            state.ended = true;
+            state.keeper.target_ended();
+            state.gate.set_closed(true)
+        };
 
-            let mut state = proxy.state.borrow_mut();
-            // A leaving target may close its port while it still runs requests.
-            if state.keeper.life() == life.as_ref() && state.leaving_since.is_none() && !state.ended
-            {
-                warn!(event = "target-ended", reason = "connections are refused");
-                state.ended = true;
-                state.keeper.target_ended();
-                let actions = state.gate.set_closed(true);
-                drop(state);
-                proxy.apply_actions(actions);
-            }
-        })
-        .detach();
+        self.record_crash(life, "connections are refused");
+        self.apply_actions(actions);
     }
 
     /// Updates the moving average of failures with the result of a request.
--- a/crates/sidecar/src/proxy/mod.rs
+++ b/crates/sidecar/src/proxy/mod.rs
@@ -2,11 +2,13 @@
 //!
 //! - [`serve`](TargetProxy::serve): decides whether and when a request may run here.
 //! - `dispatch`: sends the request to the target and classifies its response.
+//! - `crashes`: what ran at the target when its process ended.
 //! - `slots`: guards that free a slot or a queue position when they are dropped.
 //! - `notices`: what the target states about itself in its responses.
 //! - `replies`: builds the replies to other nodes.
 //! - [`headers`]: selects the end-to-end header fields.
 
+mod crashes;
 mod dispatch;
 pub mod headers;
 mod notices;
@@ -25,12 +27,16 @@
 use slots::Admission;
 use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc, time::Duration};
 use tracing::info;
-use wagtail_core::{heartbeat::TargetHeartbeat, units::LocalMoment};
+use wagtail_core::{
+    heartbeat::{TargetHeartbeat, TargetIncarnation},
+    units::LocalMoment,
+};
 use wagtail_gate::{
     AdmissionGate, GateOptions,
     limit::LimitOptions,
     origins::RouteOrigins,
     pressure::{CallPressure, WorkThrottle},
+    runs::RunTracker,
 };
 use wagtail_net::{
     client::{HttpPool, PoolOptions},
@@ -85,6 +91,11 @@
     next_ticket: u64,
     failed_share: f32,
     notices: NoticeState,
+    runs: RunTracker,
+    /// The latest incarnation of the target that has sent a heartbeat.
+    incarnation: Option<TargetIncarnation>,
+    /// Whether a task checks if the target's process has ended.
+    checking: bool,
     slots: u32,
     leaving_since: Option<LocalMoment>,
     /// The end of the drain time of a leaving target with keys.
@@ -123,6 +134,9 @@
             next_ticket: 0,
             failed_share: 0.0,
             notices: NoticeState::default(),
+            runs: RunTracker::default(),
+            incarnation: None,
+            checking: false,
             slots: 0,
             leaving_since: None,
             serving_until: None,
@@ -156,6 +170,7 @@
         now: LocalMoment,
     ) {
         self.pool.clear();
+        self.record_replaced(&target_heartbeat.life);
         let actions = {
             let mut state = self.state.borrow_mut();
             state.ended = false;
--- a/crates/sidecar/src/proxy/serve.rs
+++ b/crates/sidecar/src/proxy/serve.rs
@@ -18,7 +18,7 @@
     time::Duration,
 };
 use wagtail_core::units::LocalMoment;
-use wagtail_gate::{GateArrival, GateOptions, GateRefusal};
+use wagtail_gate::{GateArrival, GateOptions, GateRefusal, runs::RunEnd};
 use wagtail_net::clock;
 use wagtail_peer::answer::PeerResponse;
 use wagtail_shard::table::RowState;
@@ -84,6 +84,7 @@
             return self.not_run(replies::elsewhere(GateRefusal::Closed.as_str()));
         }
 
+        self.begin_run(guard.ticket, dispatch_head, &body);
         started.set(Some(clock::now()));
         let mut response = self.dispatch(dispatch_head, body, deadline, guard).await;
         if is_call {
@@ -296,6 +297,7 @@
             ticket,
             started: Cell::new(false),
             executed: Cell::new(false),
+            run_end: Cell::new(RunEnd::Unresolved),
         };
         self.apply_actions(actions);
 
--- a/crates/sidecar/src/proxy/slots.rs
+++ b/crates/sidecar/src/proxy/slots.rs
@@ -7,7 +7,7 @@
     Result,
     ports::{BodyStream, LocalFuture},
 };
-use wagtail_gate::{GateAction, GateRefusal};
+use wagtail_gate::{GateAction, GateRefusal, runs::RunEnd};
 use wagtail_net::{client::PooledResponse, clock};
 
 /// `Admission` is the decision of the gate on a request.
@@ -27,10 +27,13 @@
     pub(super) ticket: u64,
     pub(super) started: Cell<bool>,
     pub(super) executed: Cell<bool>,
+    /// How the request ended, if it was sent to the target.
+    pub(super) run_end: Cell<RunEnd>,
 }
 
 impl Drop for SlotGuard {
     fn drop(&mut self) {
+        self.proxy.finish_run(self.ticket, self.run_end.get());
         self.proxy
             .release(self.ticket, self.started.get(), self.executed.get());
     }
@@ -42,6 +45,8 @@
 pub(super) struct SlotBody {
     pub(super) response: PooledResponse,
     pub(super) guard: Option<SlotGuard>,
+    /// How the request ends if the body is complete.
+    pub(super) whole_end: RunEnd,
 }
 
 impl BodyStream for SlotBody {
@@ -50,11 +55,14 @@
             let chunk = self.response.next().await;
             match &chunk {
                 Ok(None) => {
-                    self.guard.take();
+                    if let Some(guard) = self.guard.take() {
+                        guard.run_end.set(self.whole_end);
+                    }
                 }
                 Err(_) => {
                     if let Some(guard) = self.guard.take() {
                         guard.proxy.record_result(true);
+                        guard.proxy.check_process();
                     }
                 }
                 Ok(Some(_)) => {}
