Requests that crash their targets are refused after the third

Cause: nothing in the fleet remembered a request beyond its own attempt. The node beside a target saw the end and the requests under it, and told no one; the next repetition was new to every node.

Now a node that is certain of its target's end reports the digests of the requests that ran, in its record in the store, which all nodes follow and a restarted node reads. Each node adds up the reports: three crashes of three incarnations refuse a request at the caller's node and at the target's. Requests beside it share its crashes; a success at any target clears a request of the crashes before, and one that is close to a refusal runs beside no other such request. A suspected request is not retried at a second target. A crash counts for ten minutes.

Before: the three loopback tests failed (24 crashes 3 s after the third, 39 after 5 s; with a key 12 and 18; a restarted node sent the request on).

--- a/crates/gate/src/runs.rs
+++ b/crates/gate/src/runs.rs
@@ -43,6 +43,11 @@
         self.running.insert(ticket, TargetRun { life, content });
     }
 
+    /// Returns the contents of the requests that run.
+    pub fn running(&self) -> impl Iterator<Item = &RequestContent> {
+        self.running.values().map(|run| &run.content)
+    }
+
     /// Records how a request ended. Returns its content if it succeeded.
     pub fn finish(&mut self, ticket: u64, end: RunEnd, now: LocalMoment) -> Option<RequestContent> {
         let run = self.running.remove(&ticket)?;
--- a/crates/gate/tests/gate/main.rs
+++ b/crates/gate/tests/gate/main.rs
@@ -2,4 +2,7 @@
 
 mod calls;
 mod limits;
+mod quarantine;
+mod quarantine_storm;
+mod runs;
 mod slots;
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -35,6 +35,7 @@
     units::LocalMoment,
     verdict::RunVerdict,
 };
+use wagtail_gate::quarantine::RequestStanding;
 use wagtail_net::{clock, stop::StopSignal};
 use wagtail_peer::{answer::PeerResponse, link::SilencePolicy};
 use wagtail_route::{
@@ -512,6 +513,12 @@
     /// the budget if so.
     fn may_retry(&self, job: &ForwardJob, attempts: &ForwardAttempts) -> bool {
         let cannot_have_run = !attempts.may_have_run();
+        // A retry could end a second target within one request.
+        let content = job.dispatch_head.content(job.body.clone());
+        if !cannot_have_run && self.view.quarantine().standing(&content) > RequestStanding::Trusted
+        {
+            return false;
+        }
 
         (cannot_have_run || job.route.kind.is_idempotent())
             && attempts.at_targets() < job.route.max_attempts
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -7,6 +7,7 @@
     outcomes::{RequestEnd, RequestRecorder},
     ports::WireDialect,
     proxy::{TargetProxy, headers::end_to_end},
+    quarantine::QUARANTINED,
     settings::SidecarSettings,
     view::FleetView,
 };
@@ -26,11 +27,12 @@
     time::Duration,
 };
 use wagtail_core::{
+    digest::RequestDigest,
     ports::{BodyStream, LocalFuture},
     routing::CallerLimits,
     units::LocalMoment,
 };
-use wagtail_gate::waits::CallerWaits;
+use wagtail_gate::{quarantine::RequestStanding, waits::CallerWaits};
 use wagtail_net::{
     clock,
     server::{ConnectionLimits, HttpHandler, LimitSource, ServerBody, streamed_body, whole_body},
@@ -106,6 +108,8 @@
     status: StatusCode,
     reason: &'static str,
     pause: Option<Duration>,
+    /// The content of the request, if it is the reason.
+    digest: Option<RequestDigest>,
 }
 
 impl EarlyResponse {
@@ -115,6 +119,7 @@
             status,
             reason,
             pause: None,
+            digest: None,
         }
     }
 }
@@ -157,6 +162,7 @@
                     parts.uri.path(),
                     early.status.as_u16(),
                     early.reason,
+                    early.digest,
                 );
                 plain_response(early.status, early.reason, early.pause)
             }
@@ -185,6 +191,13 @@
         };
         let mut job = self.resolve(parts, &hosts, started_at)?;
         job.body = read_body(body, hosts.limits(), started_at).await?;
+        let content = job.dispatch_head.content(job.body.clone());
+        if self.view.quarantine().standing(&content) == RequestStanding::Refused {
+            return Err(EarlyResponse {
+                digest: Some(content.digest()),
+                ..EarlyResponse::new(StatusCode::SERVICE_UNAVAILABLE, QUARANTINED)
+            });
+        }
 
         Ok(job)
     }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -17,6 +17,7 @@
 //! - [`forward`]: forwards a caller's request to a target, with retries.
 //! - [`front`]: the handlers for callers and for readiness checks.
 //! - [`heartbeats`]: the handler of the target's heartbeats.
+//! - [`quarantine`]: the requests that crash their targets, which this node refuses.
 //! - [`record`]: publishes the record of this node.
 //! - [`outcomes`]: log lines and metrics of how requests ended.
 //! - [`metrics`]: the handler that serves metrics to collectors.
@@ -37,6 +38,7 @@
 pub mod planning;
 pub mod ports;
 pub mod proxy;
+pub mod quarantine;
 pub mod record;
 pub mod relay;
 pub mod run;
--- a/crates/sidecar/src/outcomes.rs
+++ b/crates/sidecar/src/outcomes.rs
@@ -3,7 +3,9 @@
 use crate::messages::DispatchHead;
 use std::{cell::RefCell, time::Duration};
 use tracing::info;
-use wagtail_core::{objects::StoreRevision, routing::RequestKind, units::LocalMoment};
+use wagtail_core::{
+    digest::RequestDigest, objects::StoreRevision, routing::RequestKind, units::LocalMoment,
+};
 use wagtail_net::clock;
 use wagtail_telemetry::{
     requests::{RequestClass, RequestMetrics},
@@ -107,14 +109,27 @@
         }
     }
 
-    /// Records a caller's request that was refused before it was sent to any node.
-    pub fn request_rejected(&self, request_id: &str, path: &str, status: u16, reason: &str) {
+    /// Records a caller's request that was refused before it was sent to any node. `digest` identifies
+    /// its content if that is the reason.
+    pub fn request_rejected(
+        &self,
+        request_id: &str,
+        path: &str,
+        status: u16,
+        reason: &str,
+        digest: Option<RequestDigest>,
+    ) {
         self.metrics.count_reason(reason);
 
         if let Some(skipped) = self.sampled_line(request_id, true) {
             info!(
                 event = "request-refused",
-                request_id, path, status, reason, skipped
+                request_id,
+                path,
+                status,
+                reason,
+                digest = digest.map(tracing::field::display),
+                skipped
             );
         }
     }
--- a/crates/sidecar/src/proxy/crashes.rs
+++ b/crates/sidecar/src/proxy/crashes.rs
@@ -1,23 +1,42 @@
 //! What ran at the target when its process ended.
 
-use super::TargetProxy;
-use crate::messages::DispatchHead;
-use bytes::Bytes;
+use super::{TargetProxy, replies};
+use crate::{
+    messages::NotRunFields,
+    quarantine::{ISOLATED, QUARANTINED},
+};
 use tracing::warn;
 use wagtail_core::{
     digest::{RequestContent, RequestDigest},
     heartbeat::TargetIncarnation,
 };
-use wagtail_gate::runs::RunEnd;
+use wagtail_gate::{crash_report::CrashReport, quarantine::RequestStanding, runs::RunEnd};
 use wagtail_net::clock;
 
 impl TargetProxy {
+    /// Returns the refusal of a request that may not run at all, or not beside those that run now.
+    pub(super) fn check_standing(&self, content: &RequestContent) -> Option<NotRunFields> {
+        let quarantine = self.view.quarantine();
+        let is_isolated =
+            |other: &RequestContent| quarantine.standing(other) >= RequestStanding::Isolated;
+
+        match quarantine.standing(content) {
+            RequestStanding::Refused => Some(NotRunFields {
+                elsewhere: false,
+                ..replies::elsewhere(QUARANTINED)
+            }),
+            RequestStanding::Isolated if self.state.borrow().runs.running().any(is_isolated) => {
+                Some(replies::elsewhere(ISOLATED))
+            }
+            _ => None,
+        }
+    }
+
     /// Records that a request is about to be sent to the target.
-    pub(super) fn begin_run(&self, ticket: u64, dispatch_head: &DispatchHead, body: &Bytes) {
+    pub(super) fn begin_run(&self, ticket: u64, content: RequestContent) {
         let state = &mut *self.state.borrow_mut();
 
         if let Some(life) = state.keeper.life() {
-            let content = dispatch_head.content(body.clone());
             state.runs.begin(ticket, life.clone(), content);
         }
     }
@@ -25,8 +44,11 @@
     /// Records how a request at the target ended.
     pub(super) fn finish_run(&self, ticket: u64, end: RunEnd) {
         let now = clock::now();
+        let succeeded = self.state.borrow_mut().runs.finish(ticket, end, now);
 
-        self.state.borrow_mut().runs.finish(ticket, end, now);
+        if let Some(content) = succeeded {
+            self.view.quarantine().record_success(&content);
+        }
     }
 
     /// Records that the process of an incarnation of the target has ended without a leave.
@@ -42,6 +64,21 @@
             event = "target-ended", life = %life, reason, running = ended.len(),
             digests = names.join(",")
         );
+        self.view.quarantine().record_crash(life, digests);
+        self.crashed.notify(usize::MAX);
+    }
+
+    /// Waits until the target has crashed.
+    pub async fn crash(&self) {
+        self.crashed.listen().await;
+    }
+
+    /// Returns the report of this node on crashes, with what its earlier processes have stored.
+    pub fn crash_report(&self) -> CrashReport {
+        let record = self.view.node(&self.settings.node);
+        let stored = record.as_ref().map(|record| &record.crashes);
+
+        self.view.quarantine().own_report(stored)
     }
 
     /// Records that another incarnation of the target has started. The one before has ended, which
--- a/crates/sidecar/src/proxy/mod.rs
+++ b/crates/sidecar/src/proxy/mod.rs
@@ -74,6 +74,8 @@
     state: Rc<RefCell<ProxyState>>,
     /// Notified when the target states its leave in a response.
     departed: Rc<Event>,
+    /// Notified when the process of the target has ended without a leave.
+    crashed: Rc<Event>,
     pool: HttpPool,
 }
 
@@ -153,6 +155,7 @@
             recorder,
             state: Rc::new(RefCell::new(state)),
             departed: Rc::default(),
+            crashed: Rc::default(),
         }
     }
 
--- a/crates/sidecar/src/proxy/serve.rs
+++ b/crates/sidecar/src/proxy/serve.rs
@@ -71,6 +71,7 @@
             return self.not_run(refusal);
         }
 
+        let content = dispatch_head.content(body.clone());
         let guard = match self.admit(dispatch_head, is_call, deadline).await {
             Ok(guard) => guard,
             Err(refusal) => return self.not_run(refusal),
@@ -84,7 +85,12 @@
             return self.not_run(replies::elsewhere(GateRefusal::Closed.as_str()));
         }
 
-        self.begin_run(guard.ticket, dispatch_head, &body);
+        // A crash may become known while the request waits for its slot.
+        if let Some(refusal) = self.check_standing(&content) {
+            return self.not_run(refusal);
+        }
+
+        self.begin_run(guard.ticket, content);
         started.set(Some(clock::now()));
         let mut response = self.dispatch(dispatch_head, body, deadline, guard).await;
         if is_call {
--- a/crates/sidecar/src/record.rs
+++ b/crates/sidecar/src/record.rs
@@ -13,6 +13,7 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 use tracing::{info, warn};
 use wagtail_core::objects::{ObjectStore, StoreError, StoredObject};
+use wagtail_net::clock;
 
 /// The delay between two attempts to publish the record.
 const PUBLISH_RETRY_DELAY: Duration = Duration::from_millis(300);
@@ -27,6 +28,19 @@
         slots: proxy.slots(),
         ready: proxy.is_ready(),
         departures: proxy.with_keeper(|keeper| keeper.departures().clone()),
+        crashes: proxy.crash_report(),
+    }
+}
+
+/// Publishes the record of this node whenever its target has crashed. Runs until it is dropped.
+pub async fn publish_crashes(
+    settings: Rc<SidecarSettings>,
+    proxy: TargetProxy,
+    publisher: RecordPublisher,
+) {
+    loop {
+        proxy.crash().await;
+        publisher.publish(own_record(&settings, &proxy));
     }
 }
 
@@ -161,13 +175,17 @@
     }
 }
 
-/// Encodes a record for the store, with the departures that the stored one holds, as this process
+/// Encodes a record for the store, with the departures and crashes that the stored one holds, as this process
 /// may not know of all of them. Returns `None` if that fails.
 fn encode_record(record: &NodeRecord, stored: Option<&StoredObject>) -> Option<Arc<str>> {
     let mut merged = record.clone();
     if let Some(object) = stored {
         match serde_json::from_str::<NodeRecord>(&object.content) {
-            Ok(known) => merged.departures.merge(&known.departures),
+            Ok(known) => {
+                merged.departures.merge(&known.departures);
+                merged.crashes.merge(&known.crashes);
+                merged.crashes.expire(clock::unix_millis());
+            }
             Err(error) => {
                 warn!(event = "record-replaced", name = %object.name, reason = %error);
             }
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -13,7 +13,7 @@
     planning::{PlannerActivity, PlannerTask},
     ports::WireDialect,
     proxy::TargetProxy,
-    record::RecordPublisher,
+    record::{RecordPublisher, publish_crashes},
     relay::StoreRelay,
     settings::SidecarSettings,
     view::FleetView,
@@ -268,6 +268,12 @@
             self.relay.clone(),
             Rc::clone(&self.store),
         );
+        compio::runtime::spawn(publish_crashes(
+            Rc::clone(&self.settings),
+            self.proxy.clone(),
+            record.clone(),
+        ))
+        .detach();
         let heartbeats = Rc::new(HeartbeatHandler::new(
             Rc::clone(&self.settings),
             Rc::clone(&self.dialect),
--- a/crates/sidecar/src/view.rs
+++ b/crates/sidecar/src/view.rs
@@ -1,6 +1,9 @@
 //! The configuration, the nodes and the assignment tables as this node knows them.
 
-use crate::messages::{FollowedChanges, KnownVersions};
+use crate::{
+    messages::{FollowedChanges, KnownVersions},
+    quarantine::FleetQuarantine,
+};
 use compio::time::sleep;
 use event_listener::Event;
 use futures_util::future::{Either, select};
@@ -20,6 +23,7 @@
     routing::RoutingConfig,
     units::LocalMoment,
 };
+use wagtail_gate::crash_report::CrashReport;
 use wagtail_route::hosts::HostTable;
 use wagtail_shard::{departures::DepartureList, table::RangeTable};
 
@@ -51,6 +55,9 @@
     /// The targets of the node that announced their leave, so that a restarted node knows of them.
     #[serde(default)]
     pub departures: DepartureList,
+    /// The crashes of the targets of the node, with the requests that ran.
+    #[serde(default)]
+    pub crashes: CrashReport,
 }
 
 /// `VersionedTable` is an assignment table with the revision of its stored object.
@@ -87,6 +94,7 @@
     peer_versions: Rc<Cell<PeerVersions>>,
     /// The node that reported the newest version of the configuration.
     newest_config_node: Rc<RefCell<Option<Arc<str>>>>,
+    quarantine: FleetQuarantine,
 }
 
 /// `PeerVersions` holds the newest versions that other nodes reported, and since when this node has
@@ -106,6 +114,11 @@
         (hosts.version() > 0).then_some(hosts)
     }
 
+    /// Returns the requests that are refused because of the crashes that the nodes have reported.
+    pub fn quarantine(&self) -> &FleetQuarantine {
+        &self.quarantine
+    }
+
     /// Returns the version of the configuration in force and the newest known object revision.
     pub fn versions(&self) -> KnownVersions {
         KnownVersions {
@@ -405,6 +418,7 @@
                     event = "node-seen", node = %record.node, service = %record.service,
                     ready = record.ready, revision = %object.revision
                 );
+                self.quarantine.set_report(&record.node, &record.crashes);
                 self.nodes
                     .borrow_mut()
                     .insert(Arc::clone(&record.node), Rc::new(record));
--- a/crates/sidecar/tests/view.rs
+++ b/crates/sidecar/tests/view.rs
@@ -8,6 +8,7 @@
     routing::RoutingConfig,
     units::LocalMoment,
 };
+use wagtail_gate::crash_report::CrashReport;
 use wagtail_shard::departures::DepartureList;
 use wagtail_shard::table::RangeTable;
 use wagtail_sidecar::{
@@ -45,6 +46,7 @@
         slots: 4,
         ready,
         departures: DepartureList::default(),
+        crashes: CrashReport::default(),
     };
 
     object(
