--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -18,6 +18,7 @@
 //! - [`front`]: the handlers for callers and for readiness checks.
 //! - [`heartbeats`]: the handler of the target's heartbeats.
 //! - `grant_log`: logs what the replies begin and cease to grant.
+//! - [`quarantine`]: the requests that crash their targets, which this node refuses.
 //! - [`record`]: publishes the record of this node.
 //! - [`outcomes`]: log lines and metrics of how requests ended.
 //! - [`metrics`]: the handler that serves metrics to collectors.
@@ -39,6 +40,7 @@
 pub mod planning;
 pub mod ports;
 pub mod proxy;
+pub mod quarantine;
 pub mod record;
 pub mod relay;
 pub mod run;
--- a/crates/sidecar/src/proxy/serve.rs
+++ b/crates/sidecar/src/proxy/serve.rs
@@ -18,7 +18,7 @@
     time::Duration,
 };
 use wagtail_core::units::LocalMoment;
-use wagtail_gate::{GateArrival, GateOptions, GateRefusal};
+use wagtail_gate::{GateArrival, GateOptions, GateRefusal, runs::RunEnd};
 use wagtail_net::clock;
 use wagtail_peer::answer::PeerResponse;
 use wagtail_shard::table::RowState;
@@ -71,6 +71,7 @@
             return self.not_run(refusal);
         }
 
+        let content = dispatch_head.content(body.clone());
         let guard = match self.admit(dispatch_head, is_call, deadline).await {
             Ok(guard) => guard,
             Err(refusal) => return self.not_run(refusal),
@@ -84,6 +85,12 @@
             return self.not_run(replies::elsewhere(GateRefusal::Closed.as_str()));
         }
 
+        // A crash may become known while the request waits for its slot.
+        if let Some(refusal) = self.check_standing(&content) {
+            return self.not_run(refusal);
+        }
+
+        self.begin_run(guard.ticket, content);
         started.set(Some(clock::now()));
         let mut response = self.dispatch(dispatch_head, body, deadline, guard).await;
         if is_call {
@@ -296,6 +303,7 @@
             ticket,
             started: Cell::new(false),
             executed: Cell::new(false),
+            run_end: Cell::new(RunEnd::Unresolved),
         };
         self.apply_actions(actions);
 
