Failing tests of OWNER within one era: the calls of a node overtake each other

A review of the fix pointed out that the storm reads, writes and replies in one step, so that it cannot show what happens between. The calls of its nodes now take time: up to 0.6 s each way, several at once, with the limit of 700 ms and the two attempts of a node.

The two tests that count each millisecond served keep prompt calls, as they did before.

--- a/crates/shard/tests/shard/recovery.rs
+++ b/crates/shard/tests/shard/recovery.rs
@@ -328,3 +328,41 @@
         assert_eq!(grant.ranges.len(), 1);
     }
 }
+
+/// Guards against a read that was sent before a write of this node and whose response comes after that of
+/// the write: what the node freed by the write belongs to others now.
+#[test]
+fn a_read_that_a_later_write_of_this_node_overtook_brings_no_rows_back() {
+    let table = table_of("a");
+    let mut keeper = granting_keeper("a", &table);
+
+    // The target was silent for 3 s. The node reads the table at 4,000 ms to free its rows; the next
+    // heartbeat arrives at 4,001 ms, and its read is sent before the response to the first one arrives.
+    let second = heartbeat("a", 1, 2, Vec::new(), Vec::new());
+    keeper.accept(&second, at(4_001));
+    assert!(keeper.needs_read(&second, first_era(6), at(4_001)));
+    let change = keeper
+        .begin_settling(
+            &table,
+            first_era(6),
+            at(4_000),
+            at(4_003),
+            |keeper, next| keeper.free_lapsed(next, at(4_000)),
+        )
+        .unwrap();
+    keeper.begin_write(first_era(6), change.table.clone());
+    keeper.record_table(change.table, first_era(7), at(4_000));
+
+    // The response to the heartbeat's read arrives last; the store made it before the write.
+    let change = keeper.begin_settling(
+        &table,
+        first_era(6),
+        at(4_001),
+        at(4_020),
+        |keeper, next| keeper.settle(&second, next),
+    );
+    assert!(change.is_none());
+
+    let grant = keeper.reply(&second, at(4_001), at(4_020)).grant;
+    assert!(grant.is_none_or(|grant| grant.ranges.is_empty()));
+}
--- a/crates/shard/tests/shard/simulation.rs
+++ b/crates/shard/tests/shard/simulation.rs
@@ -27,6 +27,42 @@
     Reply(HeartbeatReply, u64, u64),
 }
 
+/// Why a node reads the table.
+#[derive(Debug, Clone)]
+pub enum CallCause {
+    /// A heartbeat, with the times at which it was sent and arrived.
+    Heartbeat(TargetHeartbeat, u64, u64),
+    /// The grants of the target have lapsed.
+    Lapse,
+}
+
+/// How far a call has come.
+#[derive(Debug)]
+pub enum CallState {
+    /// The read is on its way to the store.
+    Reading,
+    /// The store has made the read.
+    Read(StoredTable),
+    /// A write of the table is on its way to the store, with the revision that it expects.
+    Writing(StoreRevision, RangeTable),
+    /// The store has made the write or refused it.
+    Wrote(StoreRevision, RangeTable, WriteOutcome),
+}
+
+/// A read of a node and the write that may follow.
+#[derive(Debug)]
+pub struct NodeCall {
+    pub cause: CallCause,
+    pub began: u64,
+    pub attempt: u32,
+    pub read_sent: u64,
+    /// When the present read or write reaches the store.
+    pub lands: u64,
+    /// When its response reaches the node.
+    pub responds: u64,
+    pub state: CallState,
+}
+
 /// A VM with a target and its node.
 #[derive(Debug)]
 pub struct SimulatedVm {
@@ -47,6 +83,10 @@
     pub leaving: bool,
     pub messages: Vec<(u64, InFlightMessage)>,
     pub next_free_attempt: u64,
+    /// The calls that are under way.
+    pub calls: Vec<NodeCall>,
+    /// The newest revision of the table that the node has heard of.
+    pub known: StoreRevision,
 }
 
 impl SimulatedVm {
@@ -65,6 +105,8 @@
     /// Starts a new process of the node, which is up at `up_at` and remembers nothing.
     pub fn restart_node(&mut self, up_at: u64) {
         self.node_up_at = up_at;
+        self.calls.clear();
+        self.known = StoreRevision::ZERO;
         self.keeper = GrantKeeper::new(
             Arc::from(self.name.clone()),
             KeeperOptions::default(),
--- a/crates/shard/tests/shard/store_returns.rs
+++ b/crates/shard/tests/shard/store_returns.rs
@@ -41,6 +41,7 @@
     const QUIET_UNTIL_MS: u64 = 35_000;
 
     let options = StormOptions {
+        prompt_calls: true,
         without_balancing: true,
         ..StormOptions::default()
     };
@@ -72,6 +73,7 @@
     const END_MS: u64 = 45_000;
     const MAX_RECOVERY_MS: u64 = 15_000;
     let options = StormOptions {
+        prompt_calls: true,
         without_balancing: true,
         ..StormOptions::default()
     };
--- a/crates/shard/tests/shard/storm.rs
+++ b/crates/shard/tests/shard/storm.rs
@@ -13,7 +13,7 @@
 use wagtail_core::{heartbeat::HeldRange, objects::StoreRevision, units::LocalMoment};
 use wagtail_shard::{
     balance::BalanceOptions,
-    keeper::{GrantKeeper, HeartbeatVerdict, KeeperOptions},
+    keeper::{GrantKeeper, KeeperOptions},
     load::RangeLoad,
     planner::{PlannerOptions, RangePlanner},
     table::RangeTable,
@@ -43,6 +43,9 @@
     pub return_rate: f64,
     /// Whether the planner frees revoked rows without waiting, which breaks the rule.
     pub skip_lapse_wait: bool,
+    /// Whether the store responds to nodes within a few steps. Otherwise some calls take up to 0.6 s each
+    /// way, so that the calls of a node overtake each other.
+    pub prompt_calls: bool,
     /// Whether the planner moves no keys to balance the load.
     pub without_balancing: bool,
 }
@@ -72,12 +75,12 @@
 /// `FaultSimulation` is one run of the service under faults.
 #[derive(Debug)]
 pub struct FaultSimulation {
-    now: u64,
-    vms: Vec<SimulatedVm>,
-    store: Store,
+    pub(crate) now: u64,
+    pub(crate) vms: Vec<SimulatedVm>,
+    pub(crate) store: Store,
     planner: Option<(usize, RangePlanner)>,
     next_plan: u64,
-    random: ChaCha8Rng,
+    pub(crate) random: ChaCha8Rng,
     last: HashMap<u16, (String, u64)>,
     /// What the planner knows of the table; it may be outdated, as a node learns of changes late.
     planner_view: StoredTable,
@@ -85,7 +88,7 @@
     planner_era: u64,
     /// For each checked key, how long it was held.
     pub served_ms: HashMap<u16, u64>,
-    options: StormOptions,
+    pub(crate) options: StormOptions,
 }
 
 impl FaultSimulation {
@@ -113,6 +116,8 @@
                 leaving: false,
                 messages: Vec::new(),
                 next_free_attempt: 0,
+                calls: Vec::new(),
+                known: StoreRevision::ZERO,
             })
             .collect();
 
@@ -172,7 +177,7 @@
             .collect()
     }
 
-    fn moment(&self) -> LocalMoment {
+    pub(crate) fn moment(&self) -> LocalMoment {
         LocalMoment::from_millis(self.now)
     }
 
@@ -221,6 +226,11 @@
     /// Makes a fault begin now.
     fn apply_fault(&mut self, fault: ScriptedFault) {
         let now = self.now;
+        if let ScriptedFault::NodeRestarts { index, .. } | ScriptedFault::PowerLoss { index, .. } =
+            fault
+        {
+            self.abandon_calls(index);
+        }
         match fault {
             ScriptedFault::StoreReturns { away, age } => {
                 self.store.return_from_copy(now, age);
@@ -258,7 +268,7 @@
     }
 
     /// Returns whether a node reaches the store.
-    fn reaches_store(&self, index: usize) -> bool {
+    pub(crate) fn reaches_store(&self, index: usize) -> bool {
         self.now >= self.vms[index].store_cut_until && self.now >= self.store.away_until
     }
 
@@ -316,82 +326,8 @@
         }
     }
 
-    /// Runs one step of a node: replies to the heartbeats that arrived and frees lapsed rows.
-    fn node(&mut self, index: usize) {
-        let now = self.now;
-        let moment = self.moment();
-        if now < self.vms[index].node_up_at || now < self.vms[index].node_frozen_until {
-            return;
-        }
-        let arrived = |message: &mut (u64, InFlightMessage)| {
-            message.0 <= now && matches!(message.1, InFlightMessage::Heartbeat(..))
-        };
-        let heartbeats: Vec<_> = self.vms[index].messages.extract_if(.., arrived).collect();
-
-        for (_, message) in heartbeats {
-            let InFlightMessage::Heartbeat(heartbeat, sent) = message else {
-                continue;
-            };
-            let reaches_store = self.reaches_store(index);
-            let vm = &mut self.vms[index];
-            if vm.keeper.accept(&heartbeat, moment) == HeartbeatVerdict::Stale {
-                continue;
-            }
-            if reaches_store && let Some((revision, table)) = self.store.table.clone() {
-                let change =
-                    vm.keeper
-                        .begin_settling(&table, revision, moment, moment, |keeper, next| {
-                            keeper.settle(&heartbeat, next)
-                        });
-                if let Some(change) = change {
-                    self.write_from_node(index, revision, change.table);
-                }
-            }
-
-            let vm = &mut self.vms[index];
-            let reply = vm.keeper.reply(&heartbeat, moment, moment);
-            let delay = self.random.random_range(1..200);
-            vm.messages.push((
-                now + delay,
-                InFlightMessage::Reply(reply, sent, heartbeat.sequence),
-            ));
-        }
-
-        let reaches_store = self.reaches_store(index);
-        let vm = &mut self.vms[index];
-        if reaches_store
-            && now >= vm.next_free_attempt
-            && moment >= vm.keeper.lapses_at()
-            && let Some((revision, table)) = self.store.table.clone()
-        {
-            vm.next_free_attempt = now + 300;
-            let change =
-                vm.keeper
-                    .begin_settling(&table, revision, moment, moment, |keeper, next| {
-                        keeper.free_lapsed(next, moment)
-                    });
-            if let Some(change) = change {
-                self.write_from_node(index, revision, change.table);
-            }
-        }
-    }
-
-    /// Writes the table on behalf of a node and records the outcome in its keeper.
-    fn write_from_node(&mut self, index: usize, expected: StoreRevision, next: RangeTable) {
-        let moment = self.moment();
-        self.vms[index].keeper.begin_write(expected, next.clone());
-
-        let outcome = self.write(expected, next.clone());
-        let keeper = &mut self.vms[index].keeper;
-        match outcome {
-            WriteOutcome::Written(revision) => keeper.record_table(next, revision, moment),
-            WriteOutcome::Refused => keeper.discard_write(expected),
-            WriteOutcome::Conflict | WriteOutcome::Unknown => {}
-        }
-    }
-
     /// Writes the table. Some writes take effect later, without a response, and some are refused.
-    fn write(&mut self, expected: StoreRevision, table: RangeTable) -> WriteOutcome {
+    pub(crate) fn write(&mut self, expected: StoreRevision, table: RangeTable) -> WriteOutcome {
         if self.random.random_bool(0.35) {
             let due = self.now + self.random.random_range(500..6_000);
             self.store.delay(due, expected.number, table);
