A read that a node's own write overtook brings no rows back

Cause: record_table compared eras only. A node frees the rows of a silent target while a heartbeat's read is under way; if the response to that read comes after that of the write, the older table replaced the newer one, the write no longer counted as uncertain, and the reply granted rows that the planner may assign at once.

Change: a table of an earlier revision than the last one is ignored.

--- a/crates/shard/src/keeper.rs
+++ b/crates/shard/src/keeper.rs
@@ -397,8 +397,8 @@
     /// read produced. Drops the uncertain writes that this revision rules out, and the releases that
     /// the table does not wait for.
     ///
-    /// A table of an earlier era than the last one is ignored, as the store no longer holds it. One
-    /// that was written for an earlier era than the store is in, or in which ranges are unconfirmed that
+    /// A table of an earlier revision than the last one is ignored, as the store no longer holds it: a read
+    /// may be overtaken by a later one, or by a write. One that was written for an earlier era than the store is in, or in which ranges are unconfirmed that
     /// the target still holds, is ignored as well: until the table is recovered and the ranges are claimed,
     /// the last one supports grants for as long as it is valid.
     pub fn record_table(
@@ -410,7 +410,7 @@
         if self
             .confirmed
             .as_ref()
-            .is_some_and(|confirmed| confirmed.revision.era > revision.era)
+            .is_some_and(|confirmed| confirmed.revision > revision)
         {
             return;
         }
--- a/crates/shard/tests/shard/simulation.rs
+++ b/crates/shard/tests/shard/simulation.rs
@@ -131,7 +131,7 @@
 }
 
 /// The outcome of a write, as its sender sees it.
-#[derive(Debug)]
+#[derive(Debug, Clone, Copy)]
 pub enum WriteOutcome {
     /// It took effect.
     Written(StoreRevision),
