A refused write does not hide another one that may take effect

Cause: two tasks of a node may write the table at once, one for a heartbeat and one for a silent target, both on the same revision. A write that was refused removed the latest entry of that revision from the writes that may still take effect, which could be the other one; the rows that this one freed were granted meanwhile.

Change: a write is known by an identifier of its own.

--- a/crates/shard/src/keeper.rs
+++ b/crates/shard/src/keeper.rs
@@ -94,10 +94,15 @@
     read_sent_at: LocalMoment,
 }
 
+/// `PendingWrite` identifies a write of the table whose outcome is not known yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PendingWrite(u64);
+
 /// `UncertainWrite` is a conditional write without a response. It may still take effect while the
 /// stored table is at the revision that it expects.
 #[derive(Debug, Clone)]
 struct UncertainWrite {
+    id: PendingWrite,
     expected: StoreRevision,
     next: RangeTable,
 }
@@ -145,6 +150,7 @@
     departures: DepartureList,
     confirmed: Option<ConfirmedTable>,
     uncertain: Vec<UncertainWrite>,
+    next_write: u64,
     /// The revision of the first table that this process read. Writes of the previous process
     /// without a response may take effect while the table stays at this revision.
     first_revision: Option<StoreRevision>,
@@ -169,6 +175,7 @@
             departures: DepartureList::default(),
             confirmed: None,
             uncertain: Vec::new(),
+            next_write: 0,
             first_revision: None,
         }
     }
@@ -474,20 +481,17 @@
 
     /// Records a write that is about to be sent. Until its response arrives, or for good if
     /// none does, it may take effect at any time while the table is at the revision `expected`.
-    pub fn begin_write(&mut self, expected: StoreRevision, next: RangeTable) {
-        self.uncertain.push(UncertainWrite { expected, next });
-    }
+    pub fn begin_write(&mut self, expected: StoreRevision, next: RangeTable) -> PendingWrite {
+        let id = PendingWrite(self.next_write);
+        self.next_write += 1;
+        self.uncertain.push(UncertainWrite { id, expected, next });
 
-    /// Forgets the latest write that expects this revision, because it was certainly not executed.
-    pub fn discard_write(&mut self, expected: StoreRevision) {
-        let last = self
-            .uncertain
-            .iter()
-            .rposition(|write| write.expected == expected);
+        id
+    }
 
-        if let Some(index) = last {
-            self.uncertain.remove(index);
-        }
+    /// Forgets a write, because it was certainly not executed.
+    pub fn discard_write(&mut self, id: PendingWrite) {
+        self.uncertain.retain(|write| write.id != id);
     }
 
     /// Returns whether the reply to a heartbeat may be delayed until another target releases a
--- a/crates/shard/tests/shard/node_calls.rs
+++ b/crates/shard/tests/shard/node_calls.rs
@@ -8,7 +8,10 @@
 use rand::Rng;
 use std::mem::take;
 use wagtail_core::{heartbeat::TargetHeartbeat, objects::StoreRevision, units::LocalMoment};
-use wagtail_shard::{keeper::HeartbeatVerdict, table::RangeTable};
+use wagtail_shard::{
+    keeper::{HeartbeatVerdict, PendingWrite},
+    table::RangeTable,
+};
 
 /// The time after the arrival of a heartbeat within which the table must be read, in milliseconds.
 const READ_LIMIT_MS: u64 = 700;
@@ -131,9 +134,9 @@
             let state = std::mem::replace(&mut call.state, CallState::Reading);
             call.state = match state {
                 CallState::Reading => CallState::Read(self.store.table.clone()),
-                CallState::Writing(expected, table) => {
+                CallState::Writing(pending, expected, table) => {
                     let outcome = self.write(expected, table.clone());
-                    CallState::Wrote(expected, table, outcome)
+                    CallState::Wrote(pending, table, outcome)
                 }
                 landed => landed,
             };
@@ -143,7 +146,7 @@
 
     /// Gives up a call. Its write may still take effect.
     fn abandon(&mut self, call: NodeCall) {
-        if let CallState::Writing(expected, table) = call.state {
+        if let CallState::Writing(_, expected, table) = call.state {
             self.store.delay(call.lands, expected.number, table);
         }
     }
@@ -191,8 +194,8 @@
             CallState::Read(Some((revision, table))) => {
                 self.record_read(index, call, revision, &table);
             }
-            CallState::Wrote(expected, table, outcome) => {
-                self.record_write(index, call, expected, table, outcome);
+            CallState::Wrote(pending, table, outcome) => {
+                self.record_write(index, call, pending, table, outcome);
             }
             _ => self.reply_to(index, &call.cause),
         }
@@ -226,10 +229,10 @@
             return;
         };
 
-        vm.keeper.begin_write(revision, change.table.clone());
+        let pending = vm.keeper.begin_write(revision, change.table.clone());
         call.lands = self.now + self.call_delay() / 2;
         call.responds = call.lands + self.call_delay();
-        call.state = CallState::Writing(revision, change.table);
+        call.state = CallState::Writing(pending, revision, change.table);
         self.vms[index].calls.push(call);
     }
 
@@ -238,7 +241,7 @@
         &mut self,
         index: usize,
         call: NodeCall,
-        expected: StoreRevision,
+        pending: PendingWrite,
         table: RangeTable,
         outcome: WriteOutcome,
     ) {
@@ -249,7 +252,7 @@
                 vm.known = vm.known.max(revision);
                 vm.keeper.record_table(table, revision, read_sent);
             }
-            WriteOutcome::Refused => vm.keeper.discard_write(expected),
+            WriteOutcome::Refused => vm.keeper.discard_write(pending),
             WriteOutcome::Conflict if call.attempt < MAX_ATTEMPTS => {
                 self.begin_read(index, call.cause, call.began, call.attempt + 1);
                 return;
--- a/crates/shard/tests/shard/recovery.rs
+++ b/crates/shard/tests/shard/recovery.rs
@@ -366,3 +366,27 @@
     let grant = keeper.reply(&second, at(4_001), at(4_020)).grant;
     assert!(grant.is_none_or(|grant| grant.ranges.is_empty()));
 }
+
+/// Guards against a refused write whose removal makes the keeper forget another one that expects the same
+/// revision and may still take effect.
+#[test]
+fn a_refused_write_does_not_hide_another_one_that_may_take_effect() {
+    let table = table_of("a");
+    let mut keeper = granting_keeper("a", &table);
+    let second = heartbeat("a", 1, 2, Vec::new(), Vec::new());
+    keeper.accept(&second, at(4_000));
+
+    // The settling of the heartbeat writes first, then the task that frees the rows of a silent target.
+    let mut settled = table.clone();
+    settled.begin_change(first_era(6));
+    let mut freed = settled.clone();
+    assert!(keeper.free_lapsed(&mut freed, at(4_000)));
+    keeper.record_table(table, first_era(6), at(4_000));
+    let settling = keeper.begin_write(first_era(6), settled);
+    keeper.begin_write(first_era(6), freed);
+    // The first one is refused; no response to the second one arrives.
+    keeper.discard_write(settling);
+
+    let grant = keeper.reply(&second, at(4_000), at(4_020)).grant;
+    assert!(grant.is_none_or(|grant| grant.ranges.is_empty()));
+}
--- a/crates/shard/tests/shard/simulation.rs
+++ b/crates/shard/tests/shard/simulation.rs
@@ -7,7 +7,7 @@
     units::LocalMoment,
 };
 use wagtail_shard::{
-    keeper::{GrantKeeper, KeeperOptions},
+    keeper::{GrantKeeper, KeeperOptions, PendingWrite},
     table::RangeTable,
 };
 
@@ -44,9 +44,9 @@
     /// The store has made the read.
     Read(StoredTable),
     /// A write of the table is on its way to the store, with the revision that it expects.
-    Writing(StoreRevision, RangeTable),
+    Writing(PendingWrite, StoreRevision, RangeTable),
     /// The store has made the write or refused it.
-    Wrote(StoreRevision, RangeTable, WriteOutcome),
+    Wrote(PendingWrite, RangeTable, WriteOutcome),
 }
 
 /// A read of a node and the write that may follow.
--- a/crates/sidecar/src/heartbeats.rs
+++ b/crates/sidecar/src/heartbeats.rs
@@ -287,7 +287,8 @@
             let updated = settling.table;
 
             // Recorded before the write, as this future may be dropped while that is in flight.
-            self.proxy
+            let pending = self
+                .proxy
                 .with_keeper(|keeper| keeper.begin_write(expected, updated.clone()));
             match self.write(&name, expected, &updated).await {
                 StoreOutcome::Written(revision) => {
@@ -298,7 +299,7 @@
                 StoreOutcome::Conflict(_) => {}
                 StoreOutcome::NotDone(reason) => {
                     self.proxy
-                        .with_keeper(|keeper| keeper.discard_write(expected));
+                        .with_keeper(|keeper| keeper.discard_write(pending));
                     return Err(reason);
                 }
                 outcome => {
