A node with a silent target does not read the table again and again after a return of the store

Cause: the task that frees the rows of a silent or ended target counted unconfirmed rows, which it may not free, so that it read the table ten times a second for the eight seconds of the wait, with a line keys-freed and a written record each time.

Change: unconfirmed rows are not the node's to free. unconfirmed_rows_leave_their_node_nothing_to_free covers the decision; the task itself has no test of its own.

--- a/crates/shard/src/table.rs
+++ b/crates/shard/src/table.rs
@@ -180,6 +180,16 @@
         next == u32::from(LAST_KEY) + 1
     }
 
+    /// Returns whether any row belongs to the target of a node. Unconfirmed rows do not, as the node may
+    /// not free them.
+    pub fn is_assigned_to(&self, node: &str) -> bool {
+        self.rows.iter().any(|row| {
+            let holder = row.holder.as_ref();
+
+            row.state != RowState::Unconfirmed && holder.is_some_and(|holder| &*holder.node == node)
+        })
+    }
+
     /// Returns the row that covers a key.
     pub fn row(&self, key: u16) -> Option<&RangeRow> {
         let index = self.rows.partition_point(|row| row.to < key);
--- a/crates/shard/tests/shard/recovery.rs
+++ b/crates/shard/tests/shard/recovery.rs
@@ -129,6 +129,18 @@
     assert!(table.row(5).unwrap().token >= 1_000);
 }
 
+/// Guards against a node that reads the table again and again to free rows of its silent target which wait
+/// after a return of the store.
+#[test]
+fn unconfirmed_rows_leave_their_node_nothing_to_free() {
+    let mut table = table_of("a");
+    assert!(table.is_assigned_to("a"));
+
+    table.begin_change(second_era(4));
+
+    assert!(!table.is_assigned_to("a"));
+}
+
 /// Guards against a claim of keys that may have passed to another holder since.
 #[test]
 fn a_holder_whose_grant_has_lapsed_claims_nothing() {
--- a/crates/sidecar/src/heartbeats.rs
+++ b/crates/sidecar/src/heartbeats.rs
@@ -382,13 +382,7 @@
     fn holds_rows(&self) -> bool {
         self.view
             .table(&self.settings.service)
-            .is_some_and(|versioned| {
-                versioned.table.rows.iter().any(|row| {
-                    row.holder
-                        .as_ref()
-                        .is_some_and(|holder| holder.node == self.settings.node)
-                })
-            })
+            .is_some_and(|versioned| versioned.table.is_assigned_to(&self.settings.node))
     }
 
     /// Records that a target is leaving. If no heartbeat of it has arrived yet, one that arrives
