A leave that the store lost with its return is recorded again

Cause: a node compared the era of its record only when something published the record. A target that had left or ended sends nothing more, so that its record stayed as the copy had it, and a restarted node forgot the leave that it had acknowledged.

Change: a node publishes its record whenever it hears of a new era.

--- a/crates/sidecar/src/record.rs
+++ b/crates/sidecar/src/record.rs
@@ -18,6 +18,9 @@
 /// The delay between two attempts to publish the record.
 const PUBLISH_RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// The longest time between two checks whether the store has returned from a copy.
+const ERA_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Returns the present record of this node.
 pub fn own_record(settings: &SidecarSettings, proxy: &TargetProxy) -> NodeRecord {
     NodeRecord {
@@ -44,6 +47,30 @@
     }
 }
 
+/// Publishes the record of this node whenever the store has returned from a copy, which may lack it.
+/// Runs until it is dropped.
+pub async fn publish_after_returns(
+    settings: Rc<SidecarSettings>,
+    proxy: TargetProxy,
+    publisher: RecordPublisher,
+    view: FleetView,
+) {
+    // The era in which this process started is not a return.
+    while !view.until(ERA_CHECK_INTERVAL, || view.knows_fleet()).await {}
+    let mut era = view.newest_era();
+
+    loop {
+        // Nothing wakes the wait when another node tells of the era, so it is limited.
+        if view
+            .until(ERA_CHECK_INTERVAL, || view.newest_era() > era)
+            .await
+        {
+            era = view.newest_era();
+            publisher.publish(own_record(&settings, &proxy));
+        }
+    }
+}
+
 /// `RecordPublisher` passes this node's record to the task that writes it to the store.
 #[derive(Debug, Clone)]
 pub struct RecordPublisher {
@@ -101,7 +128,7 @@
             while let Ok(newer) = records.try_recv() {
                 newest = newer;
             }
-            // A store that returned from a copy may have lost the record.
+            // Written again in a new era even if it has not changed.
             let era = self.view.newest_era();
             if written.as_ref() == Some(&(newest.clone(), era)) {
                 continue;
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -13,7 +13,7 @@
     planning::{PlannerActivity, PlannerTask},
     ports::WireDialect,
     proxy::TargetProxy,
-    record::{RecordPublisher, publish_crashes},
+    record::{RecordPublisher, publish_after_returns, publish_crashes},
     relay::StoreRelay,
     settings::SidecarSettings,
     view::FleetView,
@@ -268,6 +268,13 @@
             self.relay.clone(),
             Rc::clone(&self.store),
         );
+        compio::runtime::spawn(publish_after_returns(
+            Rc::clone(&self.settings),
+            self.proxy.clone(),
+            record.clone(),
+            self.view.clone(),
+        ))
+        .detach();
         compio::runtime::spawn(publish_crashes(
             Rc::clone(&self.settings),
             self.proxy.clone(),
