--- a/crates/shard/tests/shard/recovery.rs
+++ b/crates/shard/tests/shard/recovery.rs
@@ -155,6 +155,20 @@
     assert_eq!(change.table.row(5).unwrap().state, RowState::Unconfirmed);
 }
 
+/// Guards against a claim for a process that has ended, whose keys may be granted to its successor.
+#[test]
+fn a_target_that_has_ended_claims_nothing() {
+    let table = table_of("a");
+    let mut keeper = granting_keeper("a", &table);
+    keeper.target_ended();
+
+    let change = keeper
+        .begin_settling(&table, second_era(4), at(2_000), at(2_000), |_, _| false)
+        .unwrap();
+
+    assert!(change.is_recovery && !change.has_claims);
+}
+
 /// Guards against unconfirmed keys that pass to another holder before every grant of them has lapsed,
 /// because their holder in the copy released them, restarted, ended or fell silent.
 #[test]
