--- a/crates/gate/src/crash_report.rs
+++ b/crates/gate/src/crash_report.rs
@@ -1,10 +1,7 @@
 //! What one node reports of the crashes of its target.
 
 use serde::{Deserialize, Serialize};
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use std::{collections::BTreeSet, time::Duration};
 use wagtail_core::{digest::RequestDigest, heartbeat::TargetIncarnation};
 
 /// The time for which a crash counts against the requests that ran.
@@ -27,9 +24,8 @@
     pub life: TargetIncarnation,
     /// The time of the crash in milliseconds since the Unix epoch, by the clock of the target's VM.
     pub at_ms: u64,
-    /// The requests that ran, each with its rank: the number of crashes that this node knew to count
-    /// against it, with this one.
-    pub ranks: BTreeMap<RequestDigest, u32>,
+    /// The requests that ran, in ascending order.
+    pub digests: Vec<RequestDigest>,
 }
 
 /// `ClearedRequest` is a request that has succeeded after targets had crashed under it.
--- a/crates/gate/src/quarantine.rs
+++ b/crates/gate/src/quarantine.rs
@@ -1,10 +1,9 @@
 //! Which requests are refused because targets crash when they run them.
 //!
 //! Each crash counts against all requests that ran at the target. A request that crashes its targets
-//! never succeeds, so a success of a request at any target clears it of the crashes before. Targets may
-//! also end together for another reason, so a crash counts only if the one before was known by then. A
-//! request that one more crash would have refused runs beside no other such request, so that the next
-//! crash tells which of them is the cause.
+//! never succeeds, so a success of a request at any target clears it of the crashes before. A request
+//! that one more crash would have refused runs beside no other such request, so that the next crash
+//! tells which of them is the cause.
 
 use crate::crash_report::{
     ClearedRequest, CrashReport, MAX_CRASH_REQUESTS, QUARANTINE_TIME, TargetCrash,
@@ -17,7 +16,7 @@
 use wagtail_core::{digest::RequestDigest, heartbeat::TargetIncarnation, units::LocalMoment};
 
 /// The number of targets that may crash under a request before it is refused.
-pub const MAX_REQUEST_CRASHES: u32 = 3;
+pub const MAX_REQUEST_CRASHES: usize = 3;
 
 /// The number of crashes against a request from which other nodes are told of its success. Fewer
 /// do not bring it close to a refusal.
@@ -40,8 +39,7 @@
 /// whose crashes nodes have reported not to count against it.
 #[derive(Debug, Default)]
 struct SuspectRequest {
-    /// The incarnations with the rank of the request at their crash.
-    lives: BTreeMap<TargetIncarnation, u32>,
+    lives: BTreeSet<TargetIncarnation>,
     cleared: BTreeSet<TargetIncarnation>,
 }
 
@@ -82,7 +80,7 @@
 
     /// Returns the standing of a request.
     pub fn standing(&self, digest: &RequestDigest, now: LocalMoment) -> RequestStanding {
-        match self.crash_count(digest, now) {
+        match self.counted(digest, now).count() {
             0 => RequestStanding::Trusted,
             crashes if crashes >= MAX_REQUEST_CRASHES => RequestStanding::Refused,
             crashes if crashes + 1 == MAX_REQUEST_CRASHES => RequestStanding::Isolated,
@@ -105,15 +103,12 @@
         digests.sort_by_key(|digest| (Reverse(self.standing(digest, now)), *digest));
         digests.dedup();
         digests.truncate(MAX_CRASH_REQUESTS);
-        let ranks = digests
-            .into_iter()
-            .map(|digest| (digest, self.crash_count(&digest, now) + 1))
-            .collect();
+        digests.sort_unstable();
 
         self.own.add_crash(TargetCrash {
             life,
             at_ms: now_ms,
-            ranks,
+            digests,
         });
         self.rebuild(now)
     }
@@ -124,7 +119,7 @@
         digest: RequestDigest,
         now: LocalMoment,
     ) -> Vec<QuarantineChange> {
-        let lives = self.counted_lives(&digest, now);
+        let lives: Vec<TargetIncarnation> = self.counted(&digest, now).cloned().collect();
         if lives.is_empty() {
             return Vec::new();
         }
@@ -185,10 +180,7 @@
     fn due_clearances(&self, now_ms: u64) -> Vec<ClearedRequest> {
         let due = self.succeeded.iter().filter_map(|(digest, succeeded)| {
             let suspect = self.suspects.get(digest)?;
-            let lives = suspect.lives.keys();
-            let mut lives: BTreeSet<_> = lives
-                .filter(|life| !suspect.cleared.contains(*life))
-                .collect();
+            let mut lives: BTreeSet<_> = suspect.lives.difference(&suspect.cleared).collect();
             if lives.len() < MIN_CLEARED_CRASHES {
                 return None;
             }
@@ -204,49 +196,26 @@
         due.collect()
     }
 
-    /// Returns the crashes that count against a request, with its rank at each.
+    /// Returns the incarnations whose crashes count against a request.
     fn counted<'a>(
         &'a self,
         digest: &RequestDigest,
         now: LocalMoment,
-    ) -> impl Iterator<Item = (&'a TargetIncarnation, u32)> {
+    ) -> impl Iterator<Item = &'a TargetIncarnation> {
         let succeeded = self.succeeded.get(digest);
         let suspect = self.suspects.get(digest);
 
         suspect.into_iter().flat_map(move |suspect| {
-            let counts = move |life: &TargetIncarnation| {
-                !suspect.cleared.contains(life)
-                    && !self.is_expired(life, now)
-                    && succeeded.is_none_or(|succeeded| !succeeded.contains(life))
-            };
             suspect
                 .lives
-                .iter()
-                .filter(move |(life, _)| counts(life))
-                .map(|(life, rank)| (life, *rank))
+                .difference(&suspect.cleared)
+                .filter(move |life| {
+                    !self.is_expired(life, now)
+                        && succeeded.is_none_or(|succeeded| !succeeded.contains(life))
+                })
         })
     }
 
-    /// Returns the incarnations whose crashes count against a request.
-    fn counted_lives(&self, digest: &RequestDigest, now: LocalMoment) -> Vec<TargetIncarnation> {
-        self.counted(digest, now)
-            .map(|(life, _)| life.clone())
-            .collect()
-    }
-
-    /// Returns the number of crashes that count against a request, each of which was known at the
-    /// next one.
-    fn crash_count(&self, digest: &RequestDigest, now: LocalMoment) -> u32 {
-        let (count, rank) = self
-            .counted(digest, now)
-            .fold((0, 0), |(count, highest), (_, rank)| {
-                (count + 1, rank.max(highest))
-            });
-
-        // Earlier crashes may have expired.
-        rank.min(count)
-    }
-
     /// Returns whether a crash has been known for [`QUARANTINE_TIME`].
     fn is_expired(&self, life: &TargetIncarnation, now: LocalMoment) -> bool {
         self.first_seen
@@ -261,9 +230,9 @@
         for report in std::iter::once(&self.own).chain(self.reports.values()) {
             for crash in report.crashes() {
                 lives.insert(crash.life.clone());
-                for (digest, rank) in &crash.ranks {
+                for digest in &crash.digests {
                     let suspect = suspects.entry(*digest).or_default();
-                    suspect.lives.insert(crash.life.clone(), *rank);
+                    suspect.lives.insert(crash.life.clone());
                 }
             }
         }
@@ -281,7 +250,7 @@
         }
         self.succeeded.retain(|digest, succeeded| {
             suspects.get(digest).is_some_and(|suspect| {
-                succeeded.retain(|life| suspect.lives.contains_key(life));
+                succeeded.retain(|life| suspect.lives.contains(life));
                 !succeeded.is_empty()
             })
         });
@@ -317,7 +286,7 @@
             .difference(&self.refused)
             .map(|digest| QuarantineChange::Refused {
                 digest: *digest,
-                lives: self.counted_lives(digest, now),
+                lives: self.counted(digest, now).cloned().collect(),
             });
         let removed = self
             .refused
