Idle connections between nodes have no timer

Cause: the silence detector of each connection woke every 150 ms, also while no response was awaited. A node of 294 has one to almost every other one, so it woke some thousand times a second at rest. Change: the detector waits until a stream opens; each connection counts its own streams, so that a response awaited on the one for short work does not make the node ping the one for long work. Test: an_idle_link_has_no_timer, seen failing first: a timer was due.

--- a/crates/peer/src/control.rs
+++ b/crates/peer/src/control.rs
@@ -1,6 +1,6 @@
 //! Sending control messages to one peer.
 
-use crate::{CONTROL_PATH, link, silence::StreamCounter};
+use crate::{CONTROL_PATH, link};
 use bytes::Bytes;
 use compio::time::{sleep, timeout};
 use futures_channel::mpsc::{self, Receiver, Sender};
@@ -68,7 +68,7 @@
     first: Bytes,
     frames: &mut Receiver<Bytes>,
 ) -> Result<()> {
-    let connection = link::connect(address, StreamCounter::default()).await?;
+    let connection = link::connect(address).await?;
     let mut sender = connection
         .sender
         .ready()
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -45,13 +45,14 @@
     address: SocketAddr,
     short: RefCell<Option<PeerConnection>>,
     long: RefCell<Option<PeerConnection>>,
-    awaited: StreamCounter,
 }
 
 /// `PeerConnection` is an open HTTP/2 connection to a peer. Clones share it.
 #[derive(Debug, Clone)]
 pub(crate) struct PeerConnection {
     pub(crate) sender: SendRequest<Bytes>,
+    /// The streams whose response is awaited; the connection is pinged while there are any.
+    awaited: StreamCounter,
     /// Triggered when nothing has arrived from the peer for the silence limit.
     suspected: StopSignal,
 }
@@ -76,7 +77,6 @@
             address,
             short: RefCell::default(),
             long: RefCell::default(),
-            awaited: StreamCounter::default(),
         }
     }
 
@@ -123,12 +123,13 @@
     ) -> Result<PeerResponse<A>> {
         let frame = frame::encode(head)?;
         let request = stream_request(REQUEST_PATH)?;
-        let _awaited = self.awaited.begin();
 
         let PeerConnection {
             mut sender,
+            awaited,
             suspected,
         } = self.ready(class).await?;
+        let _awaited = awaited.begin();
         let (response, mut stream) = sender
             .send_request(request, false)
             .map_err(|error| self.unsent_error(&error))?;
@@ -222,7 +223,7 @@
             return Ok(connection);
         }
 
-        let connection = connect(self.address, self.awaited.clone()).await?;
+        let connection = connect(self.address).await?;
         *current.borrow_mut() = Some(connection.clone());
 
         Ok(connection)
@@ -267,8 +268,8 @@
 /// # Errors
 ///
 /// Fails with the verdict `NotRun` when connecting, the handshake or the time limit fails.
-pub(crate) async fn connect(address: SocketAddr, awaited: StreamCounter) -> Result<PeerConnection> {
-    let opening = timeout(CONNECT_TIMEOUT, open(address, awaited)).await;
+pub(crate) async fn connect(address: SocketAddr) -> Result<PeerConnection> {
+    let opening = timeout(CONNECT_TIMEOUT, open(address)).await;
 
     opening
         .unwrap_or_else(|_elapsed| Err("the connection timed out".to_owned()))
@@ -278,10 +279,7 @@
 }
 
 /// Opens a connection to a peer, without a timeout.
-async fn open(
-    address: SocketAddr,
-    awaited: StreamCounter,
-) -> std::result::Result<PeerConnection, String> {
+async fn open(address: SocketAddr) -> std::result::Result<PeerConnection, String> {
     let stream = TcpStream::connect(address)
         .await
         .map_err(|error| error.to_string())?;
@@ -301,11 +299,12 @@
     let pings = connection
         .ping_pong()
         .ok_or_else(|| "the pings of the connection are taken".to_owned())?;
+    let awaited = StreamCounter::default();
     let suspected = StopSignal::new();
     let detector = SilenceDetector {
         address,
         pings,
-        awaited,
+        awaited: awaited.clone(),
         last_read,
         suspected: suspected.clone(),
     };
@@ -317,7 +316,11 @@
     })
     .detach();
 
-    Ok(PeerConnection { sender, suspected })
+    Ok(PeerConnection {
+        sender,
+        awaited,
+        suspected,
+    })
 }
 
 /// Builds the HTTP/2 request that opens a stream at `path`.
--- a/crates/peer/src/silence.rs
+++ b/crates/peer/src/silence.rs
@@ -1,6 +1,7 @@
 //! Detection of connections on which the peer stopped responding without closing them.
 
 use compio::time::{sleep, timeout};
+use event_listener::Event;
 use futures_util::io::{AsyncRead, AsyncWrite};
 use h2::{Ping, PingPong};
 use std::{
@@ -64,22 +65,44 @@
     }
 }
 
-/// `StreamCounter` counts open streams: those of a link until the head of the response arrives, those
-/// of a server until the response has been produced.
+/// `StreamCounter` counts the open streams of a connection: at the client until the head of the
+/// response arrives, at the server until the response has been produced. Clones share the count.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct StreamCounter(Rc<Cell<usize>>);
+pub(crate) struct StreamCounter(Rc<CounterState>);
+
+/// `CounterState` is the state that the clones of a counter share.
+#[derive(Debug, Default)]
+struct CounterState {
+    open: Cell<usize>,
+    /// Notified when a stream opens while none was open.
+    begun: Event,
+}
 
 impl StreamCounter {
     /// Counts one more stream until the returned guard is dropped.
     pub(crate) fn begin(&self) -> StreamGuard {
-        self.0.set(self.0.get() + 1);
+        let open = self.0.open.get();
+        self.0.open.set(open + 1);
+        if open == 0 {
+            self.0.begun.notify(usize::MAX);
+        }
 
         StreamGuard(self.clone())
     }
 
     /// Returns whether any stream is open.
     pub(crate) fn any(&self) -> bool {
-        self.0.get() > 0
+        self.0.open.get() > 0
+    }
+
+    /// Waits until a stream is open.
+    pub(crate) async fn wait_for_any(&self) {
+        while !self.any() {
+            let begun = self.0.begun.listen();
+            if !self.any() {
+                begun.await;
+            }
+        }
     }
 }
 
@@ -89,8 +112,8 @@
 
 impl Drop for StreamGuard {
     fn drop(&mut self) {
-        let count = &self.0.0;
-        count.set(count.get() - 1);
+        let open = &self.0.0.open;
+        open.set(open.get() - 1);
     }
 }
 
@@ -176,6 +199,8 @@
         let mut limit = SilenceLimit::new();
 
         loop {
+            // An idle connection has no timer: a node has one to almost every other one.
+            self.awaited.wait_for_any().await;
             sleep(PING_INTERVAL).await;
             if self.awaited.any() && !self.check_ping(&mut limit).await {
                 return;
--- a/crates/peer/tests/silence.rs
+++ b/crates/peer/tests/silence.rs
@@ -284,6 +284,25 @@
     });
 }
 
+/// Guards against idle links that wake their process, which adds up with a link to each node of a fleet.
+#[test]
+fn an_idle_link_has_no_timer() {
+    Runtime::new().unwrap().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let link = PeerLink::new(listener.local_addr().unwrap());
+        let server = serve(listener, Rc::new(SizedHandler), StopSignal::new());
+        compio::runtime::spawn(server).detach();
+
+        link.exchange::<usize, usize>(&1, WorkClass::Short, SilencePolicy::FailFast, Bytes::new())
+            .await
+            .unwrap();
+        sleep(DETECTION_TIME).await;
+
+        let next_timer = Runtime::with_current(Runtime::current_timeout);
+        assert_eq!(next_timer, None);
+    });
+}
+
 #[test]
 fn pings_that_queue_behind_data_lengthen_the_silence_allowed() {
     let mut limit = SilenceLimit::new();
