The start of a node is announced to 24 nodes at most

Cause: each node that started connected to all others, 86,000 connections when a fleet of 294 starts. Change: a small fleet is told as before, of a large one a random choice. The others find the node by their probes, after a second at most.

--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,6 +1,7 @@
 //! Request routing at the node that a caller reached: the choice of the next hop, retries and
 //! their budgets.
 //!
+//! - [`announce`]: the nodes that are told of a start.
 //! - [`choice`]: load balancing for services without keys, by costs that one ingress observes.
 //! - [`state`]: the load, latency and ejection state of one target, as one ingress knows it.
 //! - [`home`]: the only target that may run a given non-idempotent request.
@@ -11,6 +12,7 @@
 //! - [`table`]: the owners of the slices of keyed services.
 //! - [`watchers`]: the nodes that watch the store for the others of their zone.
 
+pub mod announce;
 pub mod budget;
 pub mod choice;
 pub mod home;
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -35,6 +35,7 @@
     signals,
     stop::StopSignal,
 };
+use wagtail_route::announce::announced_nodes;
 use wagtail_shard::keeper::KeeperOptions;
 
 /// The number of the signal that asks a process to shut down.
@@ -256,7 +257,7 @@
         let lapse = keeper_options(&self.settings).revocation_lapse();
         compio::runtime::spawn(async move { planner.run(lapse).await }).detach();
 
-        spawn_hello(&self.settings, &self.view, &self.links);
+        spawn_hello(&self.settings, &self.view, &self.links, self.seed);
     }
 
     /// Creates the handler of the target's heartbeats, and spawns the tasks that publish the node's
@@ -402,28 +403,31 @@
     }
 }
 
-/// Spawns the task that announces to the other nodes that this one is reachable, as soon as they
-/// are known.
-fn spawn_hello(settings: &Rc<SidecarSettings>, view: &FleetView, links: &NodeLinks) {
+/// Spawns the task that announces to other nodes that this one is reachable, as soon as they are
+/// known.
+fn spawn_hello(settings: &Rc<SidecarSettings>, view: &FleetView, links: &NodeLinks, seed: u64) {
     let (settings, view, links) = (Rc::clone(settings), view.clone(), links.clone());
 
     compio::runtime::spawn(async move {
         while view.nodes().is_empty() {
             sleep(HELLO_POLL_INTERVAL).await;
         }
-        for record in view.nodes() {
-            if record.node == settings.node {
-                continue;
-            }
+        let fleet: Vec<Arc<str>> = view
+            .nodes()
+            .iter()
+            .map(|record| Arc::clone(&record.node))
+            .collect();
+
+        for node in announced_nodes(&settings.node, &fleet, seed) {
             let links = links.clone();
-            let node = Arc::clone(&settings.node);
+            let own = Arc::clone(&settings.node);
             compio::runtime::spawn(async move {
-                let hello = PeerRequest::Hello { node };
+                let hello = PeerRequest::Hello { node: own };
                 let sent = links
-                    .ask(&record.node, &hello, WorkClass::Short, Bytes::new())
+                    .ask(&node, &hello, WorkClass::Short, Bytes::new())
                     .await;
                 if let Err(error) = sent {
-                    info!(event = "hello-failed", node = %record.node, reason = %error);
+                    info!(event = "hello-failed", node = %node, reason = %error);
                 }
             })
             .detach();
