What nodes pass on of the store's objects is compressed

Whether there are changes is told from revisions, without copying them for each follower at each change.

--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -8,6 +8,7 @@
 //!
 //! - [`answer`]: a response whose body is still streaming.
 //! - [`frame`]: encoding and decoding of length-prefixed bincode frames.
+//! - [`packed`]: values that are sent compressed.
 //! - [`stream`]: reading frames and bodies from an HTTP/2 stream.
 //! - [`link`]: the client side: requests to one peer.
 //! - [`control`]: the task that sends control messages to one peer.
@@ -18,12 +19,13 @@
 pub mod control;
 pub mod frame;
 pub mod link;
+pub mod packed;
 pub mod server;
 pub mod silence;
 pub mod stream;
 
 /// The protocol version; streams of any other version are refused.
-pub const PROTOCOL_VERSION: &str = "1";
+pub const PROTOCOL_VERSION: &str = "2";
 
 /// The header field that carries [`PROTOCOL_VERSION`].
 pub const VERSION_HEADER: &str = "wagtail-protocol";
--- a/crates/peer/tests/protocol.rs
+++ b/crates/peer/tests/protocol.rs
@@ -27,6 +27,7 @@
     control::ControlSender,
     frame::{self, MAX_MESSAGE_BYTES, PREFIX_BYTES},
     link::PeerLink,
+    packed::{MAX_UNPACKED_BYTES, PackedValue},
     server::{PeerHandler, serve},
     stream::WholeBody,
 };
@@ -344,3 +345,16 @@
         );
     });
 }
+
+/// Guards against a peer that sends few bytes which unpack to very many, or bytes of no value.
+#[test]
+fn a_forged_packed_value_is_refused() {
+    let bomb = PackedValue::new(&vec![0_u8; MAX_UNPACKED_BYTES - 16]).unwrap();
+    let sent = frame::encode(&bomb).unwrap();
+    assert!(sent.len() < 100 << 10);
+    // The same bytes as another type, and cut short.
+    let other: PackedValue<Vec<String>> = frame::decode(&sent[PREFIX_BYTES..]).unwrap();
+    assert_matches!(other.unpack(), Err(CoreError::Malformed { .. }));
+
+    assert!(PackedValue::new(&vec![0_u8; MAX_UNPACKED_BYTES + 1]).is_err());
+}
--- a/crates/sidecar/src/directory.rs
+++ b/crates/sidecar/src/directory.rs
@@ -306,9 +306,15 @@
         };
 
         let failure = match response {
-            Ok(ReplyBody::Changes(Some(changes))) => {
-                return Ok(self.apply_followed(changes, revision));
-            }
+            Ok(ReplyBody::Changes(Some(packed))) => match packed.unpack() {
+                Ok(changes) => return Ok(self.apply_followed(changes, revision)),
+                Err(error) => {
+                    warn!(
+                        event = "changes-ignored", kind = self.kind, node = %node, reason = %error
+                    );
+                    SourceFailure::NotWatching
+                }
+            },
             Ok(_) => SourceFailure::NotWatching,
             Err(failure) => failure,
         };
@@ -504,6 +510,13 @@
             && let ReplyBody::Snapshot { revision, objects } = response.head.body
             && revision > StoreRevision::ZERO
         {
+            let objects = match objects.unpack() {
+                Ok(objects) => objects,
+                Err(error) => {
+                    warn!(event = "snapshot-ignored", kind = self.kind, node = %peer, reason = %error);
+                    return;
+                }
+            };
             match self.followed {
                 FollowedKind::Config => objects.iter().for_each(|object| self.apply_config(object)),
                 // The snapshot may be older than what this node knows of some objects.
--- a/crates/sidecar/src/inbound.rs
+++ b/crates/sidecar/src/inbound.rs
@@ -11,9 +11,12 @@
 };
 use bytes::Bytes;
 use std::{rc::Rc, time::Duration};
+use tracing::warn;
 use wagtail_core::ports::LocalFuture;
 use wagtail_net::clock;
-use wagtail_peer::{answer::PeerResponse, server::PeerHandler, stream::EmptyBody};
+use wagtail_peer::{
+    answer::PeerResponse, packed::PackedValue, server::PeerHandler, stream::EmptyBody,
+};
 
 /// The maximum size of a request body in bytes. The limits for callers are checked by the
 /// node at which a request arrives first.
@@ -85,9 +88,15 @@
         };
         let revision = objects.iter().map(|object| object.revision).max();
 
-        ReplyBody::Snapshot {
-            revision: revision.unwrap_or_default(),
-            objects,
+        match PackedValue::new(&objects) {
+            Ok(objects) => ReplyBody::Snapshot {
+                revision: revision.unwrap_or_default(),
+                objects,
+            },
+            Err(error) => {
+                warn!(event = "snapshot-not-packed", kind, reason = %error);
+                ReplyBody::Acknowledged
+            }
         }
     }
 }
--- a/crates/sidecar/src/messages.rs
+++ b/crates/sidecar/src/messages.rs
@@ -12,6 +12,7 @@
     request::HeaderField,
     routing::RequestKind,
 };
+use wagtail_peer::packed::PackedValue;
 use wagtail_route::pick::LoadReport;
 use wagtail_shard::planner::TargetStatus;
 
@@ -144,7 +145,8 @@
     }
 }
 
-/// `FollowedChanges` holds the changes of a kind that a node which watches the store relays.
+/// `FollowedChanges` holds the changes of a kind that a node which watches the store relays. They are
+/// sent packed, as configurations and tables repeat most of their text.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct FollowedChanges {
@@ -309,10 +311,10 @@
         /// The highest revision of the objects, or zero if there are none.
         revision: StoreRevision,
         /// All known objects of the kind.
-        objects: Vec<StoredObject>,
+        objects: PackedValue<Vec<StoredObject>>,
     },
     /// The changes of a kind, or `None` if the replying node does not watch the store.
-    Changes(Option<FollowedChanges>),
+    Changes(Option<PackedValue<FollowedChanges>>),
     /// The request was received and needs no other reply.
     Acknowledged,
 }
--- a/crates/sidecar/src/view.rs
+++ b/crates/sidecar/src/view.rs
@@ -321,6 +321,19 @@
         })
     }
 
+    /// Returns the revision up to which all changes of the fleet are known.
+    pub fn fleet_revision(&self) -> StoreRevision {
+        self.fleet_revision.get()
+    }
+
+    /// Returns the revision of the configuration in force, or zero before the first one.
+    pub fn config_revision(&self) -> StoreRevision {
+        self.config_object
+            .borrow()
+            .as_ref()
+            .map_or(StoreRevision::ZERO, |object| object.revision)
+    }
+
     /// Returns the configuration if it is newer than a revision, for a node that follows this one.
     pub fn config_change_after(&self, revision: StoreRevision) -> Option<FollowedChanges> {
         let object = self.config_object.borrow().clone()?;
--- a/crates/sidecar/src/watching.rs
+++ b/crates/sidecar/src/watching.rs
@@ -11,7 +11,9 @@
     sync::Arc,
     time::Duration,
 };
+use tracing::warn;
 use wagtail_core::objects::StoreRevision;
+use wagtail_peer::packed::PackedValue;
 
 /// `WatchRelay` passes the changes that this node receives from the store on to other nodes. Clones
 /// share their state.
@@ -20,8 +22,15 @@
     view: FleetView,
     watched: Rc<RefCell<BTreeSet<Arc<str>>>>,
     stopped: Rc<Cell<bool>>,
+    packed: Rc<RefCell<Option<PackedEntry>>>,
 }
 
+/// `PackedEntry` is packed changes with their kind and the revisions that they lead from and to.
+type PackedEntry = (
+    (Arc<str>, StoreRevision, StoreRevision),
+    PackedValue<FollowedChanges>,
+);
+
 impl WatchRelay {
     /// Creates a relay for the given view, which is not yet marked as watching any kind.
     pub fn new(view: FleetView) -> Self {
@@ -29,6 +38,7 @@
             view,
             watched: Rc::default(),
             stopped: Rc::default(),
+            packed: Rc::default(),
         }
     }
 
@@ -62,25 +72,59 @@
         kind: &str,
         revision: StoreRevision,
         wait: Duration,
-    ) -> Option<FollowedChanges> {
+    ) -> Option<PackedValue<FollowedChanges>> {
         let is_watching = || !self.stopped.get() && self.watched.borrow().contains(kind);
-        let changes = || {
+        let has_changes = || {
             if kind == FLEET_KIND {
-                self.view.fleet_changes_after(revision)
+                self.view.fleet_revision() > revision
             } else {
-                self.view.config_change_after(revision)
+                self.view.config_revision() > revision
             }
         };
         self.view
-            .until(wait, || !is_watching() || changes().is_some())
+            .until(wait, || !is_watching() || has_changes())
             .await;
 
-        is_watching().then(|| {
-            changes().unwrap_or(FollowedChanges {
-                revision,
-                complete: false,
-                objects: Vec::new(),
-            })
-        })
+        if is_watching() {
+            self.pack_changes(kind, revision)
+        } else {
+            None
+        }
+    }
+
+    /// Returns the changes of a kind after a revision. Most followers ask for the same ones, which are
+    /// packed once. Returns `None`, as if this node did not watch the kind, if they cannot be packed.
+    fn pack_changes(
+        &self,
+        kind: &str,
+        revision: StoreRevision,
+    ) -> Option<PackedValue<FollowedChanges>> {
+        let changes = if kind == FLEET_KIND {
+            self.view.fleet_changes_after(revision)
+        } else {
+            self.view.config_change_after(revision)
+        };
+        let changes = changes.unwrap_or(FollowedChanges {
+            revision,
+            complete: false,
+            objects: Vec::new(),
+        });
+
+        let key = (Arc::from(kind), revision, changes.revision);
+        if let Some((known, packed)) = &*self.packed.borrow()
+            && *known == key
+        {
+            return Some(packed.clone());
+        }
+        match PackedValue::new(&changes) {
+            Ok(packed) => {
+                *self.packed.borrow_mut() = Some((key, packed.clone()));
+                Some(packed)
+            }
+            Err(error) => {
+                warn!(event = "changes-not-packed", kind, %revision, reason = %error);
+                None
+            }
+        }
     }
 }
--- a/crates/sidecar/tests/view.rs
+++ b/crates/sidecar/tests/view.rs
@@ -312,11 +312,15 @@
         let all = relay
             .changes_after(FLEET_KIND, revision(0), wait)
             .await
+            .unwrap()
+            .unpack()
             .unwrap();
         assert_eq!((all.revision, all.objects.len()), (revision(8), 1));
         let none = relay
             .changes_after(FLEET_KIND, revision(8), wait)
             .await
+            .unwrap()
+            .unpack()
             .unwrap();
         assert_eq!((none.revision, none.objects.len()), (revision(8), 0));
 
