--- a/crates/peer/tests/protocol.rs
+++ b/crates/peer/tests/protocol.rs
@@ -356,5 +356,8 @@
     let other: PackedValue<Vec<String>> = frame::decode(&sent[PREFIX_BYTES..]).unwrap();
     assert_matches!(other.unpack(), Err(CoreError::Malformed { .. }));
 
-    assert!(PackedValue::new(&vec![0_u8; MAX_UNPACKED_BYTES + 1]).is_err());
+    assert_matches!(
+        PackedValue::new(&vec![0_u8; MAX_UNPACKED_BYTES + 1]),
+        Err(CoreError::Malformed { .. })
+    );
 }
