The table is read by one node for its zone, and not again for changes that the watch told of

Change: a table that the watch tells of is later than the last read, so that read supports its grants as long as it supported those before (observe_table). What must be read is read by one node of the zone for all others, once for demands at the same time; whoever takes the read counts its age at the reply and all the time since it asked, with the drift of the clocks on top.

--- a/crates/shard/src/keeper/settling.rs
+++ b/crates/shard/src/keeper/settling.rs
@@ -182,6 +182,19 @@
         });
     }
 
+    /// Takes over a later table that a watch of the store has told of. The store held it after the last
+    /// read, so that read supports grants of it for as long as it supported those of the earlier table.
+    pub fn observe_table(&mut self, table: &RangeTable, revision: StoreRevision) {
+        let Some(confirmed) = &self.confirmed else {
+            return;
+        };
+        let (known, read_sent_at) = (confirmed.revision, confirmed.read_sent_at);
+
+        if revision.era == known.era && revision > known {
+            self.record_table(table.clone(), revision, read_sent_at);
+        }
+    }
+
     /// Returns whether the table must be read before the reply to a heartbeat: the last read is too
     /// old, the revision `known` is later, earlier writes are unresolved, or the heartbeat may
     /// change a row.
--- a/crates/shard/src/lib.rs
+++ b/crates/shard/src/lib.rs
@@ -13,10 +13,12 @@
 //! - [`planner`]: plans which target holds which range.
 //! - [`balance`]: selects the moves that balance the load.
 //! - [`load`]: request rates by key.
+//! - [`reads`]: reads of the table that the nodes of a zone share.
 
 pub mod balance;
 pub mod departures;
 pub mod keeper;
 pub mod load;
 pub mod planner;
+pub mod reads;
 pub mod table;
--- a/crates/shard/tests/shard/node_calls.rs
+++ b/crates/shard/tests/shard/node_calls.rs
@@ -19,6 +19,9 @@
 /// The number of attempts to write the table for one cause.
 const MAX_ATTEMPTS: u32 = 2;
 
+/// The greatest age of a read of another node, in milliseconds.
+const SHARED_READ_AGE_MS: u64 = 1_000;
+
 /// The pause between two attempts to free lapsed rows, in milliseconds.
 const FREE_INTERVAL_MS: u64 = 300;
 
@@ -68,6 +71,14 @@
             let revision = stored.map_or(StoreRevision::ZERO, |(revision, _)| *revision);
             let vm = &mut self.vms[index];
             vm.known = vm.known.max(revision);
+            if self.options.shares_reads
+                && let Some((revision, table)) = &self.store.table
+            {
+                vm.keeper.observe_table(table, *revision);
+            }
+        }
+        if self.options.shares_reads && self.take_shared_read(index, &heartbeat, sent) {
+            return;
         }
         let vm = &self.vms[index];
         if reaches_store && vm.keeper.needs_read(&heartbeat, vm.known, moment) {
@@ -77,6 +88,34 @@
         }
     }
 
+    /// Takes the last read of another node if one is needed and that is recent enough. The reply may
+    /// be late, as those of the store. Returns whether it does.
+    fn take_shared_read(&mut self, index: usize, heartbeat: &TargetHeartbeat, sent: u64) -> bool {
+        let (now, moment) = (self.now, self.moment());
+        let vm = &self.vms[index];
+        let (read_sent, stored) = self.last_read.clone();
+        let is_recent = now - read_sent <= SHARED_READ_AGE_MS;
+        if stored.is_none()
+            || !is_recent
+            || !vm.keeper.needs_read(heartbeat, vm.known, moment)
+            || self.random.random_bool(0.3)
+        {
+            return false;
+        }
+
+        let call = NodeCall {
+            cause: CallCause::Heartbeat(heartbeat.clone(), sent, now),
+            began: now,
+            attempt: 1,
+            read_sent,
+            lands: now,
+            responds: now + self.call_delay(),
+            state: CallState::Read(stored),
+        };
+        self.vms[index].calls.push(call);
+        true
+    }
+
     /// Begins to free the rows of a target whose grants have lapsed.
     fn free_lapsed(&mut self, index: usize) {
         let (now, moment) = (self.now, self.moment());
@@ -133,7 +172,12 @@
         for call in calls.iter_mut().filter(|call| now >= call.lands) {
             let state = std::mem::replace(&mut call.state, CallState::Reading);
             call.state = match state {
-                CallState::Reading => CallState::Read(self.store.table.clone()),
+                CallState::Reading => {
+                    if call.read_sent >= self.last_read.0 {
+                        self.last_read = (call.read_sent, self.store.table.clone());
+                    }
+                    CallState::Read(self.store.table.clone())
+                }
                 CallState::Writing(pending, expected, table) => {
                     let outcome = self.write(expected, table.clone());
                     CallState::Wrote(pending, table, outcome)
--- a/crates/shard/tests/shard/random_faults.rs
+++ b/crates/shard/tests/shard/random_faults.rs
@@ -88,6 +88,22 @@
     assert!(served > 0.5, "{served}");
 }
 
+/// Guards against two holders of a key when nodes grant from tables that a watch tells of, and from reads
+/// of other nodes, which may be frozen, late or from before a return of the store.
+#[test]
+fn no_key_has_two_holders_with_shared_reads_under_random_faults_and_returns() {
+    for (fault_rate, return_rate) in [(FAULT_RATE, RETURN_RATE), (0.0, RETURN_RATE * 1.5)] {
+        let served = run_storms(StormOptions {
+            fault_rate,
+            return_rate,
+            shares_reads: true,
+            ..StormOptions::default()
+        });
+
+        assert!(served > 0.5, "{served}");
+    }
+}
+
 /// Checks the simulation itself: if a revoked row is freed without waiting for its last grant to
 /// lapse, two incarnations hold one key, and a check must fail.
 #[test]
--- a/crates/shard/tests/shard/storm.rs
+++ b/crates/shard/tests/shard/storm.rs
@@ -36,6 +36,7 @@
 
 /// `StormOptions` chooses which faults a simulation draws.
 #[derive(Debug, Clone, Copy, Default)]
+#[expect(clippy::struct_excessive_bools, reason = "independent choices")]
 pub struct StormOptions {
     /// The probability of a fault of a VM, a target or a node in each step.
     pub fault_rate: f64,
@@ -46,6 +47,8 @@
     /// Whether the store responds to nodes within a few steps. Otherwise some calls take up to 0.6 s each
     /// way, so that the calls of a node overtake each other.
     pub prompt_calls: bool,
+    /// Whether nodes take over tables that the watch tells of, and reads of other nodes.
+    pub shares_reads: bool,
     /// Whether the planner moves no keys to balance the load.
     pub without_balancing: bool,
 }
@@ -87,6 +90,8 @@
     planner_view: StoredTable,
     /// The era that the planner knows.
     planner_era: u64,
+    /// The last read of the table by any node: when it was sent, and what the store held.
+    pub(crate) last_read: (u64, StoredTable),
     /// For each checked key, how long it was held.
     pub served_ms: HashMap<u16, u64>,
     pub(crate) options: StormOptions,
@@ -132,6 +137,7 @@
             highest_tokens: HashMap::new(),
             planner_view: None,
             planner_era: 0,
+            last_read: (0, None),
             served_ms: HashMap::new(),
             options,
         }
--- a/crates/sidecar/src/heartbeats.rs
+++ b/crates/sidecar/src/heartbeats.rs
@@ -8,6 +8,7 @@
     record::{RecordPublisher, own_record},
     relay::StoreRelay,
     settings::SidecarSettings,
+    tables::TableReader,
     view::{FleetView, NodeRecord, read_table, table_name},
 };
 use bytes::Bytes;
@@ -73,6 +74,7 @@
     dialect: Rc<dyn WireDialect>,
     view: FleetView,
     relay: StoreRelay,
+    tables: TableReader,
     proxy: TargetProxy,
     record: RecordPublisher,
     free_failure_logged: Cell<bool>,
@@ -85,6 +87,7 @@
         dialect: Rc<dyn WireDialect>,
         view: FleetView,
         relay: StoreRelay,
+        tables: TableReader,
         proxy: TargetProxy,
         record: RecordPublisher,
     ) -> Self {
@@ -93,6 +96,7 @@
             dialect,
             view,
             relay,
+            tables,
             proxy,
             record,
             free_failure_logged: Cell::new(false),
@@ -179,15 +183,16 @@
     async fn grant(&self, heartbeat: &TargetHeartbeat, arrived: LocalMoment) -> HeartbeatReply {
         self.await_handover(heartbeat).await;
 
-        let known = self
-            .view
-            .table(&self.settings.service)
-            .map_or(StoreRevision::ZERO, |versioned| versioned.revision);
-        let must_read = self
-            .proxy
-            .with_keeper(|keeper| keeper.needs_read(heartbeat, known, arrived));
+        let watched = self.view.table(&self.settings.service);
+        let must_read = self.proxy.with_keeper(|keeper| {
+            let known = watched.map_or(StoreRevision::ZERO, |versioned| {
+                keeper.observe_table(&versioned.table, versioned.revision);
+                versioned.revision
+            });
+            keeper.needs_read(heartbeat, known, arrived)
+        });
         if must_read {
-            let settling = self.settle(|keeper, table| keeper.settle(heartbeat, table));
+            let settling = self.settle(true, |keeper, table| keeper.settle(heartbeat, table));
             let time_left = (arrived + MAX_TABLE_READ_TIME).since(clock::now());
             let settled = timeout(time_left, Box::pin(settling))
                 .await
@@ -239,7 +244,8 @@
 
     /// Reads the table, applies a change to it and writes it back if that changed anything, if the
     /// table must be recovered after a return of the store, or if earlier writes are unresolved. Succeeds
-    /// without a write if there is no table.
+    /// without a write if there is no table. If it `may_share`, the first read may be that of the reader
+    /// of the zone.
     ///
     /// # Errors
     ///
@@ -247,16 +253,21 @@
     /// during each of `MAX_WRITE_ATTEMPTS` attempts. A write whose outcome is unknown is no error.
     async fn settle(
         &self,
+        may_share: bool,
         change: impl Fn(&GrantKeeper, &mut RangeTable) -> bool,
     ) -> Result<(), Arc<str>> {
         let name: Arc<str> = Arc::from(table_name(&self.settings.service));
-        let get = StoreCall::Get {
-            name: Arc::clone(&name),
-        };
-
-        for _ in 0..MAX_WRITE_ATTEMPTS {
-            let read_sent_at = clock::now();
-            let object = match self.relay.call(&get).await {
+        let service = &self.settings.service;
+
+        for attempt in 0..MAX_WRITE_ATTEMPTS {
+            // After a conflict, a read of another node may be from before the other change.
+            let read = if may_share && attempt == 0 {
+                self.tables.read(service).await
+            } else {
+                self.tables.read_directly(service).await
+            };
+            let read_sent_at = read.sent_at;
+            let object = match read.outcome {
                 StoreOutcome::Object(object) => object,
                 StoreOutcome::Absent => return Ok(()),
                 StoreOutcome::NotDone(reason) | StoreOutcome::Unknown(reason) => {
@@ -356,7 +367,7 @@
             let lapsed = self.proxy.with_keeper(|keeper| now >= keeper.lapses_at());
             if lapsed || self.proxy.has_ended() {
                 let freed = self
-                    .settle(|keeper, table| {
+                    .settle(false, |keeper, table| {
                         let ended = keeper.free_ended(table);
                         let lapsed = keeper.free_lapsed(table, now);
                         ended || lapsed
--- a/crates/sidecar/src/inbound.rs
+++ b/crates/sidecar/src/inbound.rs
@@ -6,6 +6,7 @@
     planning::PlannerActivity,
     proxy::TargetProxy,
     relay::StoreRelay,
+    tables::TableReader,
     view::{FLEET_KIND, FleetView},
     watching::WatchRelay,
 };
@@ -32,6 +33,7 @@
     forwarder: Rc<RequestForwarder>,
     planners: PlannerActivity,
     watching: WatchRelay,
+    tables: TableReader,
 }
 
 impl InboundHandler {
@@ -43,6 +45,7 @@
         forwarder: Rc<RequestForwarder>,
         planners: PlannerActivity,
         watching: WatchRelay,
+        tables: TableReader,
     ) -> Self {
         Self {
             proxy,
@@ -51,6 +54,7 @@
             forwarder,
             planners,
             watching,
+            tables,
         }
     }
 
@@ -75,6 +79,14 @@
                 self.forwarder.node_started(&node);
                 ReplyBody::Acknowledged
             }
+            PeerRequest::Table {
+                service,
+                at_least,
+                max_age_ms,
+            } => {
+                let max_age = Duration::from_millis(max_age_ms.into());
+                ReplyBody::Table(self.tables.share(&service, at_least, max_age).await)
+            }
             PeerRequest::Versions | PeerRequest::Dispatch(_) => ReplyBody::Acknowledged,
         }
     }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -23,6 +23,7 @@
 //! - [`outcomes`]: log lines and metrics of how requests ended.
 //! - [`metrics`]: the handler that serves metrics to collectors.
 //! - [`inbound`]: the handler of requests from the other nodes.
+//! - [`tables`]: reads the key tables, through the reader of the zone.
 //! - [`planning`]: the task that distributes the keys of a service over its targets.
 //! - [`run`]: starts a node, runs it and shuts it down.
 
@@ -45,5 +46,6 @@
 pub mod relay;
 pub mod run;
 pub mod settings;
+pub mod tables;
 pub mod view;
 pub mod watching;
--- a/crates/sidecar/src/messages.rs
+++ b/crates/sidecar/src/messages.rs
@@ -158,6 +158,18 @@
     pub objects: Vec<StoredObject>,
 }
 
+/// `SharedRead` is a read of an assignment table that one node made for another.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct SharedRead {
+    /// The time in microseconds from when the read was sent to this reply, by the replying node's clock.
+    pub age_us: u64,
+    /// The revision of the table.
+    pub revision: StoreRevision,
+    /// The stored table, unless the asking node knows that revision.
+    pub object: Option<PackedValue<StoredObject>>,
+}
+
 /// `PeerRequest` is a request of one node to another.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -195,6 +207,15 @@
         /// The name of the node that started or probes.
         node: Arc<str>,
     },
+    /// Asks for a read of an assignment table.
+    Table {
+        /// The service whose table is meant.
+        service: Arc<str>,
+        /// The revision that the sending node knows; the read must be of that one or a later one.
+        at_least: StoreRevision,
+        /// The greatest age of the read in milliseconds.
+        max_age_ms: u32,
+    },
 }
 
 /// `KnownVersions` holds the versions of the objects that a node knows. Every reply carries them,
@@ -317,4 +338,6 @@
     Changes(Option<PackedValue<FollowedChanges>>),
     /// The request was received and needs no other reply.
     Acknowledged,
+    /// A read of an assignment table, or `None` if the replying node could not read it.
+    Table(Option<SharedRead>),
 }
--- a/crates/sidecar/src/proxy/replies.rs
+++ b/crates/sidecar/src/proxy/replies.rs
@@ -82,6 +82,7 @@
         | ReplyBody::Store(_)
         | ReplyBody::Snapshot { .. }
         | ReplyBody::Changes(_)
+        | ReplyBody::Table(_)
         | ReplyBody::Acknowledged => {}
     }
 }
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -16,6 +16,7 @@
     record::{RecordPublisher, publish_after_returns, publish_crashes},
     relay::StoreRelay,
     settings::SidecarSettings,
+    tables::TableReader,
     view::FleetView,
     watching::WatchRelay,
 };
@@ -179,6 +180,7 @@
     recorder: Rc<RequestRecorder>,
     planners: PlannerActivity,
     watching: WatchRelay,
+    tables: TableReader,
     front: FrontState,
     seed: u64,
 }
@@ -200,6 +202,12 @@
             links.clone(),
             view.clone(),
         );
+        let tables = TableReader::new(
+            Rc::clone(&settings),
+            view.clone(),
+            links.clone(),
+            relay.clone(),
+        );
         let recorder = Rc::new(RequestRecorder::default());
         let proxy = TargetProxy::new(
             Rc::clone(&settings),
@@ -228,6 +236,7 @@
             recorder,
             planners: PlannerActivity::default(),
             watching,
+            tables,
             front: FrontState::default(),
             seed,
         }
@@ -287,6 +296,7 @@
             Rc::clone(&self.dialect),
             self.view.clone(),
             self.relay.clone(),
+            self.tables.clone(),
             self.proxy.clone(),
             record,
         ));
@@ -322,6 +332,7 @@
             Rc::clone(&self.forwarder),
             self.planners.clone(),
             self.watching.clone(),
+            self.tables.clone(),
         ))
     }
 }
--- a/crates/sidecar/src/view.rs
+++ b/crates/sidecar/src/view.rs
@@ -234,6 +234,11 @@
         self.config_object.borrow().clone()
     }
 
+    /// Returns a known object of the fleet by its name.
+    pub fn object(&self, name: &str) -> Option<StoredObject> {
+        self.objects.borrow().get(name).cloned()
+    }
+
     /// Returns all known objects of the fleet.
     pub fn fleet_objects(&self) -> Vec<StoredObject> {
         self.objects.borrow().values().cloned().collect()
