The link of the VM is a resource: large responses are paced, and refused if they cannot be sent in time

Cause: limits.linkMbps was read by no code. Change: large responses leave at 0.88 of the rate, one after the other, so that the queue stands in the node; small ones pass. A request whose response is expected to be large is refused as link-busy before its target runs it if the link cannot send the response in time. Responses of up to 1 MB are read whole first, so that their slot is free while they wait for the link. Load reports carry the wait and the rate, which the choice of a target adds for large responses. The reader of a zone also tells that there is no table yet. Tests: calls_do_not_wait_behind_downloads_on_a_narrow_link (model of a link; without the pacer over a quarter of the calls are late), an_overloaded_link_is_used, a_large_response_goes_where_the_link_is_free, the pacing of bodies and the_rate_of_the_link_is_read_and_checked.

--- a/crates/gate/src/admission.rs
+++ b/crates/gate/src/admission.rs
@@ -294,6 +294,14 @@
         self.service_times.overall()
     }
 
+    /// Returns the expected time from the arrival of new work until its response is ready: its wait for a
+    /// slot and its service time.
+    pub fn expected_time(&self, class: &str, priority: u32, now: LocalMoment) -> Duration {
+        let wait = self.expected_wait(false, priority, now);
+
+        Duration::from_secs_f32((wait + self.service_times.expected(class)).max(0.0))
+    }
+
     /// Returns the estimated throughput of the target, in requests per second; its limit if that is
     /// lower.
     #[expect(clippy::cast_possible_truncation, reason = "an estimate")]
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -10,20 +10,24 @@
 //! - [`crash_report`]: what one node reports of the crashes of its target.
 //! - [`estimate`]: how long requests occupy a slot.
 //! - [`limit`]: the limit that a target names on the rate of its requests.
+//! - [`link`]: the network link of the VM as a resource.
 //! - [`origins`]: which requests are calls from running work.
 //! - [`pressure`]: how much new work the callers of an overloaded service should start.
 //! - [`quarantine`]: which requests are refused because targets crash when they run them.
 //! - [`runs`]: which requests may have run when the target ended.
+//! - [`sizes`]: the expected sizes of responses.
 //! - [`waits`]: how long callers waited on earlier, refused attempts.
 
 pub mod admission;
 pub mod crash_report;
 pub mod estimate;
 pub mod limit;
+pub mod link;
 pub mod origins;
 pub mod pressure;
 pub mod quarantine;
 pub mod runs;
+pub mod sizes;
 pub mod waits;
 
 pub use admission::{AdmissionGate, GateAction, GateArrival, GateOptions, GateRefusal};
--- a/crates/gate/tests/gate/main.rs
+++ b/crates/gate/tests/gate/main.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod limits;
+mod link;
 mod quarantine;
 mod quarantine_storm;
 mod runs;
--- a/crates/route/src/pick.rs
+++ b/crates/route/src/pick.rs
@@ -26,6 +26,10 @@
     pub failed_share: f32,
     /// The time until the limit of the target admits new work, in milliseconds; zero if it does now.
     pub limited_ms: u32,
+    /// The time for which the link of the target's VM is taken by large responses, in milliseconds.
+    pub link_wait_ms: u32,
+    /// The time that the link takes for a kilobyte of a large response, in milliseconds.
+    pub link_kb_ms: f32,
     /// The fraction of new work that callers of this service should start, from 0 to 1. Only
     /// reports to callers carry it.
     pub begin_share: Option<f32>,
@@ -44,6 +48,8 @@
     pub zone_ms_per_kb: f32,
     /// The assumed service time of a target without a report, in milliseconds.
     pub unknown_ms: f32,
+    /// The size of a response in kilobytes from which it waits for the link of the target's VM.
+    pub bulk_kb: f32,
     /// The cost of a failed attempt, in milliseconds of expected time. A failure uses up a retry
     /// from the budget, or wastes the work of the request that made the call.
     pub failure_ms: f32,
@@ -59,6 +65,7 @@
             zone_ms: 8.0,
             zone_ms_per_kb: 1.5,
             unknown_ms: 50.0,
+            bulk_kb: 16.0,
             failure_ms: 400.0,
             failure_half_life: Duration::from_secs(2),
         }
@@ -234,6 +241,11 @@
             let age = now.since(observed.map_or(now, |observed| observed.reported_at));
             cost += self.options.failure_ms * self.decayed_failure_share(report.failed_share, age);
             cost += limit_wait(report, age).as_secs_f32() * 1_000.0;
+            if answer_kb >= self.options.bulk_kb {
+                let queued = Duration::from_millis(report.link_wait_ms.into()).saturating_sub(age);
+                let transfer = answer_kb * report.link_kb_ms;
+                cost += queued.as_secs_f32() * 1_000.0 + transfer * (1 + sent) as f32;
+            }
         }
         if candidate.cold {
             cost *= COLD_COST_FACTOR;
--- a/crates/route/tests/hosts_and_picks.rs
+++ b/crates/route/tests/hosts_and_picks.rs
@@ -55,6 +55,8 @@
         service_ms,
         failed_share: 0.0,
         limited_ms: 0,
+        link_wait_ms: 0,
+        link_kb_ms: 0.0,
         begin_share: None,
     }
 }
@@ -225,3 +227,28 @@
 
     assert_eq!(choice.as_deref(), Some("soon"));
 }
+
+/// Guards against large responses that queue for a narrow link while another one is free, and against
+/// small ones that avoid a target for its link.
+#[test]
+fn a_large_response_goes_where_the_link_is_free() {
+    let now = LocalMoment::from_millis(0);
+    let candidates = [candidate("near", false), candidate("far", true)];
+    let mut picker = TargetPicker::new(PickOptions::default(), 1);
+    let busy_link = LoadReport {
+        link_wait_ms: 600,
+        link_kb_ms: 0.7,
+        ..report(1, 0, 70.0)
+    };
+    picker.reported(&candidates[0].node, busy_link, now);
+    picker.reported(&candidates[1].node, report(1, 0, 70.0), now);
+
+    let large = picker.pick(&candidates, &[], 90.0, now);
+    assert_eq!(large, Some(Arc::clone(&candidates[1].node)));
+    let small = picker.pick(&candidates, &[], 1.0, now);
+    assert_eq!(small, Some(Arc::clone(&candidates[0].node)));
+    // The link is free again by the time that it stated.
+    let later = LocalMoment::from_millis(700);
+    let large = picker.pick(&candidates, &[], 90.0, later);
+    assert_eq!(large, Some(Arc::clone(&candidates[0].node)));
+}
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -600,12 +600,7 @@
         reason = "sizes of responses are far below 2^24 KB"
     )]
     fn record_response_size(&self, job: &ForwardJob, fields: &CompletedFields) {
-        let length = fields
-            .headers
-            .iter()
-            .find(|field| &*field.name == "content-length")
-            .and_then(|field| std::str::from_utf8(&field.value).ok()?.parse::<u64>().ok());
-        let Some(length) = length else {
+        let Some(length) = fields.content_length() else {
             return;
         };
 
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -275,7 +275,7 @@
         let (response, reason): (_, Option<Arc<str>>) = match outcome {
             Ok(ForwardOutcome::Completed { fields, body }) => {
                 let id = Arc::clone(&job.dispatch_head.id);
-                let body = DeadlineBody::new(id, body, job.deadline);
+                let body = DeadlineBody::new(id, self.proxy.link().paced(body), job.deadline);
                 forwarded_response(&fields, Box::new(body))
             }
             Ok(ForwardOutcome::NotRun { reason, pause }) => (
--- a/crates/sidecar/src/inbound.rs
+++ b/crates/sidecar/src/inbound.rs
@@ -121,7 +121,9 @@
     fn request(&self, head: PeerRequest, body: Bytes) -> LocalFuture<'_, PeerResponse<PeerReply>> {
         Box::pin(async move {
             if let PeerRequest::Dispatch(dispatch_head) = &head {
-                return self.proxy.serve(dispatch_head, body).await;
+                let mut response = self.proxy.serve(dispatch_head, body).await;
+                response.body = self.proxy.link().paced(response.body);
+                return response;
             }
 
             let body = self.respond(head).await;
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`directory`]: the task that follows changes in the store.
 //! - [`watching`]: relays changes in the store to other nodes.
 //! - [`relay`]: makes store calls, through a peer when the store refuses this node.
+//! - [`pacing`]: sends large responses at the rate of this VM's link.
 //! - [`links`]: the connections to the other nodes.
 //! - [`proxy`]: admits requests and dispatches them to the target on this VM.
 //! - [`forward`]: forwards a caller's request to a target, with retries.
@@ -38,6 +39,7 @@
 pub mod messages;
 pub mod metrics;
 pub mod outcomes;
+pub mod pacing;
 pub mod planning;
 pub mod ports;
 pub mod proxy;
--- a/crates/sidecar/src/messages.rs
+++ b/crates/sidecar/src/messages.rs
@@ -164,10 +164,20 @@
 pub struct SharedRead {
     /// The time in microseconds from when the read was sent to this reply, by the replying node's clock.
     pub age_us: u64,
-    /// The revision of the table.
-    pub revision: StoreRevision,
-    /// The stored table, unless the asking node knows that revision.
-    pub object: Option<PackedValue<StoredObject>>,
+    /// What the store held.
+    pub table: SharedTable,
+}
+
+/// `SharedTable` is what the store held at a shared read.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub enum SharedTable {
+    /// The table at the revision that the asking node knows.
+    Known,
+    /// The table at another revision.
+    Changed(PackedValue<StoredObject>),
+    /// No table.
+    Absent,
 }
 
 /// `PeerRequest` is a request of one node to another.
@@ -241,6 +251,18 @@
     pub load: LoadReport,
 }
 
+impl CompletedFields {
+    /// Returns the length of the body that the response states, in bytes.
+    pub fn content_length(&self) -> Option<u64> {
+        let field = self
+            .headers
+            .iter()
+            .find(|field| &*field.name == "content-length")?;
+
+        std::str::from_utf8(&field.value).ok()?.parse().ok()
+    }
+}
+
 /// `PauseKind` tells how close to the end of a pause a refused caller should retry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/sidecar/src/proxy/dispatch.rs
+++ b/crates/sidecar/src/proxy/dispatch.rs
@@ -25,8 +25,10 @@
 use wagtail_peer::{answer::PeerResponse, stream::WholeBody};
 
 /// The largest response body that is buffered before it is passed on, in bytes. A buffered response
-/// that breaks off can still be reported as a failure, so that the request can be retried.
-const MAX_BUFFERED_RESPONSE_BYTES: u64 = 32 << 10;
+/// that breaks off can still be reported as a failure, so that the request can be retried, and its slot is
+/// free as soon as the target has sent it, however narrow the link is. The gate of the link bounds how many
+/// large ones are buffered.
+const MAX_BUFFERED_RESPONSE_BYTES: u64 = 1 << 20;
 
 /// The weight of the latest result in the moving average of failures.
 const FAILURE_WEIGHT: f32 = 0.05;
--- a/crates/sidecar/src/proxy/mod.rs
+++ b/crates/sidecar/src/proxy/mod.rs
@@ -17,7 +17,8 @@
 mod slots;
 
 use crate::{
-    outcomes::RequestRecorder, ports::WireDialect, settings::SidecarSettings, view::FleetView,
+    outcomes::RequestRecorder, pacing::NodeLink, ports::WireDialect, settings::SidecarSettings,
+    view::FleetView,
 };
 use compio::time::sleep;
 use event_listener::Event;
@@ -37,6 +38,7 @@
     origins::RouteOrigins,
     pressure::{CallPressure, WorkThrottle},
     runs::RunTracker,
+    sizes::ResponseSizes,
 };
 use wagtail_net::{
     client::{HttpPool, PoolOptions},
@@ -59,6 +61,9 @@
 /// requests that are on their way to it.
 const SERVING_SHARE: f32 = 0.8;
 
+/// The milliseconds that a kilobyte takes at one byte per second.
+const KILOBYTE_MS: f32 = 1_024.0 * 1_000.0;
+
 /// The approximate number of key ranges for which a target's load is reported to the planner.
 const LOAD_PIECES: usize = 24;
 
@@ -71,6 +76,7 @@
     dialect: Rc<dyn WireDialect>,
     view: FleetView,
     recorder: Rc<RequestRecorder>,
+    link: NodeLink,
     state: Rc<RefCell<ProxyState>>,
     /// Notified when the target states its leave in a response.
     departed: Rc<Event>,
@@ -92,6 +98,7 @@
     waiters: HashMap<u64, oneshot::Sender<Admission>>,
     next_ticket: u64,
     failed_share: f32,
+    response_sizes: ResponseSizes,
     notices: NoticeState,
     runs: RunTracker,
     /// The latest incarnation of the target that has sent a heartbeat.
@@ -135,6 +142,7 @@
             waiters: HashMap::new(),
             next_ticket: 0,
             failed_share: 0.0,
+            response_sizes: ResponseSizes::default(),
             notices: NoticeState::default(),
             runs: RunTracker::default(),
             incarnation: None,
@@ -149,6 +157,7 @@
 
         Self {
             pool: HttpPool::with_options(settings.target, pool_options),
+            link: NodeLink::new(settings.link_mbps),
             settings,
             dialect,
             view,
@@ -321,6 +330,7 @@
     }
 
     /// Returns the load of the target that is reported with each response.
+    #[expect(clippy::cast_possible_truncation, reason = "a rate needs few digits")]
     pub fn load(&self) -> LoadReport {
         let state = self.state.borrow();
 
@@ -331,6 +341,8 @@
             service_ms: state.gate.service_seconds() * 1_000.0,
             failed_share: state.failed_share,
             limited_ms: millis_up(state.gate.limit_wait(clock::now())),
+            link_wait_ms: millis_up(self.link.wait()),
+            link_kb_ms: KILOBYTE_MS / self.link.bulk_rate() as f32,
             begin_share: None,
         }
     }
@@ -361,6 +373,11 @@
         }
     }
 
+    /// Returns the network link of this VM.
+    pub fn link(&self) -> &NodeLink {
+        &self.link
+    }
+
     /// Returns whether the process of the target has ended.
     pub fn has_ended(&self) -> bool {
         self.state.borrow().ended
--- a/crates/sidecar/src/proxy/serve.rs
+++ b/crates/sidecar/src/proxy/serve.rs
@@ -7,6 +7,7 @@
 use crate::{
     messages::{DispatchHead, NotRunFields, PauseKind, PeerReply, ReplyBody},
     outcomes::DispatchEnd,
+    pacing::{LinkPromise, PromisedBody},
 };
 use bytes::Bytes;
 use compio::time::sleep;
@@ -18,7 +19,11 @@
     time::Duration,
 };
 use wagtail_core::units::LocalMoment;
-use wagtail_gate::{GateArrival, GateOptions, GateRefusal, runs::RunEnd};
+use wagtail_gate::{
+    GateArrival, GateOptions, GateRefusal,
+    link::{BULK_BYTES, BulkArrival},
+    runs::RunEnd,
+};
 use wagtail_net::clock;
 use wagtail_peer::answer::PeerResponse;
 use wagtail_shard::table::RowState;
@@ -71,6 +76,11 @@
             return self.not_run(refusal);
         }
 
+        let promise = match self.promise_link(dispatch_head, is_call, deadline) {
+            Ok(promise) => promise,
+            Err(refusal) => return self.not_run(refusal),
+        };
+
         let content = dispatch_head.content(body.clone());
         let guard = match self.admit(dispatch_head, is_call, deadline).await {
             Ok(guard) => guard,
@@ -96,9 +106,70 @@
         if is_call {
             replies::set_load(&mut response.head.body, self.load_for(true));
         }
+        self.observe_size(dispatch_head, &response.head.body);
+        if let Some(promise) = promise {
+            response.body = Box::new(PromisedBody::new(response.body, promise));
+        }
         response
     }
 
+    /// Promises the link to the response of a request if that is expected to be large.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if the link could not send the response in time.
+    fn promise_link(
+        &self,
+        dispatch_head: &DispatchHead,
+        is_call: bool,
+        deadline: LocalMoment,
+    ) -> std::result::Result<Option<LinkPromise>, NotRunFields> {
+        let now = clock::now();
+        let arrival = {
+            let state = self.state.borrow();
+            let bytes = state.response_sizes.expected(&dispatch_head.route);
+            if bytes < BULK_BYTES {
+                return Ok(None);
+            }
+            let objective = Duration::from_millis(u64::from(dispatch_head.objective_ms));
+            let elapsed = Duration::from_millis(u64::from(dispatch_head.elapsed_ms));
+            BulkArrival {
+                bytes,
+                objective,
+                objective_left: objective.saturating_sub(elapsed),
+                time_left: deadline.since(now),
+                service_time: state.gate.expected_time(
+                    &dispatch_head.route,
+                    dispatch_head.priority,
+                    now,
+                ),
+            }
+        };
+
+        match self.link.refusal(arrival) {
+            Some(retry_after) => Err(NotRunFields {
+                reason: Arc::from("link-busy"),
+                pause_ms: replies::millis_up(retry_after),
+                reached_target: false,
+                elsewhere: dispatch_head.key.is_none(),
+                pause_kind: PauseKind::Estimate,
+                holder: None,
+                load: Some(self.load_for(is_call)),
+            }),
+            None => Ok(Some(self.link.promise(arrival.bytes))),
+        }
+    }
+
+    /// Records the size of a response that states its length.
+    fn observe_size(&self, dispatch_head: &DispatchHead, reply: &ReplyBody) {
+        if let ReplyBody::Completed(fields) = reply
+            && let Some(length) = fields.content_length()
+        {
+            let mut state = self.state.borrow_mut();
+            state.response_sizes.observe(&dispatch_head.route, length);
+        }
+    }
+
     /// Records the outcome and the timing of a request.
     fn record(
         &self,
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -29,6 +29,8 @@
     pub peers: SocketAddr,
     /// The address to listen on for collectors of metrics; `None` serves no metrics.
     pub metrics: Option<SocketAddr>,
+    /// The rate of the network link of this VM in megabits per second.
+    pub link_mbps: f64,
     /// The address of the platform's store.
     pub store: SocketAddr,
     /// The interval between two heartbeats of a target.
--- a/crates/sidecar/src/tables.rs
+++ b/crates/sidecar/src/tables.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     links::NodeLinks,
-    messages::{PeerRequest, ReplyBody, SharedRead, StoreCall, StoreOutcome},
+    messages::{PeerRequest, ReplyBody, SharedRead, SharedTable, StoreCall, StoreOutcome},
     relay::StoreRelay,
     settings::SidecarSettings,
     view::{FleetView, table_name},
@@ -62,19 +62,41 @@
 #[derive(Debug, Default)]
 struct KnownTable {
     ledger: ReadLedger,
+    /// What the store held at that read; `None` if it held no table.
     object: Option<StoredObject>,
 }
 
 impl KnownTable {
-    /// Records the result of the read that was sent at `sent_at`, or that it failed.
-    fn finish(&mut self, sent_at: LocalMoment, object: Option<StoredObject>) {
-        let revision = object.as_ref().map(|object| object.revision);
-        self.ledger.finish(sent_at, revision);
+    /// Records the outcome of the read that was sent at `sent_at`.
+    fn finish(&mut self, sent_at: LocalMoment, outcome: StoreOutcome) {
+        let object = match outcome {
+            StoreOutcome::Object(object) => Some(object),
+            StoreOutcome::Absent => None,
+            _ => {
+                self.ledger.finish(sent_at, None);
+                return;
+            }
+        };
+        let revision = object
+            .as_ref()
+            .map_or(StoreRevision::ZERO, |object| object.revision);
+        self.ledger.finish(sent_at, Some(revision));
 
-        if object.is_some() && self.ledger.last().map(|(last, _)| last) == Some(sent_at) {
+        if self.ledger.last().map(|(last, _)| last) == Some(sent_at) {
             self.object = object;
         }
     }
+
+    /// Returns the last read.
+    fn last_read(&self) -> Option<TableRead> {
+        let (sent_at, _) = self.ledger.last()?;
+        let outcome = self
+            .object
+            .clone()
+            .map_or(StoreOutcome::Absent, StoreOutcome::Object);
+
+        Some(TableRead { sent_at, outcome })
+    }
 }
 
 impl TableReader {
@@ -126,10 +148,7 @@
             Some(reader) => self.ask_reader(&reader, service, demand).await,
         };
         match shared {
-            Some((object, sent_at)) => TableRead {
-                sent_at,
-                outcome: StoreOutcome::Object(object),
-            },
+            Some(read) => read,
             None => self.read_directly(service).await,
         }
     }
@@ -143,34 +162,28 @@
         max_age: Duration,
     ) -> Option<SharedRead> {
         let demand = ReadDemand { max_age, at_least };
-        let (object, sent_at) = self.read_for_zone(service, demand).await?;
-        let revision = object.revision;
-        let packed = if revision == at_least {
-            None
-        } else {
-            match PackedValue::new(&object) {
-                Ok(packed) => Some(packed),
+        let read = self.read_for_zone(service, demand).await?;
+        let table = match read.outcome {
+            StoreOutcome::Object(object) if object.revision == at_least => SharedTable::Known,
+            StoreOutcome::Object(object) => match PackedValue::new(&object) {
+                Ok(packed) => SharedTable::Changed(packed),
                 Err(error) => {
                     warn!(event = "table-not-packed", service = %service, reason = %error);
                     return None;
                 }
-            }
+            },
+            _ => SharedTable::Absent,
         };
 
         Some(SharedRead {
-            age_us: u64::try_from(clock::now().since(sent_at).as_micros()).unwrap_or(u64::MAX),
-            revision,
-            object: packed,
+            age_us: u64::try_from(clock::now().since(read.sent_at).as_micros()).unwrap_or(u64::MAX),
+            table,
         })
     }
 
     /// Returns the last read of a table if it meets the demand, or reads the table again. Returns `None`
-    /// if the store has no table or does not respond.
-    async fn read_for_zone(
-        &self,
-        service: &Arc<str>,
-        demand: ReadDemand,
-    ) -> Option<(StoredObject, LocalMoment)> {
+    /// if the store does not respond.
+    async fn read_for_zone(&self, service: &Arc<str>, demand: ReadDemand) -> Option<TableRead> {
         let mut has_read = false;
 
         loop {
@@ -178,12 +191,7 @@
             let now = clock::now();
             let step = self.with_table(service, |table| table.ledger.step(demand, now));
             match step {
-                ReadStep::Use => {
-                    return self.with_table(service, |table| {
-                        let (sent_at, _) = table.ledger.last()?;
-                        table.object.clone().map(|object| (object, sent_at))
-                    });
-                }
+                ReadStep::Use => return self.with_table(service, |table| table.last_read()),
                 ReadStep::Wait => {}
                 ReadStep::Read if has_read => return None,
                 ReadStep::Read => {
@@ -203,11 +211,8 @@
         reader.with_table(&service, |table| table.ledger.begin(sent_at));
 
         compio::runtime::spawn(async move {
-            let object = match reader.read_directly(&service).await.outcome {
-                StoreOutcome::Object(object) => Some(object),
-                _ => None,
-            };
-            reader.with_table(&service, |table| table.finish(sent_at, object));
+            let read = reader.read_directly(&service).await;
+            reader.with_table(&service, |table| table.finish(sent_at, read.outcome));
             reader.finished.notify(usize::MAX);
         })
         .detach();
@@ -219,7 +224,7 @@
         reader: &Arc<str>,
         service: &Arc<str>,
         demand: ReadDemand,
-    ) -> Option<(StoredObject, LocalMoment)> {
+    ) -> Option<TableRead> {
         let request = PeerRequest::Table {
             service: Arc::clone(service),
             at_least: demand.at_least,
@@ -232,13 +237,18 @@
 
         let reason = match timeout(READER_TIMEOUT, asked).await {
             Ok(Ok(response)) => match response.head.body {
-                ReplyBody::Table(Some(shared)) => match self.shared_object(service, &shared) {
-                    Ok(object) => {
-                        let age = Duration::from_micros(shared.age_us);
-                        return Some((object, shared_read_sent_at(asked_at, age)));
+                ReplyBody::Table(Some(shared)) => {
+                    let age = Duration::from_micros(shared.age_us);
+                    match self.shared_outcome(service, demand.at_least, &shared.table) {
+                        Ok(outcome) => {
+                            return Some(TableRead {
+                                sent_at: shared_read_sent_at(asked_at, age),
+                                outcome,
+                            });
+                        }
+                        Err(reason) => reason,
                     }
-                    Err(reason) => reason,
-                },
+                }
                 _ => "it has not read the table".to_owned(),
             },
             Ok(Err(error)) => error.to_string(),
@@ -249,24 +259,29 @@
         None
     }
 
-    /// Returns the object of a shared read: the one in the reply, or the one that this node knows.
+    /// Returns the outcome of a shared read, with the object in the reply or the one that this node knows.
     ///
     /// # Errors
     ///
-    /// Returns the reason if the reply cannot be unpacked or names an object that this node does not
-    /// know.
-    fn shared_object(
+    /// Returns the reason if the reply cannot be unpacked, or if this node knows a later table by now.
+    fn shared_outcome(
         &self,
         service: &Arc<str>,
-        shared: &SharedRead,
-    ) -> std::result::Result<StoredObject, String> {
-        match &shared.object {
-            Some(packed) => packed.unpack().map_err(|error| error.to_string()),
-            None => self
+        known: StoreRevision,
+        table: &SharedTable,
+    ) -> std::result::Result<StoreOutcome, String> {
+        match table {
+            SharedTable::Changed(packed) => packed
+                .unpack()
+                .map(StoreOutcome::Object)
+                .map_err(|error| error.to_string()),
+            SharedTable::Known => self
                 .view
                 .object(&table_name(service))
-                .filter(|object| object.revision == shared.revision)
+                .filter(|object| object.revision == known)
+                .map(StoreOutcome::Object)
                 .ok_or_else(|| "the table has changed meanwhile".to_owned()),
+            SharedTable::Absent => Ok(StoreOutcome::Absent),
         }
     }
 
--- a/crates/sidecar/tests/proxy.rs
+++ b/crates/sidecar/tests/proxy.rs
@@ -74,6 +74,7 @@
         local: closed_address,
         peers: closed_address,
         metrics: None,
+        link_mbps: 10_000.0,
         store: closed_address,
         heartbeat: Duration::from_millis(870),
         max_hold: Duration::from_secs(10),
