Large services: the choice among targets is drawn by speed where reports are old, and full targets decline

Cause: with 66 or 294 callers a node hears of each target once in some seconds. All nodes chose the targets that seemed the fastest by those reports: arrivals busiest/mean 2.2 to 3.9, and in the model 4,556 of 10,964 requests (66 callers, 22 targets, 0.6 of the capacity) waited for a slot while a quarter of all slots was free. Change, for services of 8 targets or more: the older a report, the more the choice is drawn at random in proportion to speed, within the own zone and within the others; an old load counts as the mean one. A target whose slots are all taken declines a request, twice at most, which asks another target then: that is known at the moment, and a hop takes less than the wait. Smaller services choose as before.

--- a/crates/gate/src/admission.rs
+++ b/crates/gate/src/admission.rs
@@ -81,6 +81,8 @@
     CalleeBusy,
     /// The limit that the target names is reached.
     LimitReached,
+    /// All slots are taken, and the caller prefers another target with a free one.
+    SlotsTaken,
 }
 
 impl GateRefusal {
@@ -93,6 +95,7 @@
             Self::Closed => "target-leaving",
             Self::CalleeBusy => "callee-busy",
             Self::LimitReached => "limit-reached",
+            Self::SlotsTaken => "slots-taken",
         }
     }
 }
@@ -313,6 +316,11 @@
         limit.map_or(throughput, |limit| throughput.min(limit as f32))
     }
 
+    /// Returns whether the target accepts requests, but a request would have to wait for a slot.
+    pub fn has_taken_slots(&self) -> bool {
+        !self.closed && self.slots > 0 && self.running.len() >= self.slots as usize
+    }
+
     /// Returns how long a request of this kind and priority would wait for a slot, in seconds.
     ///
     /// The estimate is the work queued ahead of it plus the rest of the running work, divided by
--- a/crates/route/src/pick.rs
+++ b/crates/route/src/pick.rs
@@ -1,5 +1,9 @@
 //! Load balancing for services without keys: the target with the least expected time, from the
 //! load that targets report with their responses.
+//!
+//! In a large fleet a node hears of each target seldom. If all nodes chose the target that seems the best
+//! by old reports, they would all choose the same few. So the older the reports, the more the choice is
+//! drawn at random, in proportion to the speed of the targets, and the less the reported load counts.
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -10,6 +14,13 @@
 /// The most doublings of the time for which an unreachable target is avoided.
 const MAX_AVOID_DOUBLINGS: u32 = 3;
 
+/// The number of targets from which callers that choose by old reports crowd at the same ones.
+pub const MIN_CROWD: usize = 8;
+
+/// The most targets of a large service that decline a request because all their slots are taken, before it
+/// waits for one. To ask another target takes less time than to wait for a slot.
+pub const MAX_DECLINES: usize = 2;
+
 /// `LoadReport` is the load of a target as its node reports it with each response.
 #[derive(Debug, Clone, Copy, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -56,6 +67,8 @@
     /// The half-life of a reported failure fraction. The decay lets a target that gets no requests
     /// any more, and so sends no new report, be tried again.
     pub failure_half_life: Duration,
+    /// The age from which a report says nothing of the present load of its target.
+    pub report_life: Duration,
 }
 
 impl Default for PickOptions {
@@ -68,6 +81,7 @@
             bulk_kb: 16.0,
             failure_ms: 400.0,
             failure_half_life: Duration::from_secs(2),
+            report_life: Duration::from_secs(1),
         }
     }
 }
@@ -115,11 +129,72 @@
     failures: u32,
 }
 
+/// `DrawnCandidate` is a candidate with its cost, before and after the random factor.
+#[derive(Debug, Clone, Copy)]
+struct DrawnCandidate<'a> {
+    candidate: &'a PickCandidate,
+    drawn: f32,
+    cost: f32,
+    staleness: f32,
+}
+
+/// `TargetGroup` holds the targets of the own zone, or all others.
+#[derive(Debug, Default)]
+struct TargetGroup<'a> {
+    /// The targets with a report.
+    reports: f32,
+    /// The mean share of busy slots in reports; above 1 if requests wait.
+    mean_busy: f32,
+    candidates: f32,
+    /// The sum of the inverse costs of the candidates.
+    inverse_costs: f32,
+    best: Option<DrawnCandidate<'a>>,
+}
+
+impl<'a> TargetGroup<'a> {
+    /// Adds the load of a target to the mean.
+    fn count_load(&mut self, busy_share: f32) {
+        self.reports += 1.0;
+        self.mean_busy += (busy_share - self.mean_busy) / self.reports;
+    }
+
+    /// Adds a candidate, which becomes the best one if its drawn cost is the least.
+    fn count_candidate(
+        &mut self,
+        candidate: &'a PickCandidate,
+        drawn: f32,
+        cost: f32,
+        staleness: f32,
+    ) {
+        self.candidates += 1.0;
+        self.inverse_costs += 1.0 / cost.max(1.0);
+        if self.best.is_none_or(|best| drawn < best.drawn) {
+            self.best = Some(DrawnCandidate {
+                candidate,
+                drawn,
+                cost,
+                staleness,
+            });
+        }
+    }
+
+    /// Returns the expected time of a request to this group. The less is known of the best candidate, the
+    /// more the others count: otherwise each group would seem as fast as its fastest target.
+    fn value(&self) -> Option<f32> {
+        let best = self.best?;
+        let mean = self.candidates / self.inverse_costs;
+
+        Some(best.cost * (1.0 - best.staleness) + mean * best.staleness)
+    }
+}
+
 /// `TargetPicker` chooses the target with the least expected time until its response.
 #[derive(Debug)]
 pub struct TargetPicker {
     options: PickOptions,
     targets: HashMap<Arc<str>, ObservedTarget>,
+    /// Whether the last choice was among at least [`MIN_CROWD`] targets.
+    is_crowded: bool,
     random: ChaCha8Rng,
 }
 
@@ -129,6 +204,7 @@
         Self {
             options,
             targets: HashMap::new(),
+            is_crowded: false,
             random: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -137,7 +213,8 @@
     /// could not be reached recently is chosen only if there is no other.
     ///
     /// `answer_kb` is the expected size of the response in kilobytes. A random factor of up to 5 %
-    /// spreads requests over targets of about equal cost.
+    /// spreads requests over targets of about equal cost, a larger one over those with old reports. It
+    /// applies among the targets of the own zone and among the others, as it would favour the larger group.
     pub fn pick(
         &mut self,
         candidates: &[PickCandidate],
@@ -145,19 +222,69 @@
         answer_kb: f32,
         now: LocalMoment,
     ) -> Option<Arc<str>> {
-        let mut best: Option<(f32, &PickCandidate)> = None;
+        self.is_crowded = candidates.len() >= MIN_CROWD;
+        let mut groups = [TargetGroup::default(), TargetGroup::default()];
+        for candidate in candidates {
+            if let Some(busy_share) = self.busy_share(&candidate.node) {
+                groups[usize::from(candidate.remote)].count_load(busy_share);
+            }
+        }
 
         for candidate in candidates {
             if tried.contains(&candidate.node) {
                 continue;
             }
-            let cost = self.cost(candidate, answer_kb, now) * self.random.random_range(0.95..1.05);
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, candidate));
-            }
+            let group = &mut groups[usize::from(candidate.remote)];
+            let staleness = self.staleness(&candidate.node, now);
+            let cost = self.cost(candidate, answer_kb, group.mean_busy, now);
+            let drawn = cost * self.draw_factor(staleness);
+            group.count_candidate(candidate, drawn, cost, staleness);
         }
 
-        best.map(|(_, candidate)| Arc::clone(&candidate.node))
+        groups
+            .iter()
+            .filter_map(|group| Some((group.value()? * self.draw_factor(0.0), group.best?)))
+            .min_by(|(a, _), (b, _)| a.total_cmp(b))
+            .map(|(_, best)| Arc::clone(&best.candidate.node))
+    }
+
+    /// Returns the share of the slots of a target that its last report states as busy; above 1 if
+    /// requests wait.
+    #[expect(clippy::cast_precision_loss, reason = "counts of requests are small")]
+    fn busy_share(&self, node: &str) -> Option<f32> {
+        let report = self.targets.get(node)?.report?;
+
+        Some((report.running + report.waiting) as f32 / report.slots.max(1) as f32)
+    }
+
+    /// Draws the random factor on a cost. The least of costs with factors that are distributed
+    /// exponentially is drawn with a probability in inverse proportion to the cost.
+    fn draw_factor(&mut self, staleness: f32) -> f32 {
+        let spread = self.random.random_range(0.95..1.05);
+        if staleness <= 0.0 {
+            return spread;
+        }
+        let drawn: f32 = self.random.random_range(f32::EPSILON..1.0);
+
+        (1.0 - staleness) * spread - staleness * drawn.ln()
+    }
+
+    /// Returns how little the report of a target tells of its present load: 0 for a new one, 1 for an
+    /// old one or none. Of a few targets each node hears often enough.
+    fn staleness(&self, node: &str, now: LocalMoment) -> f32 {
+        if !self.is_crowded {
+            return 0.0;
+        }
+        let Some(observed) = self.targets.get(node) else {
+            return 1.0;
+        };
+        if observed.report.is_none() {
+            return 1.0;
+        }
+        let age =
+            now.since(observed.reported_at).as_secs_f32() / self.options.report_life.as_secs_f32();
+
+        (age * age).min(1.0)
     }
 
     /// Records that a request is sent to a node.
@@ -222,8 +349,15 @@
     }
 
     /// Returns the expected time until a response in milliseconds, plus penalties in the same unit.
+    /// `mean_busy` is the mean share of busy slots, which counts instead of an old report.
     #[expect(clippy::cast_precision_loss, reason = "counts of requests are small")]
-    fn cost(&self, candidate: &PickCandidate, answer_kb: f32, now: LocalMoment) -> f32 {
+    fn cost(
+        &self,
+        candidate: &PickCandidate,
+        answer_kb: f32,
+        mean_busy: f32,
+        now: LocalMoment,
+    ) -> f32 {
         const UNREACHABLE_PENALTY_MS: f32 = 100_000.0;
         const COLD_COST_FACTOR: f32 = 2.0;
 
@@ -231,12 +365,15 @@
         let report = observed.and_then(|observed| observed.report);
         let sent = observed.map_or(0, |observed| observed.sent);
         let slots = report.map_or(candidate.slots, |report| report.slots).max(1);
-        let busy = report.map_or(0, |report| report.running + report.waiting) + sent;
+        let slots = slots as f32;
+        let reported = report.map_or(0.0, |report| (report.running + report.waiting) as f32);
+        let staleness = self.staleness(&candidate.node, now);
+        let busy = reported * (1.0 - staleness) + mean_busy * slots * staleness + sent as f32;
         let service = report.map_or(self.options.unknown_ms, |report| report.service_ms.max(1.0));
 
-        let excess = (busy + 1).saturating_sub(slots) as f32;
+        let excess = (busy + 1.0 - slots).max(0.0);
         // Reports lag, so the load has a small weight even while slots are free.
-        let mut cost = service * (1.0 + excess / slots as f32 + 0.3 * busy as f32 / slots as f32);
+        let mut cost = service * (1.0 + excess / slots + 0.3 * busy / slots);
         if let Some(report) = report {
             let age = now.since(observed.map_or(now, |observed| observed.reported_at));
             cost += self.options.failure_ms * self.decayed_failure_share(report.failed_share, age);
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -35,12 +35,15 @@
     units::LocalMoment,
     verdict::RunVerdict,
 };
-use wagtail_gate::quarantine::RequestStanding;
+use wagtail_gate::{GateRefusal, quarantine::RequestStanding};
 use wagtail_net::{clock, stop::StopSignal};
 use wagtail_peer::{answer::PeerResponse, link::SilencePolicy};
 use wagtail_route::{
     BudgetOptions, RetryBudget,
-    pick::{LoadReport, PickCandidate, PickOptions, TargetPicker, may_ask_holder},
+    pick::{
+        LoadReport, MAX_DECLINES, MIN_CROWD, PickCandidate, PickOptions, TargetPicker,
+        may_ask_holder,
+    },
 };
 
 /// The maximum number of nodes that one request is sent to before it is given up.
@@ -127,6 +130,9 @@
     silent: u32,
     /// The node that the last refusal named as the holder of the key.
     holder_hint: Option<Arc<str>>,
+    /// The nodes that declined the request because all slots of their targets are taken. They may be
+    /// asked again.
+    declined: Vec<Arc<str>>,
 }
 
 impl ForwardAttempts {
@@ -135,6 +141,20 @@
         self.target_attempts + self.silent
     }
 
+    /// Returns the nodes that are not asked again.
+    fn tried(&self, asked: &[Arc<str>]) -> Vec<Arc<str>> {
+        let mut declined = self.declined.clone();
+        let mut tried = Vec::new();
+        for node in asked {
+            match declined.iter().position(|other| other == node) {
+                Some(index) => drop(declined.swap_remove(index)),
+                None => tried.push(Arc::clone(node)),
+            }
+        }
+
+        tried
+    }
+
     /// Returns whether the request may have run.
     fn may_have_run(&self) -> bool {
         self.may_have_run.is_some() || self.silent > 0
@@ -219,7 +239,14 @@
                 let ordinal = job.asked.borrow().len();
                 job.asked.borrow_mut().push(Arc::clone(&node));
                 self.picker.borrow_mut().sent(&node);
-                in_flight.push(self.attempt(job, node, ordinal, silence.clone()));
+                let prefers_free_slot = self.prefers_free_slot(job, &attempts);
+                in_flight.push(self.attempt(
+                    job,
+                    node,
+                    ordinal,
+                    prefers_free_slot,
+                    silence.clone(),
+                ));
                 heard = Some((ordinal, silence));
             }
             if in_flight.is_empty() {
@@ -271,9 +298,10 @@
         job: &ForwardJob,
         node: Arc<str>,
         ordinal: usize,
+        prefers_free_slot: bool,
         silence: StopSignal,
     ) -> EndedAttempt {
-        let response = self.send(job, &node, silence).await;
+        let response = self.send(job, &node, prefers_free_slot, silence).await;
 
         EndedAttempt {
             node,
@@ -339,6 +367,10 @@
                 if let Some(load) = fields.load {
                     self.record_load(node, load);
                 }
+                if &*fields.reason == GateRefusal::SlotsTaken.as_str() {
+                    attempts.declined.push(Arc::clone(node));
+                    return None;
+                }
                 if &*fields.reason == NODE_STOPPING {
                     self.picker.borrow_mut().unreachable(node, clock::now());
                 }
@@ -420,6 +452,7 @@
         &self,
         job: &ForwardJob,
         node: &Arc<str>,
+        prefers_free_slot: bool,
         silence: StopSignal,
     ) -> Result<PeerResponse<PeerReply>, CoreError> {
         let now = clock::now();
@@ -427,6 +460,7 @@
             elapsed_ms: millis(job.waited + now.since(job.started_at)),
             time_left_ms: millis(job.deadline.since(now)),
             notice: self.notices.borrow().get(node).cloned(),
+            prefers_free_slot,
             ..job.dispatch_head.clone()
         };
         if *node == self.settings.node {
@@ -452,7 +486,8 @@
 
     /// Returns the node to send a request to next, or `None` if it must be given up.
     fn next_node(&self, job: &ForwardJob, attempts: &ForwardAttempts) -> Option<Arc<str>> {
-        if job.asked.borrow().len() >= MAX_NODES_ASKED || clock::now() >= job.deadline {
+        let tried = attempts.tried(&job.asked.borrow());
+        if tried.len() >= MAX_NODES_ASKED || clock::now() >= job.deadline {
             return None;
         }
         if job.keyed {
@@ -480,12 +515,17 @@
             .collect();
         let kilobytes = self.response_kb.borrow().get(&job.route.name).copied();
 
-        self.picker.borrow_mut().pick(
-            &candidates,
-            &job.asked.borrow(),
-            kilobytes.unwrap_or(0.0),
-            clock::now(),
-        )
+        self.picker
+            .borrow_mut()
+            .pick(&candidates, &tried, kilobytes.unwrap_or(0.0), clock::now())
+    }
+
+    /// Returns whether the next attempt of a request goes to another target if all slots of the first one
+    /// are taken.
+    fn prefers_free_slot(&self, job: &ForwardJob, attempts: &ForwardAttempts) -> bool {
+        !job.keyed
+            && attempts.declined.len() < MAX_DECLINES
+            && self.view.nodes_of(&job.dispatch_head.service).len() >= MIN_CROWD
     }
 
     /// Returns the node of the target that holds the key, if the request may be sent to it.
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -253,6 +253,7 @@
             path: Arc::from(path),
             headers: end_to_end(&parts.headers),
             notice: None,
+            prefers_free_slot: false,
         };
 
         Ok(ForwardJob {
--- a/crates/sidecar/src/messages.rs
+++ b/crates/sidecar/src/messages.rs
@@ -50,6 +50,9 @@
     pub headers: Vec<HeaderField>,
     /// What the sending node was told of the target.
     pub notice: Option<TargetNotice>,
+    /// Whether the target's node declines the request if all slots are taken, as another target may have
+    /// a free one.
+    pub prefers_free_slot: bool,
 }
 
 impl DispatchHead {
--- a/crates/sidecar/src/proxy/serve.rs
+++ b/crates/sidecar/src/proxy/serve.rs
@@ -69,6 +69,10 @@
         if let Some(refusal) = self.check(dispatch_head) {
             return self.not_run(refusal);
         }
+        if dispatch_head.prefers_free_slot && self.state.borrow().gate.has_taken_slots() {
+            let refusal = GateRefusal::SlotsTaken;
+            return self.not_run(self.gate_refusal(dispatch_head, false, refusal, Duration::ZERO));
+        }
         let is_call = self.observe(dispatch_head);
         if let Some(key) = dispatch_head.key
             && let Some(refusal) = self.wait_for_key(key, deadline).await
@@ -181,7 +185,10 @@
         let now = clock::now();
         let (outcome, failed) = match reply {
             ReplyBody::Completed(fields) => ("answered", fields.status >= 500),
-            ReplyBody::NotRun(fields) => (&*fields.reason, true),
+            ReplyBody::NotRun(fields) => {
+                let is_declined = &*fields.reason == GateRefusal::SlotsTaken.as_str();
+                (&*fields.reason, !is_declined)
+            }
             // `failed` has logged it together with its cause.
             _ => return,
         };
--- a/crates/sidecar/tests/proxy.rs
+++ b/crates/sidecar/tests/proxy.rs
@@ -1,7 +1,11 @@
 //! Tests of `TargetProxy` with a target that refuses connections.
 
 use bytes::Bytes;
-use compio::runtime::Runtime;
+use compio::{
+    net::TcpListener,
+    runtime::Runtime,
+    time::{sleep, timeout},
+};
 use http::{HeaderMap, Method, StatusCode};
 use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 use wagtail_core::{
@@ -139,6 +143,7 @@
         path: Arc::from("/x"),
         headers: Vec::new(),
         notice: None,
+        prefers_free_slot: false,
     }
 }
 
@@ -329,3 +334,34 @@
         );
     });
 }
+
+/// Guards against requests that wait for a slot while another target has a free one, and against a
+/// request that is declined again and again though its caller no longer asks for that.
+#[test]
+fn a_full_target_declines_only_what_prefers_a_free_slot() {
+    Runtime::new().unwrap().block_on(async {
+        // A target that accepts connections and never responds.
+        let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let settings = SidecarSettings {
+            target: silent.local_addr().unwrap(),
+            ..settings()
+        };
+        let proxy = proxy_with(settings, FleetView::default());
+        let prefers = DispatchHead {
+            prefers_free_slot: true,
+            ..request_head("agenda", None)
+        };
+        for _ in 0..2 {
+            let (proxy, request) = (proxy.clone(), prefers.clone());
+            compio::runtime::spawn(async move { proxy.serve(&request, Bytes::new()).await })
+                .detach();
+        }
+        sleep(Duration::from_millis(50)).await;
+        assert_eq!(proxy.in_flight(), 2);
+
+        assert_eq!(refusal_reason(&proxy, &prefers).await, "slots-taken");
+        let waiting = request_head("agenda", None);
+        let reason = timeout(Duration::from_millis(100), refusal_reason(&proxy, &waiting));
+        assert!(reason.await.is_err(), "the request does not wait");
+    });
+}
