An unknown target of a large service counts as a typical one, and services of 6 targets count as large

Change: what is not known of a target is the mean of those that have reported. Six targets of 66 callers crowd too.

--- a/crates/route/src/pick.rs
+++ b/crates/route/src/pick.rs
@@ -15,7 +15,7 @@
 const MAX_AVOID_DOUBLINGS: u32 = 3;
 
 /// The number of targets from which callers that choose by old reports crowd at the same ones.
-pub const MIN_CROWD: usize = 8;
+pub const MIN_CROWD: usize = 6;
 
 /// The most targets of a large service that decline a request because all their slots are taken, before it
 /// waits for one. To ask another target takes less time than to wait for a slot.
@@ -46,6 +46,23 @@
     pub begin_share: Option<f32>,
 }
 
+impl LoadReport {
+    /// Returns the share of the slots that are busy; above 1 if requests wait.
+    #[expect(clippy::cast_precision_loss, reason = "counts of requests are small")]
+    pub fn busy_share(&self) -> f32 {
+        (self.running + self.waiting) as f32 / self.slots.max(1) as f32
+    }
+}
+
+/// `TypicalLoad` is the mean load of the targets that have reported.
+#[derive(Debug, Clone, Copy)]
+struct TypicalLoad {
+    /// The share of busy slots; above 1 if requests wait.
+    busy_share: f32,
+    /// The time for which a request occupies a slot, in milliseconds.
+    service_ms: f32,
+}
+
 /// `PickOptions` are the settings of a [`TargetPicker`].
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PickOptions {
@@ -224,11 +241,20 @@
     ) -> Option<Arc<str>> {
         self.is_crowded = candidates.len() >= MIN_CROWD;
         let mut groups = [TargetGroup::default(), TargetGroup::default()];
+        let (mut reports, mut service_ms) = (0.0, 0.0);
         for candidate in candidates {
-            if let Some(busy_share) = self.busy_share(&candidate.node) {
-                groups[usize::from(candidate.remote)].count_load(busy_share);
+            if let Some(report) = self.report(&candidate.node) {
+                groups[usize::from(candidate.remote)].count_load(report.busy_share());
+                reports += 1.0;
+                service_ms += report.service_ms;
             }
         }
+        // A target that seems faster than all others only because it is unknown would draw all requests.
+        let unknown_ms = if self.is_crowded && reports > 0.0 {
+            service_ms / reports
+        } else {
+            self.options.unknown_ms
+        };
 
         for candidate in candidates {
             if tried.contains(&candidate.node) {
@@ -236,7 +262,11 @@
             }
             let group = &mut groups[usize::from(candidate.remote)];
             let staleness = self.staleness(&candidate.node, now);
-            let cost = self.cost(candidate, answer_kb, group.mean_busy, now);
+            let typical = TypicalLoad {
+                busy_share: group.mean_busy,
+                service_ms: unknown_ms,
+            };
+            let cost = self.cost(candidate, answer_kb, typical, now);
             let drawn = cost * self.draw_factor(staleness);
             group.count_candidate(candidate, drawn, cost, staleness);
         }
@@ -248,15 +278,6 @@
             .map(|(_, best)| Arc::clone(&best.candidate.node))
     }
 
-    /// Returns the share of the slots of a target that its last report states as busy; above 1 if
-    /// requests wait.
-    #[expect(clippy::cast_precision_loss, reason = "counts of requests are small")]
-    fn busy_share(&self, node: &str) -> Option<f32> {
-        let report = self.targets.get(node)?.report?;
-
-        Some((report.running + report.waiting) as f32 / report.slots.max(1) as f32)
-    }
-
     /// Draws the random factor on a cost. The least of costs with factors that are distributed
     /// exponentially is drawn with a probability in inverse proportion to the cost.
     fn draw_factor(&mut self, staleness: f32) -> f32 {
@@ -349,13 +370,13 @@
     }
 
     /// Returns the expected time until a response in milliseconds, plus penalties in the same unit.
-    /// `mean_busy` is the mean share of busy slots, which counts instead of an old report.
+    /// `typical` counts instead of what an old report states, or none.
     #[expect(clippy::cast_precision_loss, reason = "counts of requests are small")]
     fn cost(
         &self,
         candidate: &PickCandidate,
         answer_kb: f32,
-        mean_busy: f32,
+        typical: TypicalLoad,
         now: LocalMoment,
     ) -> f32 {
         const UNREACHABLE_PENALTY_MS: f32 = 100_000.0;
@@ -368,8 +389,9 @@
         let slots = slots as f32;
         let reported = report.map_or(0.0, |report| (report.running + report.waiting) as f32);
         let staleness = self.staleness(&candidate.node, now);
-        let busy = reported * (1.0 - staleness) + mean_busy * slots * staleness + sent as f32;
-        let service = report.map_or(self.options.unknown_ms, |report| report.service_ms.max(1.0));
+        let busy =
+            reported * (1.0 - staleness) + typical.busy_share * slots * staleness + sent as f32;
+        let service = report.map_or(typical.service_ms, |report| report.service_ms.max(1.0));
 
         let excess = (busy + 1.0 - slots).max(0.0);
         // Reports lag, so the load has a small weight even while slots are free.
--- a/crates/route/tests/fleet_picks.rs
+++ b/crates/route/tests/fleet_picks.rs
@@ -182,7 +182,7 @@
 /// others have free slots: at most one request in ten waits for a slot while a quarter of them is free.
 #[test]
 fn callers_of_a_large_service_spread_over_its_targets() {
-    for (callers, targets, load) in [(14, 3, 0.5), (66, 22, 0.6), (294, 97, 0.6)] {
+    for (callers, targets, load) in [(14, 3, 0.5), (66, 6, 0.6), (66, 22, 0.6), (294, 97, 0.6)] {
         let counts = run(callers, targets, load, 1);
         println!("{callers} {targets} {load}: {counts:?}");
         assert!(
