A hot range is spread over many targets of a large service at once

Cause: 200 hot keys get two fifths of the traffic of 155 targets, 23 times what their holder serves.

--- a/crates/shard/src/planner.rs
+++ b/crates/shard/src/planner.rs
@@ -279,7 +279,8 @@
         }
 
         // A target that has just joined holds no keys, and gets some even if no other move is due.
-        let mut moves = rebalance(candidates, &self.options.balance);
+        let options = self.options.balance.for_targets(candidates.len());
+        let mut moves = rebalance(candidates, &options);
         if moves.is_empty() {
             moves = self.moves_to_empty_target(table, candidates);
         }
