--- a/crates/gate/src/sizes.rs
+++ b/crates/gate/src/sizes.rs
@@ -20,13 +20,18 @@
         *mean += (bytes - *mean) * SIZE_WEIGHT;
     }
 
-    /// Returns the expected size of a response in bytes, or 0 before the first one.
+    /// Returns the mean size of a route's responses in bytes, or 0 before the first one.
+    pub fn mean(&self, route: &str) -> f32 {
+        self.means.get(route).copied().unwrap_or(0.0)
+    }
+
+    /// Returns the expected size of a response in whole bytes, or 0 before the first one.
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
         reason = "a mean of sizes"
     )]
     pub fn expected(&self, route: &str) -> u64 {
-        self.means.get(route).map_or(0, |mean| *mean as u64)
+        self.mean(route) as u64
     }
 }
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -35,7 +35,7 @@
     units::LocalMoment,
     verdict::RunVerdict,
 };
-use wagtail_gate::{GateRefusal, quarantine::RequestStanding};
+use wagtail_gate::{GateRefusal, quarantine::RequestStanding, sizes::ResponseSizes};
 use wagtail_net::{clock, stop::StopSignal};
 use wagtail_peer::{answer::PeerResponse, link::SilencePolicy};
 use wagtail_route::{
@@ -70,8 +70,8 @@
 /// request shows whether it is reachable.
 const MAX_PROBES: u32 = 40;
 
-/// The weight of the latest response in the moving average of a route's response size.
-const SIZE_WEIGHT: f32 = 0.1;
+/// Bytes per kilobyte.
+const KILOBYTE: f32 = 1_024.0;
 
 /// `ForwardOutcome` is the final outcome of a forwarded request.
 #[derive(Debug)]
@@ -184,8 +184,7 @@
     budgets: RefCell<HashMap<Arc<str>, RetryBudget>>,
     /// What nodes last reported of their targets, if it binds requests to them.
     notices: RefCell<HashMap<Arc<str>, TargetNotice>>,
-    /// The mean response size of each route in kilobytes.
-    response_kb: RefCell<HashMap<Arc<str>, f32>>,
+    response_sizes: RefCell<ResponseSizes>,
     random: RefCell<ChaCha8Rng>,
 }
 
@@ -210,7 +209,7 @@
             probing: Rc::default(),
             budgets: RefCell::default(),
             notices: RefCell::default(),
-            response_kb: RefCell::default(),
+            response_sizes: RefCell::default(),
             random: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
         }
     }
@@ -513,11 +512,11 @@
                 cold: false,
             })
             .collect();
-        let kilobytes = self.response_kb.borrow().get(&job.route.name).copied();
+        let answer_kb = self.response_sizes.borrow().mean(&job.route.name) / KILOBYTE;
 
         self.picker
             .borrow_mut()
-            .pick(&candidates, &tried, kilobytes.unwrap_or(0.0), clock::now())
+            .pick(&candidates, &tried, answer_kb, clock::now())
     }
 
     /// Returns whether the next attempt of a request goes to another target if all slots of the first one
@@ -635,21 +634,11 @@
     }
 
     /// Records the size of a response that states its length.
-    #[expect(
-        clippy::cast_precision_loss,
-        reason = "sizes of responses are far below 2^24 KB"
-    )]
     fn record_response_size(&self, job: &ForwardJob, fields: &CompletedFields) {
-        let Some(length) = fields.content_length() else {
-            return;
-        };
-
-        let kilobytes = length as f32 / 1_024.0;
-        let mut response_kb = self.response_kb.borrow_mut();
-        let mean = response_kb
-            .entry(Arc::clone(&job.route.name))
-            .or_insert(kilobytes);
-        *mean += (kilobytes - *mean) * SIZE_WEIGHT;
+        if let Some(length) = fields.content_length() {
+            let mut sizes = self.response_sizes.borrow_mut();
+            sizes.observe(&job.route.name, length);
+        }
     }
 }
 
