--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -46,7 +46,8 @@
     },
 };
 
-/// The maximum number of nodes that one request is sent to before it is given up.
+/// The maximum number of nodes that one request is sent to before it is given up, without those that
+/// declined it.
 const MAX_NODES_ASKED: usize = 3;
 
 /// The fraction of the fleet's retry budget that the forwarders of the nodes may use. The rest is
