Revert "A hot range is spread over many targets of a large service at once"

The model of the hot range leaves out what a move costs: the wait for the hand-over, and rows that stay cut. It goes with the change; the next attempt needs both.

--- a/crates/shard/src/balance.rs
+++ b/crates/shard/src/balance.rs
@@ -3,10 +3,7 @@
 use crate::{load::RangeLoad, table::RangeHolder};
 
 /// The least capacity that a holder counts with, in requests per second.
-pub const MIN_CAPACITY: f32 = 0.1;
-
-/// The targets of a large service for each range that moves in one round.
-const TARGETS_PER_MOVE: usize = 3;
+const MIN_CAPACITY: f32 = 0.1;
 
 /// `BalanceOptions` holds the thresholds and the limit of rebalancing moves.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -30,18 +27,6 @@
     }
 }
 
-impl BalanceOptions {
-    /// Returns these options for a service of this many targets. In a large service the share of one target
-    /// is small, so that a hot range has to go to many others at once.
-    #[must_use]
-    pub fn for_targets(self, targets: usize) -> Self {
-        Self {
-            max_moves: self.max_moves.max(targets / TARGETS_PER_MOVE),
-            ..self
-        }
-    }
-}
-
 /// `HolderLoad` is the load and the capacity of one holder.
 #[derive(Debug, Clone, PartialEq)]
 pub struct HolderLoad {
--- a/crates/shard/src/load.rs
+++ b/crates/shard/src/load.rs
@@ -13,26 +13,6 @@
 /// The decayed count below which a key is dropped.
 const MIN_RETAINED_COUNT: f32 = 0.05;
 
-/// The number of pieces into which the load of a target is cut while it can serve it. An overloaded one is
-/// cut into more, so that a piece is not too much for the target that receives it.
-const PIECES: f32 = 24.0;
-
-/// The greatest number of pieces of one target, which bounds the size of its status.
-const MAX_PIECES: f32 = 64.0;
-
-/// Returns the number of pieces into which each of the `ranges` of a target is cut at a utilisation; 1.0 is
-/// full use.
-pub fn max_pieces(utilisation: f32, ranges: usize) -> usize {
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "a few dozen pieces"
-    )]
-    let pieces = (PIECES * utilisation).clamp(PIECES, MAX_PIECES) as usize;
-
-    pieces.div_ceil(ranges.max(1)).max(2)
-}
-
 /// `RangeLoad` is the request rate of a range of keys.
 #[derive(Debug, Clone, Copy, PartialEq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/shard/src/planner.rs
+++ b/crates/shard/src/planner.rs
@@ -279,8 +279,7 @@
         }
 
         // A target that has just joined holds no keys, and gets some even if no other move is due.
-        let options = self.options.balance.for_targets(candidates.len());
-        let mut moves = rebalance(candidates, &options);
+        let mut moves = rebalance(candidates, &self.options.balance);
         if moves.is_empty() {
             moves = self.moves_to_empty_target(table, candidates);
         }
--- a/crates/shard/tests/shard/main.rs
+++ b/crates/shard/tests/shard/main.rs
@@ -3,7 +3,6 @@
 mod decisions;
 mod departures;
 mod fleet_reads;
-mod hot_range;
 mod node_calls;
 mod random_faults;
 mod recovery;
--- a/crates/sidecar/src/proxy/mod.rs
+++ b/crates/sidecar/src/proxy/mod.rs
@@ -46,9 +46,8 @@
 };
 use wagtail_route::pick::LoadReport;
 use wagtail_shard::{
-    balance::MIN_CAPACITY,
     keeper::{GrantKeeper, KeeperOptions},
-    load::{KeyCounter, RangeLoad, max_pieces},
+    load::{KeyCounter, RangeLoad},
     planner::TargetStatus,
 };
 
@@ -65,6 +64,9 @@
 /// The milliseconds that a kilobyte takes at one byte per second.
 const KILOBYTE_MS: f32 = 1_024.0 * 1_000.0;
 
+/// The approximate number of key ranges for which a target's load is reported to the planner.
+const LOAD_PIECES: usize = 24;
+
 /// `TargetProxy` forwards requests to the target on this VM. All requests to the target go through
 /// it. It limits their concurrency, pools the connections and tracks the key ranges granted to the
 /// target.
@@ -356,27 +358,17 @@
             .is_none_or(|at| now.since(at) > self.settings.heartbeat * 2);
 
         let granted = state.keeper.granted().to_vec();
-        let capacity = state.gate.capacity();
-        let rate: f32 = granted
-            .iter()
-            .flat_map(|range| state.keys.pieces(range.from, range.to, 1, now))
-            .map(|piece| piece.rate)
-            .sum();
-        let pieces_per_range = max_pieces(rate / capacity.max(MIN_CAPACITY), granted.len());
+        let max_pieces = LOAD_PIECES.div_ceil(granted.len().max(1)).max(2);
         let pieces: Vec<RangeLoad> = granted
             .iter()
-            .flat_map(|range| {
-                state
-                    .keys
-                    .pieces(range.from, range.to, pieces_per_range, now)
-            })
+            .flat_map(|range| state.keys.pieces(range.from, range.to, max_pieces, now))
             .collect();
 
         TargetStatus {
             node: Arc::clone(&self.settings.node),
             life: state.keeper.life().cloned(),
             ready: ready && !silent,
-            capacity,
+            capacity: state.gate.capacity(),
             pieces,
         }
     }
