Response bodies without a stated length are read whole, so that their slot is free

Cause: only bodies with a Content-Length were read whole before they were passed on. A chunked one, as most downloads are, kept its slot until its last byte had left on the paced link: 355 to 740 ms after the target had ended. Calls waited for these slots, and lookups of the calling service for the calls.

The size is known then, and counts for admission at the link and for the choice of a target (CompletedFields.body_bytes; protocol version 3).

The test was seen failing with the former condition.

--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -25,7 +25,7 @@
 pub mod stream;
 
 /// The protocol version; streams of any other version are refused.
-pub const PROTOCOL_VERSION: &str = "2";
+pub const PROTOCOL_VERSION: &str = "3";
 
 /// The header field that carries [`PROTOCOL_VERSION`].
 pub const VERSION_HEADER: &str = "wagtail-protocol";
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -634,9 +634,9 @@
         }
     }
 
-    /// Records the size of a response that states its length.
+    /// Records the size of a response whose length is known.
     fn record_response_size(&self, job: &ForwardJob, fields: &CompletedFields) {
-        if let Some(length) = fields.content_length() {
+        if let Some(length) = fields.body_bytes {
             let mut sizes = self.response_sizes.borrow_mut();
             sizes.observe(&job.route.name, length);
         }
--- a/crates/sidecar/src/messages.rs
+++ b/crates/sidecar/src/messages.rs
@@ -250,22 +250,12 @@
     pub status: u16,
     /// The end-to-end header fields.
     pub headers: Vec<HeaderField>,
+    /// The length of the body in bytes: as it was read, or as the response states it.
+    pub body_bytes: Option<u64>,
     /// The load of the target.
     pub load: LoadReport,
 }
 
-impl CompletedFields {
-    /// Returns the length of the body that the response states, in bytes.
-    pub fn content_length(&self) -> Option<u64> {
-        let field = self
-            .headers
-            .iter()
-            .find(|field| &*field.name == "content-length")?;
-
-        std::str::from_utf8(&field.value).ok()?.parse().ok()
-    }
-}
-
 /// `PauseKind` tells how close to the end of a pause a refused caller should retry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/sidecar/src/proxy/dispatch.rs
+++ b/crates/sidecar/src/proxy/dispatch.rs
@@ -28,7 +28,7 @@
 /// that breaks off can still be reported as a failure, so that the request can be retried, and its slot is
 /// free as soon as the target has sent it, however narrow the link is. The gate of the link bounds how many
 /// large ones are buffered.
-const MAX_BUFFERED_RESPONSE_BYTES: u64 = 1 << 20;
+const MAX_BUFFERED_RESPONSE_BYTES: usize = 1 << 20;
 
 /// The weight of the latest result in the moving average of failures.
 const FAILURE_WEIGHT: f32 = 0.05;
@@ -127,25 +127,35 @@
         self.record_result(status.is_server_error());
         let headers = headers::end_to_end(&parts.headers);
         let length = headers::content_length(&parts.headers);
-        if status != StatusCode::OK
-            || length.is_none_or(|length| length > MAX_BUFFERED_RESPONSE_BYTES)
-        {
-            let body = SlotBody {
-                response,
-                guard: Some(guard),
-                whole_end,
-            };
-            let id = Arc::clone(&dispatch_head.id);
-            let body = DeadlineBody::new(id, Box::new(body), deadline);
-            return self.relayed_response(status, headers, Box::new(body));
-        }
+        let buffer_bytes = match length {
+            Some(length) if length > MAX_BUFFERED_RESPONSE_BYTES as u64 => 0,
+            _ => MAX_BUFFERED_RESPONSE_BYTES,
+        };
 
         let time_left = deadline.since(clock::now());
-        match timeout(time_left, read_whole(&mut response)).await {
-            Ok(Ok(whole)) => {
+        match timeout(time_left, read_up_to(&mut response, buffer_bytes)).await {
+            Ok(Ok(BufferedBody { bytes, is_whole })) if is_whole => {
                 guard.run_end.set(whole_end);
                 drop(guard);
-                self.relayed_response(status, headers, Box::new(WholeBody::new(whole)))
+                let length = u64::try_from(bytes.len()).unwrap_or(u64::MAX);
+                self.observe_size(dispatch_head, length);
+                self.relayed_response(
+                    status,
+                    headers,
+                    Box::new(WholeBody::new(bytes)),
+                    Some(length),
+                )
+            }
+            Ok(Ok(BufferedBody { bytes, .. })) => {
+                let body = SlotBody {
+                    buffered: bytes,
+                    response,
+                    guard: Some(guard),
+                    whole_end,
+                };
+                let id = Arc::clone(&dispatch_head.id);
+                let body = DeadlineBody::new(id, Box::new(body), deadline);
+                self.relayed_response(status, headers, Box::new(body), length)
             }
             Err(_elapsed) => self.failed(dispatch_head, "target-too-late", "the body did not end"),
             Ok(Err(error)) => {
@@ -260,12 +270,32 @@
     }
 }
 
-/// Reads the complete body of a response.
-async fn read_whole(response: &mut PooledResponse) -> Result<Bytes, CoreError> {
-    let mut whole = BytesMut::new();
-    while let Some(chunk) = response.next().await? {
-        whole.extend_from_slice(&chunk);
+/// `BufferedBody` is the beginning of a response body, or all of it.
+#[derive(Debug)]
+struct BufferedBody {
+    bytes: Bytes,
+    is_whole: bool,
+}
+
+/// Reads the body of a response until it ends or more than `limit` bytes were read. With a limit of zero,
+/// nothing is read.
+async fn read_up_to(
+    response: &mut PooledResponse,
+    limit: usize,
+) -> Result<BufferedBody, CoreError> {
+    let mut bytes = BytesMut::new();
+    while limit > 0 && bytes.len() <= limit {
+        let Some(chunk) = response.next().await? else {
+            return Ok(BufferedBody {
+                bytes: bytes.freeze(),
+                is_whole: true,
+            });
+        };
+        bytes.extend_from_slice(&chunk);
     }
 
-    Ok(whole.freeze())
+    Ok(BufferedBody {
+        bytes: bytes.freeze(),
+        is_whole: false,
+    })
 }
--- a/crates/sidecar/src/proxy/replies.rs
+++ b/crates/sidecar/src/proxy/replies.rs
@@ -25,16 +25,19 @@
         }
     }
 
-    /// Creates the reply that relays a response of the target.
+    /// Creates the reply that relays a response of the target, with a body of `body_bytes` if that is
+    /// known.
     pub(super) fn relayed_response(
         &self,
         status: StatusCode,
         headers: Vec<HeaderField>,
         body: Box<dyn BodyStream>,
+        body_bytes: Option<u64>,
     ) -> PeerResponse<PeerReply> {
         let fields = CompletedFields {
             status: status.as_u16(),
             headers,
+            body_bytes,
             load: self.load(),
         };
 
--- a/crates/sidecar/src/proxy/serve.rs
+++ b/crates/sidecar/src/proxy/serve.rs
@@ -110,7 +110,6 @@
         if is_call {
             replies::set_load(&mut response.head.body, self.load_for(true));
         }
-        self.observe_size(dispatch_head, &response.head.body);
         if let Some(promise) = promise {
             response.body = Box::new(PromisedBody::new(response.body, promise));
         }
@@ -164,14 +163,10 @@
         }
     }
 
-    /// Records the size of a response that states its length.
-    fn observe_size(&self, dispatch_head: &DispatchHead, reply: &ReplyBody) {
-        if let ReplyBody::Completed(fields) = reply
-            && let Some(length) = fields.content_length()
-        {
-            let mut state = self.state.borrow_mut();
-            state.response_sizes.observe(&dispatch_head.route, length);
-        }
+    /// Records the size of a response body in bytes.
+    pub(super) fn observe_size(&self, dispatch_head: &DispatchHead, bytes: u64) {
+        let mut state = self.state.borrow_mut();
+        state.response_sizes.observe(&dispatch_head.route, bytes);
     }
 
     /// Records the outcome and the timing of a request.
--- a/crates/sidecar/src/proxy/slots.rs
+++ b/crates/sidecar/src/proxy/slots.rs
@@ -43,6 +43,8 @@
 /// or is dropped.
 #[derive(Debug)]
 pub(super) struct SlotBody {
+    /// The bytes that were read before the body is passed on.
+    pub(super) buffered: Bytes,
     pub(super) response: PooledResponse,
     pub(super) guard: Option<SlotGuard>,
     /// How the request ends if the body is complete.
@@ -52,6 +54,10 @@
 impl BodyStream for SlotBody {
     fn next(&mut self) -> LocalFuture<'_, Result<Option<Bytes>>> {
         Box::pin(async move {
+            if !self.buffered.is_empty() {
+                return Ok(Some(std::mem::take(&mut self.buffered)));
+            }
+
             let chunk = self.response.next().await;
             match &chunk {
                 Ok(None) => {
--- a/crates/sidecar/tests/proxy.rs
+++ b/crates/sidecar/tests/proxy.rs
@@ -7,14 +7,20 @@
     time::{sleep, timeout},
 };
 use http::{HeaderMap, Method, StatusCode};
+use hyper::{Request, Response, body::Incoming};
 use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 use wagtail_core::{
     heartbeat::{HeartbeatReply, TargetHeartbeat, TargetIncarnation},
     notice::RequestRate,
     objects::{StoreRevision, StoredObject},
+    ports::{BodyStream, LocalFuture},
     routing::{RequestKind, RoutingConfig, ServiceEntry},
 };
-use wagtail_net::clock;
+use wagtail_net::{
+    clock,
+    server::{self, ConnectionLimits, HttpHandler, ServerBody, streamed_body},
+    stop::StopSignal,
+};
 use wagtail_shard::keeper::KeeperOptions;
 use wagtail_sidecar::{
     messages::{DispatchHead, ReplyBody, TargetNotice},
@@ -26,7 +32,8 @@
     view::FleetView,
 };
 
-/// `SilentDialect` neither reads nor writes header fields, as no request reaches the target.
+/// `SilentDialect` neither reads nor writes header fields. Each response counts as genuine, and as that to
+/// the request of [`request_head`].
 #[derive(Debug)]
 struct SilentDialect;
 
@@ -38,7 +45,11 @@
     fn write_request(&self, _headers: &mut HeaderMap, _fields: &RequestFields<'_>) {}
 
     fn read_response(&self, _status: StatusCode, _headers: &HeaderMap) -> ResponseFields {
-        ResponseFields::default()
+        ResponseFields {
+            id: Some(Arc::from("r1")),
+            is_genuine: true,
+            ..ResponseFields::default()
+        }
     }
 
     fn parse_local_request(&self, _method: &Method, _path: &str) -> LocalRequest {
@@ -365,3 +376,67 @@
         assert!(reason.await.is_err(), "the request does not wait");
     });
 }
+
+/// `ChunkedTarget` responds with a body of ten chunks without a stated length.
+#[derive(Debug)]
+struct ChunkedTarget;
+
+/// `ChunkedBody` yields as many chunks as it holds.
+#[derive(Debug)]
+struct ChunkedBody(u32);
+
+/// The size of a chunk of a [`ChunkedBody`] in bytes.
+const CHUNK_BYTES: usize = 9_000;
+
+impl BodyStream for ChunkedBody {
+    fn next(&mut self) -> LocalFuture<'_, wagtail_core::Result<Option<Bytes>>> {
+        let chunk = (self.0 > 0).then(|| Bytes::from(vec![b'x'; CHUNK_BYTES]));
+        self.0 = self.0.saturating_sub(1);
+
+        Box::pin(std::future::ready(Ok(chunk)))
+    }
+}
+
+impl HttpHandler for ChunkedTarget {
+    fn handle(&self, _request: Request<Incoming>) -> LocalFuture<'_, Response<ServerBody>> {
+        let response = Response::new(streamed_body(Box::new(ChunkedBody(10))));
+
+        Box::pin(std::future::ready(response))
+    }
+}
+
+/// Guards against a slot that is taken while the link sends the response, though the target has ended: a
+/// response without a stated length once kept its slot until its last byte had left.
+#[test]
+fn a_response_without_a_stated_length_frees_its_slot_before_it_is_passed_on() {
+    Runtime::new().unwrap().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let settings = SidecarSettings {
+            target: listener.local_addr().unwrap(),
+            ..settings()
+        };
+        compio::runtime::spawn(server::serve(
+            listener,
+            Rc::new(ChunkedTarget),
+            Rc::new(ConnectionLimits::new(16 << 10)),
+            StopSignal::new(),
+        ))
+        .detach();
+        let proxy = proxy_with(settings, FleetView::default());
+
+        let mut response = proxy
+            .serve(&request_head("agenda", None), Bytes::new())
+            .await;
+
+        assert_eq!(proxy.in_flight(), 0);
+        let ReplyBody::Completed(fields) = &response.head.body else {
+            panic!("{:?}", response.head.body);
+        };
+        assert_eq!(fields.body_bytes, Some(10 * CHUNK_BYTES as u64));
+        let mut length = 0;
+        while let Some(chunk) = response.body.next().await.unwrap() {
+            length += chunk.len();
+        }
+        assert_eq!(length, 10 * CHUNK_BYTES);
+    });
+}
