An entry that is not understood does not cost the configuration; route type upload

Cause: one route of type upload, or with a field of another form, failed the whole configuration, so that nothing was served. Each entry is read by itself now. Settings tell memory, evacuation bound, cold factors and pipelining.

--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -1,5 +1,6 @@
 //! The configuration of routes, services and caller limits that an operator activates.
 
+use crate::notice::RequestRate;
 use serde::{Deserialize, Serialize};
 use std::{sync::Arc, time::Duration};
 
@@ -14,12 +15,19 @@
     NonIdempotent,
     /// An idempotent request with a large response.
     Download,
+    /// A request with a large body that may run at most once.
+    Upload,
 }
 
 impl RequestKind {
     /// Returns whether running the request again has no further effect.
     pub const fn is_idempotent(self) -> bool {
-        !matches!(self, Self::NonIdempotent)
+        matches!(self, Self::Idempotent | Self::Download)
+    }
+
+    /// Returns whether the requests or their responses are expected to be large.
+    pub const fn is_bulk(self) -> bool {
+        matches!(self, Self::Download | Self::Upload)
     }
 }
 
@@ -58,7 +66,7 @@
 }
 
 /// `ServiceEntry` is the operator's configuration of one service.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct ServiceEntry {
     /// The name, to which routes refer.
@@ -69,6 +77,31 @@
     pub connections: u32,
     /// The time for which a key is slow after it moved to another target without its state.
     pub warm_up: Duration,
+    /// The rate of requests that a cold target tolerates; `None` if it needs no protection.
+    pub cold_rate: Option<RequestRate>,
+}
+
+/// `EntryKind` is what an entry of a configuration describes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum EntryKind {
+    /// A route.
+    Route,
+    /// A service.
+    Service,
+    /// The limits on callers.
+    Limits,
+}
+
+/// `UnreadEntry` is an entry of a configuration that could not be read. The entry of the same kind and name
+/// of the version before stays in force.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct UnreadEntry {
+    /// What the entry describes.
+    pub kind: EntryKind,
+    /// The name of the entry; empty for the limits.
+    pub name: Arc<str>,
 }
 
 /// `CallerLimits` bounds the size and duration of what callers send.
@@ -97,7 +130,7 @@
 }
 
 /// `RoutingConfig` is one version of the complete routing configuration.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Default)]
 #[derive(Serialize, Deserialize)]
 pub struct RoutingConfig {
     /// The version. A configuration replaces any with a lower version.
@@ -108,6 +141,8 @@
     pub services: Vec<ServiceEntry>,
     /// The limits on what callers send.
     pub limits: CallerLimits,
+    /// The entries that could not be read.
+    pub unread: Vec<UnreadEntry>,
 }
 
 impl RoutingConfig {
--- a/crates/route/src/hosts.rs
+++ b/crates/route/src/hosts.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, sync::Arc};
 use wagtail_core::{
-    routing::{CallerLimits, RouteSpec, RoutingConfig, ServiceEntry},
+    routing::{CallerLimits, EntryKind, RouteSpec, RoutingConfig, ServiceEntry},
     slice::KeyHash,
 };
 
@@ -13,9 +13,43 @@
     hosts: HashMap<Arc<str>, Vec<Arc<RouteSpec>>>,
     services: HashMap<Arc<str>, Arc<ServiceEntry>>,
     limits: CallerLimits,
+    unread: usize,
 }
 
 impl HostTable {
+    /// Builds the index of a configuration that follows this one. Entries that could not be read stay as
+    /// they are here.
+    #[must_use]
+    pub fn next(&self, config: &RoutingConfig) -> Self {
+        if config.unread.is_empty() {
+            return Self::new(config);
+        }
+
+        let mut merged = config.clone();
+        for entry in &config.unread {
+            match entry.kind {
+                EntryKind::Route => merged.routes.extend(self.route(&entry.name)),
+                EntryKind::Service => merged.services.extend(
+                    self.services
+                        .get(&entry.name)
+                        .map(|service| ServiceEntry::clone(service)),
+                ),
+                EntryKind::Limits => merged.limits = self.limits,
+            }
+        }
+
+        Self::new(&merged)
+    }
+
+    /// Returns a copy of the route with a name.
+    fn route(&self, name: &str) -> Option<RouteSpec> {
+        let mut routes = self.hosts.values().flatten();
+
+        routes
+            .find(|route| &*route.name == name)
+            .map(|route| RouteSpec::clone(route))
+    }
+
     /// Builds the index of a configuration.
     pub fn new(config: &RoutingConfig) -> Self {
         let mut hosts: HashMap<Arc<str>, Vec<Arc<RouteSpec>>> = HashMap::new();
@@ -41,9 +75,15 @@
             hosts,
             services,
             limits: config.limits,
+            unread: config.unread.len(),
         }
     }
 
+    /// Returns the number of entries of the configuration that could not be read.
+    pub fn unread_entries(&self) -> usize {
+        self.unread
+    }
+
     /// Returns the version of the indexed configuration.
     pub fn version(&self) -> u64 {
         self.version
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -28,11 +28,7 @@
     time::Duration,
 };
 use wagtail_core::{
-    CoreError,
-    ports::BodyStream,
-    routing::{RequestKind, RouteSpec},
-    service::WorkClass,
-    units::LocalMoment,
+    CoreError, ports::BodyStream, routing::RouteSpec, service::WorkClass, units::LocalMoment,
     verdict::RunVerdict,
 };
 use wagtail_gate::{GateRefusal, quarantine::RequestStanding, sizes::ResponseSizes};
@@ -467,7 +463,7 @@
             return Ok(self.proxy.serve(&dispatch_head, job.body.clone()).await);
         }
 
-        let class = if job.route.kind == RequestKind::Download {
+        let class = if job.route.kind.is_bulk() {
             WorkClass::Long
         } else {
             WorkClass::Short
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -27,6 +27,7 @@
     waiting: StateGauge,
     limit: StateGauge,
     config: StateGauge,
+    unread_entries: StateGauge,
     fleet: StateGauge,
     nodes: StateGauge,
     store_silence: StateGauge,
@@ -64,6 +65,10 @@
                 "Requests per second that the target accepts, infinite without a limit",
             ),
             config: gauge("config_version", "Version of the configuration in force"),
+            unread_entries: gauge(
+                "config_entries_unread",
+                "Entries of the configuration in force that could not be read",
+            ),
             fleet: gauge("fleet_revision", "Revision of the newest known object"),
             nodes: gauge("known_nodes", "Nodes with a record"),
             store_silence: gauge(
@@ -101,6 +106,8 @@
             .limit
             .set(limit.map_or(f64::INFINITY, RequestRate::per_second));
         gauges.config.set(versions.config as f64);
+        let unread = self.view.hosts().map_or(0, |hosts| hosts.unread_entries());
+        gauges.unread_entries.set(unread as f64);
         gauges.fleet.set(versions.fleet.number as f64);
         gauges.nodes.set(self.view.nodes().len() as f64);
         let silence = clock::now().since(self.relay.reached_at());
--- a/crates/sidecar/src/outcomes.rs
+++ b/crates/sidecar/src/outcomes.rs
@@ -184,6 +184,7 @@
         RequestKind::Idempotent => "idempotent",
         RequestKind::NonIdempotent => "non-idempotent",
         RequestKind::Download => "download",
+        RequestKind::Upload => "upload",
     };
 
     RequestClass {
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -31,6 +31,17 @@
     pub metrics: Option<SocketAddr>,
     /// The rate of the network link of this VM in megabits per second.
     pub link_mbps: f64,
+    /// The memory that the process may use, in bytes; `None` if no limit is stated.
+    pub memory: Option<u64>,
+    /// Whether callers send further requests on a connection before the first is answered.
+    pub pipelining: bool,
+    /// The time after which a zone that is to be evacuated gets no requests; `None` if zones are not
+    /// evacuated.
+    pub evacuation: Option<Duration>,
+    /// The factor on the rate that a cold target tolerates, for the most requests in a second.
+    pub cold_factor: f64,
+    /// The requests in a second that a cold target may get on top of that.
+    pub cold_slack: f64,
     /// The address of the platform's store.
     pub store: SocketAddr,
     /// The interval between two heartbeats of a target.
--- a/crates/sidecar/src/view.rs
+++ b/crates/sidecar/src/view.rs
@@ -215,7 +215,8 @@
             return false;
         }
 
-        *self.config.borrow_mut() = Rc::new(HostTable::new(config));
+        let next = self.config.borrow().next(config);
+        *self.config.borrow_mut() = Rc::new(next);
         *self.config_object.borrow_mut() = Some(object.clone());
         self.changed.notify(usize::MAX);
         info!(
@@ -223,7 +224,8 @@
             version = config.version,
             before = known,
             revision = %object.revision,
-            routes = config.routes.len()
+            routes = config.routes.len(),
+            unread = config.unread.len()
         );
 
         true
--- a/crates/sidecar/tests/proxy.rs
+++ b/crates/sidecar/tests/proxy.rs
@@ -90,6 +90,11 @@
         peers: closed_address,
         metrics: None,
         link_mbps: 10_000.0,
+        memory: None,
+        pipelining: false,
+        evacuation: None,
+        cold_factor: 1.0,
+        cold_slack: 0.0,
         store: closed_address,
         heartbeat: Duration::from_millis(870),
         max_hold: Duration::from_secs(10),
@@ -317,6 +322,7 @@
             keyed: true,
             connections: 10,
             warm_up: Duration::ZERO,
+            cold_rate: None,
         }],
         ..RoutingConfig::default()
     };
