Links: a relayed body takes its turn once, bulk gets what other traffic leaves, targets decline by the wait

With the known length (CompletedFields.body_bytes) the whole body takes one turn; what is not sent is given back. - Large responses took 0.88 of the link whatever else was sent. The bytes sent to other nodes are metered now, and bulk gets 0.96 of the link less 1.25 times the other traffic. - A full target declined although its queue was shorter than the way to another: 3,426 of 5,830 calls asked three nodes. The caller's node states the wait it accepts: two round trips of declined requests.

--- a/crates/gate/src/link.rs
+++ b/crates/gate/src/link.rs
@@ -19,9 +19,18 @@
 /// `LinkOptions` tells how much of the link large responses may use.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LinkOptions {
-    /// The share of the link's rate at which large responses are sent. The rest is for everything else,
-    /// and for the headers of packets.
+    /// The greatest share of the link's rate at which large responses are sent. The rest is for everything
+    /// else, and for the headers of packets.
     pub bulk_share: f64,
+    /// The least share of the link's rate at which large responses are sent, whatever else is sent.
+    pub min_bulk_share: f64,
+    /// The share of the link's rate that is used at most. A link that is used in full has a queue.
+    pub total_share: f64,
+    /// The bytes on the link for each byte of other traffic that is written: small messages have packets,
+    /// and acknowledgements, of their own.
+    pub other_overhead: f64,
+    /// The time over which other traffic is measured.
+    pub other_window: Duration,
     /// The time by which pieces may be sent ahead of their turn, so that a late timer leaves no gap.
     pub max_lead: Duration,
     /// The upper bound on the wait of a large response for the link, as a share of its objective.
@@ -38,6 +47,10 @@
     fn default() -> Self {
         Self {
             bulk_share: 0.88,
+            min_bulk_share: 0.5,
+            total_share: 0.96,
+            other_overhead: 1.25,
+            other_window: Duration::from_millis(500),
             max_lead: Duration::from_millis(8),
             max_wait_share: 0.75,
             min_wait_share: 0.2,
@@ -67,8 +80,15 @@
 #[derive(Debug, Clone, Copy)]
 pub struct LinkPacer {
     options: LinkOptions,
+    /// The rate of the link in bytes per second.
+    link_rate: f64,
     /// The rate for large responses in bytes per second.
     bulk_rate: f64,
+    /// The rate of all other traffic in bytes per second.
+    other_rate: f64,
+    /// The total of other traffic at `other_since`, in bytes.
+    other_total: u64,
+    other_since: LocalMoment,
     /// The moment at which everything that was sent has left, at the rate for large responses.
     free_at: LocalMoment,
     /// The bytes of admitted large responses that have not been sent.
@@ -78,14 +98,42 @@
 impl LinkPacer {
     /// Creates a pacer for an idle link of the given rate in megabits per second.
     pub fn new(options: LinkOptions, link_mbps: f64) -> Self {
+        let link_rate = (link_mbps * BITS_PER_MEGABIT / BITS_PER_BYTE).max(1.0);
+
         Self {
             options,
-            bulk_rate: (link_mbps * BITS_PER_MEGABIT / BITS_PER_BYTE * options.bulk_share).max(1.0),
+            link_rate,
+            bulk_rate: link_rate * options.bulk_share,
+            other_rate: 0.0,
+            other_total: 0,
+            other_since: LocalMoment::ZERO,
             free_at: LocalMoment::ZERO,
             promised: 0,
         }
     }
 
+    /// Records the bytes that were sent since the start beside large responses, which get what this
+    /// traffic leaves of the link.
+    pub fn observe_other(&mut self, total: u64, now: LocalMoment) {
+        let span = now.since(self.other_since);
+        if span < self.options.other_window {
+            return;
+        }
+
+        #[expect(clippy::cast_precision_loss, reason = "the bytes of a short time")]
+        let rate = total.saturating_sub(self.other_total) as f64 / span.as_secs_f64();
+        self.other_rate = f64::midpoint(self.other_rate, rate);
+        self.other_total = self.other_total.max(total);
+        self.other_since = now;
+
+        let options = &self.options;
+        let left = self.link_rate * options.total_share - self.other_rate * options.other_overhead;
+        self.bulk_rate = left.clamp(
+            self.link_rate * options.min_bulk_share,
+            self.link_rate * options.bulk_share,
+        );
+    }
+
     /// Gives the link to a response, or a part of one, after all that it was given to before. Returns the
     /// moment from which it may be sent. One response after the other completes sooner than all at once.
     pub fn begin(&mut self, bytes: u64, now: LocalMoment) -> LocalMoment {
@@ -95,6 +143,13 @@
         starts_at
     }
 
+    /// Gives back what was given to a response beyond its actual end.
+    pub fn give_back(&mut self, bytes: u64, now: LocalMoment) {
+        let left = self.free_at.since(now);
+
+        self.free_at = now + left.saturating_sub(self.transfer_time(bytes));
+    }
+
     /// Returns how long to wait before the bytes after the first `offset` ones of a response are sent,
     /// which has the link from `starts_at` on.
     pub fn pause(&self, starts_at: LocalMoment, offset: u64, now: LocalMoment) -> Duration {
--- a/crates/gate/src/origins.rs
+++ b/crates/gate/src/origins.rs
@@ -65,6 +65,16 @@
         let counts = self.routes.entry(Arc::clone(route)).or_default();
         counts.count(service);
 
+        self.is_call(route, service)
+    }
+
+    /// Returns whether a request on a route that originates at a service is a call from running work, as
+    /// far as the counted arrivals tell.
+    pub fn is_call(&self, route: &str, service: &str) -> bool {
+        let Some(counts) = self.routes.get(route) else {
+            return false;
+        };
+
         let from_service = counts.count_for(service);
         if counts.total < MIN_ARRIVALS || from_service * 100 < counts.total * MIN_CALLER_PERCENT {
             return false;
--- a/crates/gate/tests/gate/link.rs
+++ b/crates/gate/tests/gate/link.rs
@@ -189,3 +189,27 @@
     assert!(sent_bytes >= 0.75 * 12.0 * 125_000.0 * 60.0, "{counts:?}");
     assert!(counts.refused > 0, "{counts:?}");
 }
+
+/// Guards against large responses at a fixed share of a link on which other traffic takes more than the rest:
+/// the queue of the link grew, and each small message waited in it.
+#[test]
+fn large_responses_get_what_other_traffic_leaves() {
+    let mut pacer = LinkPacer::new(LinkOptions::default(), 12.0);
+    let link_rate = 12.0 * 125_000.0;
+    let idle_rate = pacer.bulk_rate();
+    assert!(idle_rate > 0.85 * link_rate);
+
+    // A quarter of the link, for ten seconds.
+    for tenth in 1..=100 {
+        let total = tenth * 37_500;
+        pacer.observe_other(total, LocalMoment::from_millis(tenth * 100));
+    }
+    let beside = pacer.bulk_rate();
+    assert!(beside <= 0.72 * link_rate, "{beside}");
+    assert!(beside >= 0.6 * link_rate, "{beside}");
+
+    for tenth in 101..=150 {
+        pacer.observe_other(3_750_000, LocalMoment::from_millis(tenth * 100));
+    }
+    assert!(pacer.bulk_rate() > 0.98 * idle_rate);
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`client`]: an HTTP/1.1 client with a connection pool.
 //! - [`server`]: the accept loop of an HTTP/1.1 server.
 //! - [`stop`]: the one-shot signal that tells tasks to shut down.
+//! - [`traffic`]: counts the bytes that are sent.
 
 pub mod client;
 pub mod clock;
@@ -12,3 +13,4 @@
 pub mod server;
 pub mod signals;
 pub mod stop;
+pub mod traffic;
--- a/crates/peer/src/control.rs
+++ b/crates/peer/src/control.rs
@@ -8,6 +8,7 @@
 use h2::SendStream;
 use std::{future::poll_fn, net::SocketAddr, time::Duration};
 use wagtail_core::{CoreError, Result, verdict::RunVerdict};
+use wagtail_net::traffic::TrafficMeter;
 
 /// The number of frames that may be queued for a slow peer. Newer control messages supersede
 /// queued ones.
@@ -68,7 +69,7 @@
     first: Bytes,
     frames: &mut Receiver<Bytes>,
 ) -> Result<()> {
-    let connection = link::connect(address).await?;
+    let connection = link::connect(address, TrafficMeter::default()).await?;
     let mut sender = connection
         .sender
         .ready()
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -4,7 +4,7 @@
     PROTOCOL_VERSION, REQUEST_PATH, VERSION_HEADER,
     answer::PeerResponse,
     frame,
-    silence::{LastRead, ReadTrackingStream, SilenceDetector, StreamCounter},
+    silence::{LastRead, SilenceDetector, StreamCounter, TrackedStream},
     stream::FrameReader,
 };
 use bytes::Bytes;
@@ -26,7 +26,7 @@
     service::WorkClass,
     verdict::RunVerdict,
 };
-use wagtail_net::stop::StopSignal;
+use wagtail_net::{stop::StopSignal, traffic::TrafficMeter};
 
 /// The timeout for opening a connection to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -45,6 +45,7 @@
     address: SocketAddr,
     short: RefCell<Option<PeerConnection>>,
     long: RefCell<Option<PeerConnection>>,
+    sent: TrafficMeter,
 }
 
 /// `PeerConnection` is an open HTTP/2 connection to a peer. Clones share it.
@@ -77,9 +78,16 @@
             address,
             short: RefCell::default(),
             long: RefCell::default(),
+            sent: TrafficMeter::default(),
         }
     }
 
+    /// Returns this link with a meter that counts the bytes which it sends.
+    #[must_use]
+    pub fn with_meter(self, sent: TrafficMeter) -> Self {
+        Self { sent, ..self }
+    }
+
     /// Returns the address of the peer.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -223,7 +231,7 @@
             return Ok(connection);
         }
 
-        let connection = connect(self.address).await?;
+        let connection = connect(self.address, self.sent.clone()).await?;
         *current.borrow_mut() = Some(connection.clone());
 
         Ok(connection)
@@ -268,8 +276,8 @@
 /// # Errors
 ///
 /// Fails with the verdict `NotRun` when connecting, the handshake or the time limit fails.
-pub(crate) async fn connect(address: SocketAddr) -> Result<PeerConnection> {
-    let opening = timeout(CONNECT_TIMEOUT, open(address)).await;
+pub(crate) async fn connect(address: SocketAddr, sent: TrafficMeter) -> Result<PeerConnection> {
+    let opening = timeout(CONNECT_TIMEOUT, open(address, sent)).await;
 
     opening
         .unwrap_or_else(|_elapsed| Err("the connection timed out".to_owned()))
@@ -279,7 +287,10 @@
 }
 
 /// Opens a connection to a peer, without a timeout.
-async fn open(address: SocketAddr) -> std::result::Result<PeerConnection, String> {
+async fn open(
+    address: SocketAddr,
+    sent: TrafficMeter,
+) -> std::result::Result<PeerConnection, String> {
     let stream = TcpStream::connect(address)
         .await
         .map_err(|error| error.to_string())?;
@@ -288,7 +299,7 @@
         .map_err(|error| error.to_string())?;
 
     let last_read = LastRead::default();
-    let tracked = ReadTrackingStream::new(HyperStream::new_plain(stream), last_read.clone());
+    let tracked = TrackedStream::new(HyperStream::new_plain(stream), last_read.clone(), sent);
     let (sender, mut connection) = Builder::new()
         .initial_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -5,7 +5,7 @@
     answer::PeerResponse,
     frame,
     link::{CONNECTION_WINDOW_BYTES, STREAM_WINDOW_BYTES},
-    silence::{LastRead, ReadTrackingStream, StreamCounter},
+    silence::{LastRead, StreamCounter, TrackedStream},
     stream::FrameReader,
 };
 use bytes::Bytes;
@@ -25,7 +25,7 @@
 use std::{fmt::Debug, future::poll_fn, pin::pin, rc::Rc, time::Duration};
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 use wagtail_core::{CoreError, Result, ports::LocalFuture, verdict::RunVerdict};
-use wagtail_net::stop::StopSignal;
+use wagtail_net::{stop::StopSignal, traffic::TrafficMeter};
 
 /// The maximum number of concurrent streams on one connection.
 const MAX_STREAMS: u32 = 4_096;
@@ -66,6 +66,11 @@
 
     /// Returns the maximum size of a request body in bytes.
     fn max_body_bytes(&self) -> usize;
+
+    /// Returns the meter that counts the bytes sent to the peers.
+    fn sent_meter(&self) -> TrafficMeter {
+        TrafficMeter::default()
+    }
 }
 
 /// Serves peers until `stop` is triggered, then closes the listener and waits for the requests in
@@ -121,7 +126,11 @@
 
     let socket = stream.clone();
     let last_read = LastRead::default();
-    let tracked = ReadTrackingStream::new(HyperStream::new_plain(stream), last_read.clone());
+    let tracked = TrackedStream::new(
+        HyperStream::new_plain(stream),
+        last_read.clone(),
+        handler.sent_meter(),
+    );
     let handshake = Builder::new()
         .initial_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
--- a/crates/peer/src/silence.rs
+++ b/crates/peer/src/silence.rs
@@ -15,7 +15,7 @@
 };
 use tracing::warn;
 use wagtail_core::units::LocalMoment;
-use wagtail_net::{clock, stop::StopSignal};
+use wagtail_net::{clock, stop::StopSignal, traffic::TrafficMeter};
 
 /// The pause before each ping on a connection with awaited responses.
 const PING_INTERVAL: Duration = Duration::from_millis(150);
@@ -133,21 +133,27 @@
     }
 }
 
-/// `ReadTrackingStream` wraps a byte stream and records when bytes arrive on it.
+/// `TrackedStream` wraps a byte stream, records when bytes arrive on it and counts those that it sends.
 #[derive(Debug)]
-pub(crate) struct ReadTrackingStream<S> {
+pub(crate) struct TrackedStream<S> {
     inner: S,
     last_read: LastRead,
+    sent: TrafficMeter,
 }
 
-impl<S> ReadTrackingStream<S> {
-    /// Wraps `inner` so that `last_read` is updated whenever bytes arrive.
-    pub(crate) fn new(inner: S, last_read: LastRead) -> Self {
-        Self { inner, last_read }
+impl<S> TrackedStream<S> {
+    /// Wraps `inner` so that `last_read` is updated whenever bytes arrive, and `sent` counts bytes that are
+    /// written.
+    pub(crate) fn new(inner: S, last_read: LastRead, sent: TrafficMeter) -> Self {
+        Self {
+            inner,
+            last_read,
+            sent,
+        }
     }
 }
 
-impl<S: AsyncRead + Unpin> AsyncRead for ReadTrackingStream<S> {
+impl<S: AsyncRead + Unpin> AsyncRead for TrackedStream<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -162,13 +168,18 @@
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for ReadTrackingStream<S> {
+impl<S: AsyncWrite + Unpin> AsyncWrite for TrackedStream<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(cx, buf)
+        let polled = Pin::new(&mut self.inner).poll_write(cx, buf);
+        if let Poll::Ready(Ok(count)) = polled {
+            self.sent.add(count);
+        }
+
+        polled
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -36,6 +36,7 @@
 use wagtail_peer::{answer::PeerResponse, link::SilencePolicy};
 use wagtail_route::{
     BudgetOptions, RetryBudget,
+    declines::DeclineTimes,
     pick::{
         LoadReport, MAX_DECLINES, MIN_CROWD, PickCandidate, PickOptions, TargetPicker,
         may_ask_holder,
@@ -164,6 +165,8 @@
     node: Arc<str>,
     /// The number of attempts before this one.
     ordinal: usize,
+    /// The time from the request to the reply.
+    took: Duration,
     response: Result<PeerResponse<PeerReply>, CoreError>,
 }
 
@@ -182,6 +185,7 @@
     /// What nodes last reported of their targets, if it binds requests to them.
     notices: RefCell<HashMap<Arc<str>, TargetNotice>>,
     response_sizes: RefCell<ResponseSizes>,
+    decline_times: RefCell<DeclineTimes>,
     random: RefCell<ChaCha8Rng>,
 }
 
@@ -207,6 +211,7 @@
             budgets: RefCell::default(),
             notices: RefCell::default(),
             response_sizes: RefCell::default(),
+            decline_times: RefCell::default(),
             random: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
         }
     }
@@ -235,14 +240,8 @@
                 let ordinal = job.asked.borrow().len();
                 job.asked.borrow_mut().push(Arc::clone(&node));
                 self.picker.borrow_mut().sent(&node);
-                let prefers_free_slot = self.prefers_free_slot(job, &attempts);
-                in_flight.push(self.attempt(
-                    job,
-                    node,
-                    ordinal,
-                    prefers_free_slot,
-                    silence.clone(),
-                ));
+                let accepted_wait_ms = self.accepted_wait_ms(job, &attempts);
+                in_flight.push(self.attempt(job, node, ordinal, accepted_wait_ms, silence.clone()));
                 heard = Some((ordinal, silence));
             }
             if in_flight.is_empty() {
@@ -294,14 +293,16 @@
         job: &ForwardJob,
         node: Arc<str>,
         ordinal: usize,
-        prefers_free_slot: bool,
+        accepted_wait_ms: Option<u32>,
         silence: StopSignal,
     ) -> EndedAttempt {
-        let response = self.send(job, &node, prefers_free_slot, silence).await;
+        let sent_at = clock::now();
+        let response = self.send(job, &node, accepted_wait_ms, silence).await;
 
         EndedAttempt {
             node,
             ordinal,
+            took: clock::now().since(sent_at),
             response,
         }
     }
@@ -364,6 +365,7 @@
                     self.record_load(node, load);
                 }
                 if &*fields.reason == GateRefusal::SlotsTaken.as_str() {
+                    self.decline_times.borrow_mut().record(ended.took);
                     attempts.declined.push(Arc::clone(node));
                     return None;
                 }
@@ -448,7 +450,7 @@
         &self,
         job: &ForwardJob,
         node: &Arc<str>,
-        prefers_free_slot: bool,
+        accepted_wait_ms: Option<u32>,
         silence: StopSignal,
     ) -> Result<PeerResponse<PeerReply>, CoreError> {
         let now = clock::now();
@@ -456,7 +458,7 @@
             elapsed_ms: millis(job.waited + now.since(job.started_at)),
             time_left_ms: millis(job.deadline.since(now)),
             notice: self.notices.borrow().get(node).cloned(),
-            prefers_free_slot,
+            accepted_wait_ms,
             ..job.dispatch_head.clone()
         };
         if *node == self.settings.node {
@@ -516,12 +518,14 @@
             .pick(&candidates, &tried, answer_kb, clock::now())
     }
 
-    /// Returns whether the next attempt of a request goes to another target if all slots of the first one
-    /// are taken.
-    fn prefers_free_slot(&self, job: &ForwardJob, attempts: &ForwardAttempts) -> bool {
-        !job.keyed
+    /// Returns the wait for a slot above which the next attempt of a request goes to another target instead,
+    /// in milliseconds, or `None` if it waits in any case.
+    fn accepted_wait_ms(&self, job: &ForwardJob, attempts: &ForwardAttempts) -> Option<u32> {
+        let may_decline = !job.keyed
             && attempts.declined.len() < MAX_DECLINES
-            && self.view.nodes_of(&job.dispatch_head.service).len() >= MIN_CROWD
+            && self.view.nodes_of(&job.dispatch_head.service).len() >= MIN_CROWD;
+
+        may_decline.then(|| millis(self.decline_times.borrow().accepted_wait()))
     }
 
     /// Returns the node of the target that holds the key, if the request may be sent to it.
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -253,7 +253,7 @@
             path: Arc::from(path),
             headers: end_to_end(&parts.headers),
             notice: None,
-            prefers_free_slot: false,
+            accepted_wait_ms: None,
         };
 
         Ok(ForwardJob {
@@ -276,7 +276,8 @@
         let (response, reason): (_, Option<Arc<str>>) = match outcome {
             Ok(ForwardOutcome::Completed { fields, body }) => {
                 let id = Arc::clone(&job.dispatch_head.id);
-                let body = DeadlineBody::new(id, self.proxy.link().paced(body), job.deadline);
+                let body = self.proxy.link().paced(body, fields.body_bytes);
+                let body = DeadlineBody::new(id, body, job.deadline);
                 forwarded_response(&fields, Box::new(body))
             }
             Ok(ForwardOutcome::NotRun { reason, pause }) => (
--- a/crates/sidecar/src/inbound.rs
+++ b/crates/sidecar/src/inbound.rs
@@ -14,7 +14,7 @@
 use std::{rc::Rc, time::Duration};
 use tracing::warn;
 use wagtail_core::ports::LocalFuture;
-use wagtail_net::clock;
+use wagtail_net::{clock, traffic::TrafficMeter};
 use wagtail_peer::{
     answer::PeerResponse, packed::PackedValue, server::PeerHandler, stream::EmptyBody,
 };
@@ -122,7 +122,8 @@
         Box::pin(async move {
             if let PeerRequest::Dispatch(dispatch_head) = &head {
                 let mut response = self.proxy.serve(dispatch_head, body).await;
-                response.body = self.proxy.link().paced(response.body);
+                let length = response.head.body.body_bytes();
+                response.body = self.proxy.link().paced_for_peer(response.body, length);
                 return response;
             }
 
@@ -136,4 +137,8 @@
     fn max_body_bytes(&self) -> usize {
         MAX_BODY_BYTES
     }
+
+    fn sent_meter(&self) -> TrafficMeter {
+        self.proxy.link().sent_meter().clone()
+    }
 }
--- a/crates/sidecar/src/links.rs
+++ b/crates/sidecar/src/links.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc};
 use wagtail_core::{CoreError, Result, service::WorkClass, verdict::RunVerdict};
-use wagtail_net::clock;
+use wagtail_net::{clock, traffic::TrafficMeter};
 use wagtail_peer::{
     answer::PeerResponse,
     link::{PeerLink, SilencePolicy},
@@ -18,6 +18,7 @@
 pub struct NodeLinks {
     view: FleetView,
     links: Rc<RefCell<HashMap<SocketAddr, Rc<PeerLink>>>>,
+    sent: TrafficMeter,
 }
 
 impl NodeLinks {
@@ -26,9 +27,15 @@
         Self {
             view,
             links: Rc::default(),
+            sent: TrafficMeter::default(),
         }
     }
 
+    /// Returns the meter that counts the bytes sent on these connections.
+    pub fn sent_meter(&self) -> &TrafficMeter {
+        &self.sent
+    }
+
     /// Sends a request to a node and waits for the head of its reply. Records the versions that the
     /// reply carries. Fails at once when the node is suspected to be lost.
     ///
@@ -79,9 +86,10 @@
     /// Returns the link to an address, which is created on first use.
     fn link(&self, address: SocketAddr) -> Rc<PeerLink> {
         let mut links = self.links.borrow_mut();
-        let link = links
-            .entry(address)
-            .or_insert_with(|| Rc::new(PeerLink::new(address)));
+        let link = links.entry(address).or_insert_with(|| {
+            let link = PeerLink::new(address).with_meter(self.sent.clone());
+            Rc::new(link)
+        });
 
         Rc::clone(link)
     }
--- a/crates/sidecar/src/messages.rs
+++ b/crates/sidecar/src/messages.rs
@@ -50,9 +50,9 @@
     pub headers: Vec<HeaderField>,
     /// What the sending node was told of the target.
     pub notice: Option<TargetNotice>,
-    /// Whether the target's node declines the request if all slots are taken, as another target may have
-    /// a free one.
-    pub prefers_free_slot: bool,
+    /// The wait for a slot, in milliseconds, above which the target's node declines the request, as another
+    /// target may have a free slot. `None` if the request waits in any case.
+    pub accepted_wait_ms: Option<u32>,
 }
 
 impl DispatchHead {
@@ -356,3 +356,13 @@
     /// A read of an assignment table, or `None` if the replying node could not read it.
     Table(Option<SharedRead>),
 }
+
+impl ReplyBody {
+    /// Returns the length in bytes of the body that follows, if it is known.
+    pub fn body_bytes(&self) -> Option<u64> {
+        match self {
+            Self::Completed(fields) => fields.body_bytes,
+            _ => None,
+        }
+    }
+}
--- a/crates/sidecar/src/proxy/mod.rs
+++ b/crates/sidecar/src/proxy/mod.rs
@@ -43,6 +43,7 @@
 use wagtail_net::{
     client::{HttpPool, PoolOptions},
     clock,
+    traffic::TrafficMeter,
 };
 use wagtail_route::pick::LoadReport;
 use wagtail_shard::{
@@ -168,6 +169,15 @@
         }
     }
 
+    /// Returns this proxy with a meter of the bytes that this node sends to others.
+    #[must_use]
+    pub fn with_meter(self, sent: TrafficMeter) -> Self {
+        Self {
+            link: self.link.with_meter(sent),
+            ..self
+        }
+    }
+
     /// Calls a function with the keeper of the target's grants and returns its result.
     pub fn with_keeper<T>(&self, use_keeper: impl FnOnce(&mut GrantKeeper) -> T) -> T {
         use_keeper(&mut self.state.borrow_mut().keeper)
--- a/crates/sidecar/src/proxy/serve.rs
+++ b/crates/sidecar/src/proxy/serve.rs
@@ -69,7 +69,7 @@
         if let Some(refusal) = self.check(dispatch_head) {
             return self.not_run(refusal);
         }
-        if dispatch_head.prefers_free_slot && self.state.borrow().gate.has_taken_slots() {
+        if self.declines(dispatch_head) {
             let refusal = GateRefusal::SlotsTaken;
             return self.not_run(self.gate_refusal(dispatch_head, false, refusal, Duration::ZERO));
         }
@@ -116,6 +116,26 @@
         response
     }
 
+    /// Returns whether a request is declined, as it would wait longer for a slot than its caller's node
+    /// accepts.
+    fn declines(&self, dispatch_head: &DispatchHead) -> bool {
+        let Some(accepted_ms) = dispatch_head.accepted_wait_ms else {
+            return false;
+        };
+        let state = self.state.borrow();
+        if !state.gate.has_taken_slots() {
+            return false;
+        }
+
+        let is_call = state
+            .origins
+            .is_call(&dispatch_head.route, &dispatch_head.caller_service);
+        let wait = state
+            .gate
+            .expected_wait(is_call, dispatch_head.priority, clock::now());
+        wait > Duration::from_millis(accepted_ms.into()).as_secs_f32()
+    }
+
     /// Promises the link to the response of a request if that is expected to be large.
     ///
     /// # Errors
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -215,7 +215,8 @@
             view.clone(),
             Rc::clone(&recorder),
             keeper_options(&settings),
-        );
+        )
+        .with_meter(links.sent_meter().clone());
         let forwarder = Rc::new(RequestForwarder::new(
             Rc::clone(&settings),
             view.clone(),
--- a/crates/sidecar/tests/pacing.rs
+++ b/crates/sidecar/tests/pacing.rs
@@ -2,8 +2,15 @@
 
 use bytes::Bytes;
 use compio::runtime::Runtime;
-use std::time::{Duration, Instant};
-use wagtail_core::ports::BodyStream;
+use futures_util::future::join;
+use std::{
+    cell::RefCell,
+    time::{Duration, Instant},
+};
+use wagtail_core::{
+    Result,
+    ports::{BodyStream, LocalFuture},
+};
 use wagtail_gate::link::BulkArrival;
 use wagtail_peer::stream::WholeBody;
 use wagtail_sidecar::pacing::{NodeLink, PromisedBody};
@@ -28,7 +35,7 @@
         let sent = Bytes::from(vec![7; 200_000]);
         let link = NodeLink::new(LINK_MBPS);
         let began = Instant::now();
-        let pieces = read(link.paced(Box::new(WholeBody::new(sent.clone())))).await;
+        let pieces = read(link.paced(Box::new(WholeBody::new(sent.clone())), None)).await;
 
         assert_eq!(pieces.concat(), sent);
         // All but the last piece and the permitted lead at the full rate of the link.
@@ -41,16 +48,65 @@
 fn a_small_body_passes_at_once() {
     Runtime::new().unwrap().block_on(async {
         let link = NodeLink::new(LINK_MBPS);
-        let mut large = link.paced(Box::new(WholeBody::new(vec![7; 900_000].into())));
+        let mut large = link.paced(Box::new(WholeBody::new(vec![7; 900_000].into())), None);
         large.next().await.unwrap();
 
-        let small = link.paced(Box::new(WholeBody::new(vec![1; 400].into())));
+        let small = link.paced(Box::new(WholeBody::new(vec![1; 400].into())), None);
         let began = Instant::now();
         assert_eq!(read(small).await.concat().len(), 400);
         assert!(began.elapsed() < Duration::from_millis(200));
     });
 }
 
+/// `ChunkedBody` yields chunks of 8 KB.
+#[derive(Debug)]
+struct ChunkedBody(usize);
+
+impl BodyStream for ChunkedBody {
+    fn next(&mut self) -> LocalFuture<'_, Result<Option<Bytes>>> {
+        let chunk = (self.0 > 0).then(|| Bytes::from(vec![7; 8 << 10]));
+        self.0 = self.0.saturating_sub(1);
+
+        Box::pin(std::future::ready(Ok(chunk)))
+    }
+}
+
+/// Guards against a body that arrives in pieces and waits anew with each of them behind all bodies that the
+/// link was given to meanwhile: downloads through the VMs of busy targets took seconds.
+#[test]
+fn a_body_of_known_length_waits_for_the_link_once() {
+    Runtime::new().unwrap().block_on(async {
+        let link = NodeLink::new(LINK_MBPS);
+        let mut relayed = link.paced(Box::new(ChunkedBody(8)), Some(64 << 10));
+        relayed.next().await.unwrap();
+        let later = link.paced(Box::new(WholeBody::new(vec![7; 200_000].into())), None);
+
+        let ended = RefCell::new(Vec::new());
+        let record = async |name: &'static str, body| {
+            read(body).await;
+            ended.borrow_mut().push(name);
+        };
+        join(record("later", later), record("relayed", relayed)).await;
+
+        assert_eq!(*ended.borrow(), ["relayed", "later"]);
+    });
+}
+
+/// Guards against a link that stays taken by bodies that were broken off.
+#[test]
+fn a_body_that_is_broken_off_gives_the_link_back() {
+    Runtime::new().unwrap().block_on(async {
+        let link = NodeLink::new(LINK_MBPS);
+        let mut body = link.paced(Box::new(ChunkedBody(100)), Some(800 << 10));
+        body.next().await.unwrap();
+        assert!(link.wait() > Duration::from_millis(500));
+
+        drop(body);
+
+        assert!(link.wait() < Duration::from_millis(100));
+    });
+}
+
 /// Guards against a link that stays promised to responses that were sent or given up.
 #[test]
 fn a_promise_ends_with_its_body() {
--- a/crates/sidecar/tests/proxy.rs
+++ b/crates/sidecar/tests/proxy.rs
@@ -159,7 +159,7 @@
         path: Arc::from("/x"),
         headers: Vec::new(),
         notice: None,
-        prefers_free_slot: false,
+        accepted_wait_ms: None,
     }
 }
 
@@ -365,7 +365,7 @@
         };
         let proxy = proxy_with(settings, FleetView::default());
         let prefers = DispatchHead {
-            prefers_free_slot: true,
+            accepted_wait_ms: Some(5),
             ..request_head("agenda", None)
         };
         for _ in 0..2 {
