--- a/crates/shard/src/balance.rs
+++ b/crates/shard/src/balance.rs
@@ -138,3 +138,58 @@
 
     (peak_after(best) + min_relief <= busy.utilisation()).then_some(best)
 }
+
+/// Returns moves that give each of the `empty` holders its share of the load, at most `max_moves`. Each takes
+/// from the holder that is the busiest then, in proportion to both capacities, the busiest pieces first. At
+/// rest the number of keys decides.
+pub fn fill_empty(
+    loads: &[HolderLoad],
+    empty: &[RangeHolder],
+    options: &BalanceOptions,
+) -> Vec<RangeMove> {
+    let mut donors: Vec<HolderLoad> = loads
+        .iter()
+        .filter(|load| !empty.contains(&load.holder))
+        .cloned()
+        .collect();
+    let mut moves = Vec::new();
+
+    for receiver in loads.iter().filter(|load| empty.contains(&load.holder)) {
+        let fill = |load: &HolderLoad| weight(&load.pieces) / load.capacity.max(MIN_CAPACITY);
+        let busiest = donors.iter_mut().max_by(|a, b| fill(a).total_cmp(&fill(b)));
+        let Some(donor) = busiest else {
+            break;
+        };
+
+        let capacity = receiver.capacity + donor.capacity;
+        let wanted = weight(&donor.pieces) * receiver.capacity / capacity.max(MIN_CAPACITY);
+        donor.pieces.sort_by(|a, b| a.rate.total_cmp(&b.rate));
+        let mut given = 0.0;
+        while moves.len() < options.max_moves && given < wanted {
+            let Some(piece) = donor.pieces.pop() else {
+                break;
+            };
+            given += weight(&[piece]);
+            moves.push(RangeMove {
+                from: piece.from,
+                to: piece.to,
+                next: receiver.holder.clone(),
+            });
+        }
+    }
+
+    moves
+}
+
+/// Returns the load of pieces; keys without requests count a little.
+fn weight(pieces: &[RangeLoad]) -> f32 {
+    const IDLE_KEY_RATE: f32 = 0.000_1;
+
+    pieces
+        .iter()
+        .map(|piece| {
+            let keys = f32::from(piece.to) - f32::from(piece.from) + 1.0;
+            piece.rate + keys * IDLE_KEY_RATE
+        })
+        .sum()
+}
--- a/crates/shard/src/planner.rs
+++ b/crates/shard/src/planner.rs
@@ -1,7 +1,7 @@
 //! Plans which target holds which range of keys.
 
 use crate::{
-    balance::{BalanceOptions, HolderLoad, rebalance},
+    balance::{BalanceOptions, HolderLoad, fill_empty, rebalance},
     load::RangeLoad,
     table::{LAST_KEY, RangeHolder, RangeRow, RangeTable, RowState},
 };
@@ -278,62 +278,27 @@
             return;
         }
 
-        // A target that has just joined holds no keys, and gets some even if no other move is due.
+        // Targets that have just joined hold no keys, and get some even if no other move is due.
         let mut moves = rebalance(candidates, &self.options.balance);
         if moves.is_empty() {
-            moves = self.moves_to_empty_target(table, candidates);
+            let empty = empty_holders(table, candidates);
+            moves = fill_empty(candidates, &empty, &self.options.balance);
         }
         for change in moves {
             table.start_move(change.from, change.to, &change.next);
             self.last_move_at = now;
         }
     }
+}
 
-    /// Returns moves from the busiest target to one that holds nothing. They shift the empty
-    /// target's share of the load, in proportion to both capacities, the busiest pieces first.
-    fn moves_to_empty_target(
-        &self,
-        table: &RangeTable,
-        candidates: &[HolderLoad],
-    ) -> Vec<crate::balance::RangeMove> {
-        let holds = |holder: &RangeHolder| {
-            table
-                .rows
-                .iter()
-                .any(|row| row.holder.as_ref() == Some(holder))
-        };
-        let Some(empty) = candidates.iter().find(|load| !holds(&load.holder)) else {
-            return Vec::new();
-        };
-        let Some(busiest) = candidates
-            .iter()
-            .max_by(|a, b| a.utilisation().total_cmp(&b.utilisation()))
-        else {
-            return Vec::new();
-        };
-
-        let mut pieces = busiest.pieces.clone();
-        pieces.sort_by(|a, b| b.rate.total_cmp(&a.rate));
-        let wanted_rate =
-            busiest.rate() * empty.capacity / (empty.capacity + busiest.capacity).max(0.1);
-        let mut taken = 0.0;
-        let mut moves = Vec::new();
-        for piece in pieces {
-            if moves.len() >= self.options.balance.max_moves {
-                break;
-            }
-            if taken + piece.rate <= wanted_rate || moves.is_empty() {
-                taken += piece.rate;
-                moves.push(crate::balance::RangeMove {
-                    from: piece.from,
-                    to: piece.to,
-                    next: empty.holder.clone(),
-                });
-            }
-        }
-
-        moves
-    }
+/// Returns the candidates that hold no keys and are about to receive none.
+fn empty_holders(table: &RangeTable, candidates: &[HolderLoad]) -> Vec<RangeHolder> {
+    candidates
+        .iter()
+        .map(|load| &load.holder)
+        .filter(|holder| keys_of(table, holder) < 1.0)
+        .cloned()
+        .collect()
 }
 
 /// Redirects moving rows whose destination is not a candidate any more. A row whose holder is a
--- a/crates/shard/tests/shard/decisions.rs
+++ b/crates/shard/tests/shard/decisions.rs
@@ -9,7 +9,7 @@
     units::LocalMoment,
 };
 use wagtail_shard::{
-    balance::{BalanceOptions, HolderLoad, rebalance},
+    balance::{BalanceOptions, HolderLoad, fill_empty, rebalance},
     keeper::{GrantKeeper, HeartbeatVerdict, KeeperOptions},
     load::{KeyCounter, RangeLoad},
     planner::{PlannerOptions, RangePlanner},
@@ -494,3 +494,44 @@
 
     assert_eq!(rebalance(&[before, after], &BalanceOptions::default()), []);
 }
+
+/// Guards against targets that stay without keys while one after the other gets some, a round of three
+/// seconds each: four of 61 were idle at the start of the traffic.
+#[test]
+fn all_targets_without_keys_get_some_in_one_round() {
+    let mut loads: Vec<HolderLoad> = (0..20_u16)
+        .map(|index| {
+            let from = index * 100;
+            loaded(&format!("h{index}"), 50.0, from, from + 99, 0.0)
+        })
+        .collect();
+    for load in &mut loads {
+        let (from, to) = (load.pieces[0].from, load.pieces[0].to);
+        let halves = [(from, from + 49), (from + 50, to)];
+        load.pieces = halves
+            .map(|(from, to)| RangeLoad {
+                from,
+                to,
+                rate: 0.0,
+            })
+            .to_vec();
+    }
+    let empty: Vec<_> = (0..4)
+        .map(|index| holder(&format!("e{index}"), 1))
+        .collect();
+    loads.extend(empty.iter().map(|holder| HolderLoad {
+        holder: holder.clone(),
+        capacity: 50.0,
+        pieces: Vec::new(),
+    }));
+
+    let moves = fill_empty(&loads, &empty, &BalanceOptions::default());
+
+    assert!(moves.len() <= BalanceOptions::default().max_moves);
+    for holder in &empty {
+        assert!(
+            moves.iter().any(|change| change.next == *holder),
+            "{moves:?}"
+        );
+    }
+}
