Add a server that reads pipelined requests ahead

Cause: callers send further safe requests before the first is answered, and hyper reads one request at a time, so those behind a slow one are given up.

Change: wagtail_net::pipeline serves connections with a task of its own: heads by httparse, responses in request order, unsafe requests alone, close stated on the last response. HttpHandler takes RequestBody, which is hyper's body or one fed by the connection. The node uses the server for callers where the settings enable pipelining.

--- a/crates/daemon/src/admin/server.rs
+++ b/crates/daemon/src/admin/server.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use compio::time::sleep;
 use http_body_util::{BodyExt, Limited};
-use hyper::{Method, Request, Response, StatusCode, Uri, body::Incoming};
+use hyper::{Method, Request, Response, StatusCode, Uri};
 use percent_encoding::percent_decode_str;
 use serde::{Serialize, de::DeserializeOwned};
 use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
@@ -28,7 +28,10 @@
         ConfirmReport, ConfirmRequest, ErrorReport, OwnerReport, ServicesReport, WatchReport,
     },
 };
-use wagtail_net::server::{HttpHandler, ServerBody, whole_body};
+use wagtail_net::{
+    request_body::RequestBody,
+    server::{HttpHandler, ServerBody, whole_body},
+};
 
 /// The largest request body in bytes.
 const MAX_BODY_BYTES: usize = 1 << 20;
@@ -112,7 +115,7 @@
     }
 
     /// Checks the token of a request and returns the response.
-    async fn respond(&self, request: Request<Incoming>) -> Response<ServerBody> {
+    async fn respond(&self, request: Request<RequestBody>) -> Response<ServerBody> {
         let reply = if self.is_allowed(&request) {
             self.route(request).await
         } else {
@@ -127,7 +130,7 @@
     }
 
     /// Returns whether a request carries the bearer token of the settings.
-    fn is_allowed(&self, request: &Request<Incoming>) -> bool {
+    fn is_allowed(&self, request: &Request<RequestBody>) -> bool {
         let expected = format!("Bearer {}", self.options.token);
 
         request
@@ -137,7 +140,7 @@
     }
 
     /// Runs the call that the method and the path of a request name.
-    async fn route(&self, request: Request<Incoming>) -> CallReply {
+    async fn route(&self, request: Request<RequestBody>) -> CallReply {
         let uri = request.uri().clone();
         let path: Vec<&str> = uri.path().trim_matches('/').split('/').collect();
 
@@ -160,7 +163,7 @@
     }
 
     /// Plans the changes for an intent and stores the plan.
-    async fn plan(&self, request: Request<Incoming>) -> CallReply {
+    async fn plan(&self, request: Request<RequestBody>) -> CallReply {
         let body = read_body(request).await?;
         let value = serde_json::from_slice(&body).map_err(|error| {
             CallFailure::invalid(format!("the intent is not valid JSON: {error}"))
@@ -212,7 +215,7 @@
     }
 
     /// Confirms a plan and writes its configuration to the platform.
-    async fn confirm(&self, plan: &str, request: Request<Incoming>) -> CallReply {
+    async fn confirm(&self, plan: &str, request: Request<RequestBody>) -> CallReply {
         let confirm: ConfirmRequest = parse_body(&read_body(request).await?)?;
         let fleet = self.options.fleet.load();
 
@@ -350,7 +353,7 @@
 }
 
 impl HttpHandler for AdminHandler {
-    fn handle(&self, request: Request<Incoming>) -> LocalFuture<'_, Response<ServerBody>> {
+    fn handle(&self, request: Request<RequestBody>) -> LocalFuture<'_, Response<ServerBody>> {
         Box::pin(self.respond(request))
     }
 }
@@ -378,7 +381,7 @@
 }
 
 /// Reads the body of a request, up to [`MAX_BODY_BYTES`].
-async fn read_body(request: Request<Incoming>) -> std::result::Result<Bytes, CallFailure> {
+async fn read_body(request: Request<RequestBody>) -> std::result::Result<Bytes, CallFailure> {
     Limited::new(request.into_body(), MAX_BODY_BYTES)
         .collect()
         .await
--- a/crates/daemon/src/ingress.rs
+++ b/crates/daemon/src/ingress.rs
@@ -8,7 +8,7 @@
 };
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::{Request, Response, body::Incoming};
+use hyper::{Request, Response};
 use std::{cell::Cell, rc::Rc};
 use tracing::info;
 use wagtail_core::{
@@ -18,6 +18,7 @@
 };
 use wagtail_net::{
     clock,
+    request_body::RequestBody,
     server::{HttpHandler, ServerBody, streamed_body, whole_body},
     stop::StopSignal,
 };
@@ -94,7 +95,7 @@
     }
 
     /// Parses and forwards one request, and returns its response.
-    async fn answer(&self, request: Request<Incoming>) -> Response<ServerBody> {
+    async fn answer(&self, request: Request<RequestBody>) -> Response<ServerBody> {
         let _guard = InFlightGuard::new(&self.in_flight);
         let (parts, body) = request.into_parts();
 
@@ -139,7 +140,10 @@
     }
 
     /// Reads the complete body of a request, up to the size limit.
-    async fn read_body(&self, mut body: Incoming) -> std::result::Result<Bytes, RefusalResponse> {
+    async fn read_body(
+        &self,
+        mut body: RequestBody,
+    ) -> std::result::Result<Bytes, RefusalResponse> {
         let limit = self.options.max_body_bytes;
         let mut whole = BytesMut::new();
 
@@ -211,7 +215,7 @@
 }
 
 impl HttpHandler for IngressHandler {
-    fn handle(&self, request: Request<Incoming>) -> LocalFuture<'_, Response<ServerBody>> {
+    fn handle(&self, request: Request<RequestBody>) -> LocalFuture<'_, Response<ServerBody>> {
         Box::pin(self.answer(request))
     }
 }
--- a/crates/daemon/src/local.rs
+++ b/crates/daemon/src/local.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use compio::time::sleep;
 use http_body_util::{BodyExt, Limited};
-use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use hyper::{Method, Request, Response, StatusCode};
 use serde::Deserialize;
 use std::{
     cell::{Cell, RefCell},
@@ -18,6 +18,7 @@
 use wagtail_core::{ids::ServiceName, ports::LocalFuture, units::LocalMoment};
 use wagtail_net::{
     clock,
+    request_body::RequestBody,
     server::{HttpHandler, ServerBody, whole_body},
 };
 
@@ -98,7 +99,7 @@
     }
 
     /// Handles one HTTP request, which must be an announcement.
-    async fn answer(&self, request: Request<Incoming>) -> Response<ServerBody> {
+    async fn answer(&self, request: Request<RequestBody>) -> Response<ServerBody> {
         if request.method() != Method::POST || request.uri().path() != "/v1/announce" {
             return respond(StatusCode::NOT_FOUND, "the call is POST /v1/announce");
         }
@@ -146,7 +147,7 @@
 }
 
 impl HttpHandler for LocalHandler {
-    fn handle(&self, request: Request<Incoming>) -> LocalFuture<'_, Response<ServerBody>> {
+    fn handle(&self, request: Request<RequestBody>) -> LocalFuture<'_, Response<ServerBody>> {
         Box::pin(self.answer(request))
     }
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -3,12 +3,16 @@
 //!
 //! - [`clock`]: a monotonic clock that also runs while the machine is suspended.
 //! - [`client`]: an HTTP/1.1 client with a connection pool.
+//! - [`pipeline`]: an HTTP/1.1 server that reads further requests before it responds.
+//! - [`request_body`]: the body of a request that a handler reads.
 //! - [`server`]: the accept loop of an HTTP/1.1 server.
 //! - [`stop`]: the one-shot signal that tells tasks to shut down.
 
 pub mod client;
 pub mod clock;
 mod head_limit;
+pub mod pipeline;
+pub mod request_body;
 pub mod server;
 pub mod signals;
 pub mod stop;
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -1,6 +1,6 @@
 //! An HTTP/1.1 server: the accept loop and response bodies.
 
-use crate::stop::StopSignal;
+use crate::{request_body::RequestBody, stop::StopSignal};
 use bytes::Bytes;
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::{CompioTimer, HyperStream};
@@ -35,10 +35,10 @@
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_secs(1);
 
 /// The minimum buffer size in bytes; hyper panics below it.
-const MIN_HEADER_BYTES: usize = 8_192;
+pub(crate) const MIN_HEADER_BYTES: usize = 8_192;
 
 /// The header field that advertises how long an idle connection stays open.
-const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+pub(crate) const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// `ServerBody` is the body of a response, either complete in memory or streamed.
 pub type ServerBody =
@@ -65,7 +65,7 @@
     }
 
     /// Returns the keep-alive timeout advertised to clients, in whole seconds and at least 1.
-    fn advertised_seconds(&self) -> u64 {
+    pub(crate) fn advertised_seconds(&self) -> u64 {
         self.idle_timeout
             .saturating_sub(KEEP_ALIVE_MARGIN)
             .as_secs()
@@ -88,7 +88,7 @@
 /// `HttpHandler` responds to the requests of one server.
 pub trait HttpHandler: Debug {
     /// Returns the response to one request. The future is dropped when the client disconnects.
-    fn handle(&self, request: Request<Incoming>) -> LocalFuture<'_, Response<ServerBody>>;
+    fn handle(&self, request: Request<RequestBody>) -> LocalFuture<'_, Response<ServerBody>>;
 }
 
 /// Creates a body from bytes in memory.
@@ -119,6 +119,19 @@
     handler: Rc<dyn HttpHandler>,
     limits: Rc<dyn LimitSource>,
     stop: StopSignal,
+) {
+    accept_connections(listener, &stop, |stream| {
+        serve_connection(stream, Rc::clone(&handler), limits.limits(), stop.clone())
+    })
+    .await;
+}
+
+/// Spawns a task for each connection until `stop` is triggered, then closes the listener and waits for
+/// the tasks.
+pub(crate) async fn accept_connections<F: Future<Output = ()> + 'static>(
+    listener: TcpListener,
+    stop: &StopSignal,
+    serve: impl Fn(TcpStream) -> F,
 ) {
     let mut connections = FuturesUnordered::new();
 
@@ -136,11 +149,7 @@
         };
 
         match accepted {
-            Ok((stream, _)) => {
-                let connection =
-                    serve_connection(stream, Rc::clone(&handler), limits.limits(), stop.clone());
-                connections.push(compio::runtime::spawn(connection));
-            }
+            Ok((stream, _)) => connections.push(compio::runtime::spawn(serve(stream))),
             Err(_) => compio::time::sleep(ACCEPT_PAUSE).await,
         }
     }
@@ -175,7 +184,7 @@
         let (handler, keep_alive) = (Rc::clone(&handler), keep_alive.clone());
 
         async move {
-            let mut response = handler.handle(request).await;
+            let mut response = handler.handle(request.map(RequestBody::from)).await;
             if let Some(keep_alive) =
                 keep_alive.filter(|_| !response.headers().contains_key(CONNECTION))
             {
--- a/crates/net/tests/server.rs
+++ b/crates/net/tests/server.rs
@@ -7,7 +7,7 @@
     runtime::Runtime,
     time::timeout,
 };
-use hyper::{Request, Response, body::Incoming};
+use hyper::{Request, Response};
 use std::{
     future::ready,
     rc::Rc,
@@ -15,6 +15,7 @@
 };
 use wagtail_core::ports::LocalFuture;
 use wagtail_net::{
+    request_body::RequestBody,
     server::{ConnectionLimits, HttpHandler, ServerBody, serve, whole_body},
     stop::StopSignal,
 };
@@ -30,7 +31,7 @@
 struct GreetingHandler;
 
 impl HttpHandler for GreetingHandler {
-    fn handle(&self, _request: Request<Incoming>) -> LocalFuture<'_, Response<ServerBody>> {
+    fn handle(&self, _request: Request<RequestBody>) -> LocalFuture<'_, Response<ServerBody>> {
         Box::pin(ready(Response::new(whole_body(Bytes::from_static(
             b"hello",
         )))))
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -16,7 +16,7 @@
 use http_body_util::BodyExt;
 use hyper::{
     Request, Response, StatusCode,
-    body::{Body, Incoming},
+    body::Body,
     header::{CONNECTION, HeaderValue, RETRY_AFTER},
     http::request::Parts,
 };
@@ -35,6 +35,7 @@
 use wagtail_gate::{quarantine::RequestStanding, waits::CallerWaits};
 use wagtail_net::{
     clock,
+    request_body::RequestBody,
     server::{ConnectionLimits, HttpHandler, LimitSource, ServerBody, streamed_body, whole_body},
 };
 use wagtail_route::hosts::{HostTable, choose_service};
@@ -148,7 +149,7 @@
     }
 
     /// Processes one request, from its head to the response.
-    async fn respond(&self, request: Request<Incoming>) -> Response<ServerBody> {
+    async fn respond(&self, request: Request<RequestBody>) -> Response<ServerBody> {
         let _guard = InFlightGuard::new(&self.state.in_flight);
         let started_at = clock::now();
         let (parts, body) = request.into_parts();
@@ -180,7 +181,7 @@
     async fn prepare(
         &self,
         parts: &Parts,
-        body: Incoming,
+        body: RequestBody,
         started_at: LocalMoment,
     ) -> Result<ForwardJob, EarlyResponse> {
         let Some(hosts) = self.view.hosts() else {
@@ -312,7 +313,7 @@
 }
 
 impl HttpHandler for FrontHandler {
-    fn handle(&self, request: Request<Incoming>) -> LocalFuture<'_, Response<ServerBody>> {
+    fn handle(&self, request: Request<RequestBody>) -> LocalFuture<'_, Response<ServerBody>> {
         Box::pin(self.respond(request))
     }
 }
@@ -360,7 +361,7 @@
 }
 
 impl HttpHandler for ReadinessHandler {
-    fn handle(&self, _request: Request<Incoming>) -> LocalFuture<'_, Response<ServerBody>> {
+    fn handle(&self, _request: Request<RequestBody>) -> LocalFuture<'_, Response<ServerBody>> {
         let ready = self.view.hosts().is_some() && !self.state.draining.get();
         let status = if ready {
             StatusCode::OK
@@ -374,7 +375,7 @@
 
 /// Reads the complete body of a request, within the size and time limits of callers.
 async fn read_body(
-    mut body: Incoming,
+    mut body: RequestBody,
     limits: &CallerLimits,
     started_at: LocalMoment,
 ) -> Result<Bytes, EarlyResponse> {
--- a/crates/sidecar/src/heartbeats.rs
+++ b/crates/sidecar/src/heartbeats.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use compio::time::{sleep, timeout};
 use http_body_util::BodyExt;
-use hyper::{Request, Response, StatusCode, body::Incoming};
+use hyper::{Request, Response, StatusCode};
 use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 use tracing::{info, warn};
 use wagtail_core::{
@@ -25,6 +25,7 @@
 };
 use wagtail_net::{
     clock,
+    request_body::RequestBody,
     server::{HttpHandler, ServerBody, whole_body},
 };
 use wagtail_shard::{
@@ -104,7 +105,7 @@
     }
 
     /// Responds to a call of the target.
-    async fn respond(&self, request: Request<Incoming>) -> Response<ServerBody> {
+    async fn respond(&self, request: Request<RequestBody>) -> Response<ServerBody> {
         let call = self
             .dialect
             .parse_local_request(request.method(), request.uri().path());
@@ -498,7 +499,7 @@
 }
 
 impl HttpHandler for HeartbeatHandler {
-    fn handle(&self, request: Request<Incoming>) -> LocalFuture<'_, Response<ServerBody>> {
+    fn handle(&self, request: Request<RequestBody>) -> LocalFuture<'_, Response<ServerBody>> {
         Box::pin(self.respond(request))
     }
 }
@@ -508,7 +509,7 @@
 /// # Errors
 ///
 /// Returns the reason if the connection fails or the body exceeds `MAX_HEARTBEAT_BYTES`.
-async fn read_limited(mut body: Incoming) -> Result<Bytes, String> {
+async fn read_limited(mut body: RequestBody) -> Result<Bytes, String> {
     let mut whole = Vec::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| error.to_string())?;
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -28,6 +28,7 @@
 //! - [`planning`]: the task that distributes the keys of a service over its targets.
 //! - [`run`]: starts a node, runs it and shuts it down.
 
+mod callers;
 mod deadline;
 pub mod directory;
 pub mod forward;
@@ -48,6 +49,7 @@
 pub mod relay;
 pub mod run;
 pub mod settings;
+mod signal;
 pub mod tables;
 pub mod view;
 pub mod watching;
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -1,12 +1,14 @@
 //! The handler that serves the node's metrics to collectors.
 
 use crate::{outcomes::RequestRecorder, proxy::TargetProxy, relay::StoreRelay, view::FleetView};
-use hyper::{Request, Response, StatusCode, body::Incoming};
+use hyper::{Request, Response, StatusCode};
 use prometheus_client::metrics::gauge::Gauge;
 use std::{fmt::Debug, rc::Rc, sync::atomic::AtomicU64};
 use wagtail_core::{notice::RequestRate, ports::LocalFuture};
 use wagtail_net::{
     clock,
+    pipeline::PipelineCounts,
+    request_body::RequestBody,
     server::{HttpHandler, ServerBody, whole_body},
 };
 
@@ -33,6 +35,8 @@
     store_silence: StateGauge,
     skipped_lines: StateGauge,
     dropped_lines: StateGauge,
+    pipelined_requests: StateGauge,
+    pipeline_depth: StateGauge,
 }
 
 /// `MetricsHandler` serves the metrics of requests and the state of the node as text.
@@ -42,6 +46,7 @@
     view: FleetView,
     proxy: TargetProxy,
     relay: StoreRelay,
+    pipeline: PipelineCounts,
     lines: Rc<dyn DroppedLines>,
     gauges: StateGauges,
 }
@@ -53,6 +58,7 @@
         view: FleetView,
         proxy: TargetProxy,
         relay: StoreRelay,
+        pipeline: PipelineCounts,
         lines: Rc<dyn DroppedLines>,
     ) -> Self {
         let gauge = |name, help| recorder.metrics().gauge(name, help);
@@ -77,6 +83,14 @@
             ),
             skipped_lines: gauge("log_lines_skipped", "Lines of failures beyond their rate"),
             dropped_lines: gauge("log_lines_dropped", "Lines lost to a slow reader"),
+            pipelined_requests: gauge(
+                "pipelined_requests",
+                "Requests read while another one of their connection was in flight",
+            ),
+            pipeline_depth: gauge(
+                "pipeline_depth_max",
+                "Most requests in flight on one connection since the last collection",
+            ),
         };
 
         Self {
@@ -84,6 +98,7 @@
             view,
             proxy,
             relay,
+            pipeline,
             lines,
             gauges,
         }
@@ -116,12 +131,17 @@
         gauges.skipped_lines.set(skipped as f64);
         gauges.dropped_lines.set(self.lines.dropped_lines() as f64);
 
+        let pipelined = self.pipeline.requests();
+        gauges.pipelined_requests.set(pipelined as f64);
+        let depth = self.pipeline.take_max_depth();
+        gauges.pipeline_depth.set(depth as f64);
+
         self.recorder.metrics().text()
     }
 }
 
 impl HttpHandler for MetricsHandler {
-    fn handle(&self, _request: Request<Incoming>) -> LocalFuture<'_, Response<ServerBody>> {
+    fn handle(&self, _request: Request<RequestBody>) -> LocalFuture<'_, Response<ServerBody>> {
         let response = match self.text() {
             Ok(text) => Response::new(whole_body(text)),
             Err(error) => {
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -1,6 +1,7 @@
 //! Starts a node, runs it and shuts it down.
 
 use crate::{
+    callers::spawn_caller_server,
     directory::{self, DirectoryOptions},
     forward::RequestForwarder,
     front::{CallerLimitSource, FrontHandler, FrontState, ReadinessHandler},
@@ -16,6 +17,7 @@
     record::{RecordPublisher, publish_after_returns, publish_crashes},
     relay::StoreRelay,
     settings::SidecarSettings,
+    signal::handle_stop_signal,
     tables::TableReader,
     view::FleetView,
     watching::WatchRelay,
@@ -32,16 +34,13 @@
 use wagtail_core::{objects::ObjectStore, service::WorkClass};
 use wagtail_net::{
     clock,
+    pipeline::PipelineCounts,
     server::{self, ConnectionLimits, HttpHandler},
-    signals,
     stop::StopSignal,
 };
 use wagtail_route::announce::announced_nodes;
 use wagtail_shard::keeper::KeeperOptions;
 
-/// The number of the signal that asks a process to shut down.
-const SIGTERM: i32 = 15;
-
 /// The maximum head size of a request from the target, the platform or a collector, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
@@ -122,29 +121,6 @@
     Ok(())
 }
 
-/// Handles SIGTERM from now on, and returns the signal that it triggers. Further ones are logged only, as
-/// the shutdown is limited in time anyway.
-fn handle_stop_signal() -> StopSignal {
-    let requested = StopSignal::new();
-    let (on_receipt, on_failure) = (requested.clone(), requested.clone());
-
-    signals::on_signal(
-        SIGTERM,
-        move || {
-            if on_receipt.is_triggered() {
-                info!(event = "signal-repeated", signal = SIGTERM);
-            }
-            on_receipt.trigger();
-        },
-        move |error| {
-            warn!(event = "signal-not-received", signal = SIGTERM, reason = %error);
-            on_failure.trigger();
-        },
-    );
-
-    requested
-}
-
 /// `NodeListeners` holds the sockets that the node listens on.
 #[derive(Debug)]
 struct NodeListeners {
@@ -182,6 +158,7 @@
     watching: WatchRelay,
     tables: TableReader,
     front: FrontState,
+    pipeline: PipelineCounts,
     seed: u64,
 }
 
@@ -238,6 +215,7 @@
             watching,
             tables,
             front: FrontState::default(),
+            pipeline: PipelineCounts::default(),
             seed,
         }
     }
@@ -354,12 +332,13 @@
 
     let callers_stop = StopSignal::new();
     let peers_stop = StopSignal::new();
-    let callers = compio::runtime::spawn(server::serve(
+    let callers = spawn_caller_server(
         listeners.callers,
         context.front_handler(),
         Rc::new(CallerLimitSource::new(context.view.clone())),
+        (context.settings.pipelining).then(|| context.pipeline.clone()),
         callers_stop.clone(),
-    ));
+    );
     let peers = compio::runtime::spawn(wagtail_peer::server::serve(
         listeners.peers,
         context.inbound_handler(),
@@ -404,6 +383,7 @@
                 context.view.clone(),
                 context.proxy.clone(),
                 context.relay.clone(),
+                context.pipeline.clone(),
                 lines,
             );
             let limits = Rc::new(ConnectionLimits::new(MAX_HEAD_BYTES));
--- a/crates/sidecar/tests/proxy.rs
+++ b/crates/sidecar/tests/proxy.rs
@@ -7,7 +7,7 @@
     time::{sleep, timeout},
 };
 use http::{HeaderMap, Method, StatusCode};
-use hyper::{Request, Response, body::Incoming};
+use hyper::{Request, Response};
 use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 use wagtail_core::{
     heartbeat::{HeartbeatReply, TargetHeartbeat, TargetIncarnation},
@@ -18,6 +18,7 @@
 };
 use wagtail_net::{
     clock,
+    request_body::RequestBody,
     server::{self, ConnectionLimits, HttpHandler, ServerBody, streamed_body},
     stop::StopSignal,
 };
@@ -404,7 +405,7 @@
 }
 
 impl HttpHandler for ChunkedTarget {
-    fn handle(&self, _request: Request<Incoming>) -> LocalFuture<'_, Response<ServerBody>> {
+    fn handle(&self, _request: Request<RequestBody>) -> LocalFuture<'_, Response<ServerBody>> {
         let response = Response::new(streamed_body(Box::new(ChunkedBody(10))));
 
         Box::pin(std::future::ready(response))
