--- a/crates/net/src/pipeline/input.rs
+++ b/crates/net/src/pipeline/input.rs
@@ -3,7 +3,7 @@
 use bytes::BytesMut;
 use compio::{BufResult, io::AsyncRead, net::TcpStream};
 use std::{
-    io,
+    io, mem,
     task::{Context, Poll},
 };
 use wagtail_core::ports::LocalFuture;
@@ -15,6 +15,10 @@
 /// The size of a read in bytes while a body is received.
 const BODY_READ_BYTES: usize = 32 << 10;
 
+/// A buffer is kept for the next read if fewer than one in this number of its bytes were filled. Its
+/// bytes are copied: few bytes of a slow client would otherwise hold a whole buffer each.
+const SPARE_RATIO: usize = 4;
+
 /// `ReadPurpose` is what the next bytes of a connection are.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ReadPurpose {
@@ -31,6 +35,8 @@
 pub(crate) struct ConnectionInput<'h> {
     stream: &'h TcpStream,
     pub(crate) bytes: BytesMut,
+    /// A buffer for the next read.
+    spare: BytesMut,
     reading: Option<LocalFuture<'h, BufResult<usize, BytesMut>>>,
     /// Whether the client has closed its sending side.
     pub(crate) at_end: bool,
@@ -42,6 +48,7 @@
         Self {
             stream,
             bytes: BytesMut::new(),
+            spare: BytesMut::new(),
             reading: None,
             at_end: false,
         }
@@ -71,7 +78,7 @@
                 if self.bytes.len() >= limit {
                     break;
                 }
-                self.reading = Some(read_some(self.stream, purpose));
+                self.reading = Some(read_some(self.stream, purpose, mem::take(&mut self.spare)));
             }
             let Some(reading) = &mut self.reading else {
                 break;
@@ -91,10 +98,11 @@
                 break;
             }
             has_read = true;
-            if self.bytes.is_empty() {
+            if self.bytes.is_empty() && buffer.len() >= buffer.capacity() / SPARE_RATIO {
                 self.bytes = buffer;
             } else {
                 self.bytes.extend_from_slice(&buffer);
+                self.spare = buffer;
             }
         }
 
@@ -106,6 +114,7 @@
 fn read_some(
     mut stream: &TcpStream,
     purpose: ReadPurpose,
+    mut buffer: BytesMut,
 ) -> LocalFuture<'_, BufResult<usize, BytesMut>> {
     let size = if purpose == ReadPurpose::Heads {
         HEAD_READ_BYTES
@@ -113,5 +122,8 @@
         BODY_READ_BYTES
     };
 
-    Box::pin(async move { stream.read(BytesMut::with_capacity(size)).await })
+    buffer.clear();
+    buffer.reserve(size);
+
+    Box::pin(async move { stream.read(buffer).await })
 }
--- a/crates/net/src/request_body.rs
+++ b/crates/net/src/request_body.rs
@@ -16,6 +16,10 @@
 /// reads no more from the socket.
 const MAX_BUFFERED_BYTES: usize = 64 << 10;
 
+/// The bytes that a buffered chunk counts beyond its own: many short chunks take more memory than their
+/// bytes.
+const CHUNK_OVERHEAD_BYTES: usize = 256;
+
 /// `Result` is the result of reading a request body.
 pub type Result<T, E = BodyError> = std::result::Result<T, E>;
 
@@ -61,7 +65,7 @@
 #[derive(Debug)]
 struct FeedState {
     chunks: RefCell<VecDeque<Bytes>>,
-    /// The sum of the lengths of `chunks`.
+    /// The sum of the lengths of `chunks`, with [`CHUNK_OVERHEAD_BYTES`] for each.
     buffered: Cell<usize>,
     /// The bytes that the handler has yet to read, if the length was stated.
     left: Cell<Option<u64>>,
@@ -173,7 +177,8 @@
         };
 
         let was_full = self.buffered.get() >= MAX_BUFFERED_BYTES;
-        self.buffered.set(self.buffered.get() - chunk.len());
+        let cost = chunk.len() + CHUNK_OVERHEAD_BYTES;
+        self.buffered.set(self.buffered.get() - cost);
         let length = u64::try_from(chunk.len()).unwrap_or(u64::MAX);
         self.left
             .set(self.left.get().map(|left| left.saturating_sub(length)));
@@ -197,7 +202,8 @@
             return;
         }
 
-        self.0.buffered.set(self.0.buffered.get() + chunk.len());
+        let cost = chunk.len() + CHUNK_OVERHEAD_BYTES;
+        self.0.buffered.set(self.0.buffered.get() + cost);
         self.0.chunks.borrow_mut().push_back(chunk);
         self.0.reader.wake();
     }
