Pipelined server: one framing in each response, load test of 200 connections

Cause: a handler's content-length that is not a number was passed on beside transfer-encoding: chunked.

Change: the server writes content-length itself. Buffers of a body are not kept while the connection is idle.

--- a/crates/net/src/pipeline/encode.rs
+++ b/crates/net/src/pipeline/encode.rs
@@ -3,7 +3,7 @@
 use crate::{clock, pipeline::output::OutputBuffer, server::KEEP_ALIVE};
 use bytes::Bytes;
 use hyper::{
-    Method, StatusCode, Version,
+    StatusCode, Version,
     header::{CONNECTION, CONTENT_LENGTH, DATE, HeaderMap, HeaderValue, TRANSFER_ENCODING},
     http::response::Parts,
 };
@@ -98,7 +98,6 @@
 /// `ResponseFrame` is what a response states besides what its handler set.
 #[derive(Debug)]
 pub(crate) struct ResponseFrame<'a> {
-    pub(crate) method: &'a Method,
     pub(crate) version: Version,
     pub(crate) encoding: BodyEncoding,
     /// The length of the body, if it is known.
@@ -130,11 +129,10 @@
         );
         output.put(b"\r\n");
 
-        let may_state_length =
-            parts.status != StatusCode::NO_CONTENT && !parts.status.is_informational();
+        // Fields of the connection and the framing are those of this server, whatever the handler set.
+        let own = [CONNECTION, KEEP_ALIVE, TRANSFER_ENCODING, CONTENT_LENGTH];
         for (name, value) in &parts.headers {
-            let is_own = name == CONNECTION || name == KEEP_ALIVE || name == TRANSFER_ENCODING;
-            if !is_own && (name != CONTENT_LENGTH || may_state_length) {
+            if !own.contains(name) {
                 put_field(output, name.as_str(), value.as_bytes());
             }
         }
@@ -157,7 +155,7 @@
         output.put(b"\r\n");
     }
 
-    /// Encodes the header field that states how the body ends, unless the handler set it.
+    /// Encodes the header field that states how the body ends.
     fn put_framing(&self, parts: &Parts, output: &mut OutputBuffer) {
         let length = match self.encoding {
             BodyEncoding::Chunked => {
@@ -165,20 +163,17 @@
                 return;
             }
             BodyEncoding::Length(length) => Some(length),
-            // A response to HEAD states the length that the body would have.
-            BodyEncoding::Absent if self.method == Method::HEAD => self.length.filter(|length| {
-                *length > 0
-                    && !matches!(
-                        parts.status,
-                        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
-                    )
-            }),
-            BodyEncoding::Absent | BodyEncoding::UntilClose => None,
+            BodyEncoding::Absent if may_state_length(parts.status) => {
+                // A response to HEAD states the length that the body would have.
+                let known = self
+                    .length
+                    .filter(|length| *length > 0 && parts.status != StatusCode::NOT_MODIFIED);
+                stated_length(&parts.headers).or(known)
+            }
+            BodyEncoding::UntilClose | BodyEncoding::Absent => None,
         };
 
-        if let Some(length) = length
-            && !parts.headers.contains_key(CONTENT_LENGTH)
-        {
+        if let Some(length) = length {
             put_formatted(output, format_args!("content-length: {length}\r\n"));
         }
     }
@@ -202,6 +197,11 @@
     }
 }
 
+/// Returns whether a response without a body may state a length.
+fn may_state_length(status: StatusCode) -> bool {
+    status != StatusCode::NO_CONTENT && !status.is_informational()
+}
+
 /// Returns the length that the handler of a response stated.
 fn stated_length(headers: &HeaderMap) -> Option<u64> {
     headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
--- a/crates/net/src/pipeline/exchange.rs
+++ b/crates/net/src/pipeline/exchange.rs
@@ -174,7 +174,6 @@
         };
         let encoding = self.encoding(response);
         let frame = ResponseFrame {
-            method: &self.method,
             version: self.version,
             encoding,
             length: response.body.size_hint().exact(),
--- a/crates/net/src/pipeline/input.rs
+++ b/crates/net/src/pipeline/input.rs
@@ -78,6 +78,10 @@
                 if self.bytes.len() >= limit {
                     break;
                 }
+                if self.bytes.is_empty() {
+                    // Otherwise the buffer of a body would stay while the connection is idle.
+                    self.bytes = BytesMut::new();
+                }
                 self.reading = Some(read_some(self.stream, purpose, mem::take(&mut self.spare)));
             }
             let Some(reading) = &mut self.reading else {
@@ -123,7 +127,10 @@
     };
 
     buffer.clear();
-    buffer.reserve(size);
+    // A buffer from before a body would be too large for an idle connection.
+    if !(size..=2 * size).contains(&buffer.capacity()) {
+        buffer = BytesMut::with_capacity(size);
+    }
 
     Box::pin(async move { stream.read(buffer).await })
 }
--- a/crates/net/tests/pipeline/bodies.rs
+++ b/crates/net/tests/pipeline/bodies.rs
@@ -86,6 +86,34 @@
     });
 }
 
+/// Guards against a response with two framings, or with a length where none may be stated.
+#[test]
+fn a_response_has_one_framing() {
+    run(|| async {
+        let server = ServerUnderTest::start().await;
+        let mut client = server.connect().await;
+        client
+            .get(&[
+                "/a/stream=2/bad-length",
+                "/b/status=204/length=5",
+                "/c/status=304/length=5",
+                "/d/big=9/length=9",
+            ])
+            .await;
+        let expected = [
+            (None, Some("chunked")),
+            (None, None),
+            (Some("5"), None),
+            (Some("9"), None),
+        ];
+        for (length, coding) in expected {
+            let response = client.response().await;
+            assert_eq!(response.field("content-length"), length);
+            assert_eq!(response.field("transfer-encoding"), coding);
+        }
+    });
+}
+
 /// Guards against a body that the handler does not read and that is taken for the next request.
 #[test]
 fn a_response_before_the_end_of_the_body_closes_the_connection() {
--- a/crates/net/tests/pipeline/harness.rs
+++ b/crates/net/tests/pipeline/harness.rs
@@ -79,7 +79,7 @@
 impl RecordingHandler {
     /// Responds to one request. Options of the path: `wait=MS` before the response, `forever`, `status=N`,
     /// `close`, `stream=CHUNKS` for a body of chunks, `cut` for a streamed body that fails, `big=BYTES`,
-    /// `length=BYTES` for a stated length, `ignore` for a handler that does not read its body.
+    /// `length=BYTES` or `bad-length` for a stated length, `ignore` for a handler that does not read its body.
     async fn respond(&self, request: Request<RequestBody>) -> Response<ServerBody> {
         let path = request.uri().path().to_owned();
         let mut parts = path.split('/').skip(1);
@@ -127,6 +127,10 @@
                         .headers_mut()
                         .insert("content-length", number.into());
                 }
+                "bad-length" => {
+                    let length = HeaderValue::from_static("many");
+                    response.headers_mut().insert("content-length", length);
+                }
                 _ => {}
             }
         }
--- a/crates/net/tests/pipeline/order.rs
+++ b/crates/net/tests/pipeline/order.rs
@@ -2,6 +2,8 @@
 
 use crate::harness::{ServerUnderTest, run, wait_until};
 use compio::time::sleep;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use std::time::Duration;
 use wagtail_net::pipeline::PipelineOptions;
 
@@ -83,6 +85,40 @@
     });
 }
 
+/// Guards against responses that are lost or mixed up when many connections are busy.
+#[test]
+fn two_hundred_connections_with_twenty_requests_each_get_their_responses_in_order() {
+    run(|| async {
+        let server = ServerUnderTest::start().await;
+        let mut connections = Vec::new();
+        for number in 0..200_u64 {
+            let mut client = server.connect().await;
+            let mut random = ChaCha8Rng::seed_from_u64(number);
+            connections.push(compio::runtime::spawn(async move {
+                let names: Vec<_> = (0..20).map(|index| format!("{number}-{index}")).collect();
+                for names in names.chunks(random.random_range(1..20)) {
+                    let paths = names
+                        .iter()
+                        .map(|name| format!("/{name}/wait={}", random.random_range(0..20)));
+                    let paths: Vec<_> = paths.collect();
+                    client
+                        .get(&paths.iter().map(|path| &**path).collect::<Vec<_>>())
+                        .await;
+                }
+                for name in names {
+                    assert_eq!(client.response().await.text(), format!("GET {name} 0 7"));
+                }
+            }));
+        }
+        for connection in connections {
+            connection.await.unwrap();
+        }
+
+        assert_eq!(server.begun().len(), 4_000);
+        assert!((2..=16).contains(&server.counts.take_max_depth()));
+    });
+}
+
 /// Guards against a client that never reads its responses and holds up other connections, and against
 /// one whose connection stays open for ever.
 #[test]
