Zones that are evacuated, and the limit of cold targets

Cause: no code followed the kind evacuations, so that requests reached zones that were to get none, and nothing bounded what a cold target gets in a second.

Change: EvacuationList (route) keeps the zones, with revisions by era and since when each is known; all nodes follow the kind where settings.evacuation is set, and take the list over from a peer whose replies tell of a later change. Callers' nodes do not choose targets of these zones, the node beside a target refuses, again right before a request is sent, and the planner counts its targets as not ready. WarmupTracker and TargetLimits (gate) put a second token bucket beside the limit that a target states, at 0.45 of the bound, while the target is cold or silent. Requests of the second before count in full.

--- a/crates/gate/src/admission.rs
+++ b/crates/gate/src/admission.rs
@@ -5,7 +5,9 @@
 
 use crate::{
     estimate::ServiceTimes,
-    limit::{LimitOptions, LimitedArrival, RateLimiter},
+    limit::{LimitOptions, LimitedArrival},
+    target_limits::TargetLimits,
+    warmup::WarmupOptions,
 };
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 use wagtail_core::{notice::RequestRate, units::LocalMoment};
@@ -29,6 +31,8 @@
     pub max_retry_after: Duration,
     /// The tolerances of the limit that the target names.
     pub limit: LimitOptions,
+    /// The terms on which the target counts as cold.
+    pub warmup: WarmupOptions,
 }
 
 impl Default for GateOptions {
@@ -41,6 +45,7 @@
             min_retry_after: Duration::from_millis(50),
             max_retry_after: Duration::from_secs(1),
             limit: LimitOptions::default(),
+            warmup: WarmupOptions::default(),
         }
     }
 }
@@ -79,7 +84,7 @@
     Closed,
     /// A service that the new work would call is overloaded.
     CalleeBusy,
-    /// The limit that the target names is reached.
+    /// The limit that the target names is reached, or that of a cold target.
     LimitReached,
     /// All slots are taken, and the caller prefers another target with a free one.
     SlotsTaken,
@@ -144,7 +149,7 @@
     options: GateOptions,
     slots: u32,
     closed: bool,
-    limiter: RateLimiter,
+    limits: TargetLimits,
     service_times: ServiceTimes,
     waiting: BTreeMap<QueueKey, WaitingRequest>,
     running: BTreeMap<u64, RunningRequest>,
@@ -157,7 +162,7 @@
             options,
             slots: 0,
             closed: false,
-            limiter: RateLimiter::new(options.limit),
+            limits: TargetLimits::new(options.limit, options.warmup),
             service_times: ServiceTimes::new(options.initial_service_time),
             waiting: BTreeMap::new(),
             running: BTreeMap::new(),
@@ -174,11 +179,44 @@
 
     /// Sets the limit that the target names. Queued requests that it does not admit are refused.
     pub fn set_limit(&mut self, limit: Option<RequestRate>, now: LocalMoment) -> Vec<GateAction> {
-        if limit == self.limiter.limit() {
+        if limit == self.limits.stated() {
             return Vec::new();
         }
-        self.limiter.set_limit(limit, now);
+        self.limits.set_stated(limit, now);
 
+        self.refuse_unadmitted(now)
+    }
+
+    /// Sets the rate that a cold target tolerates; `None` if it needs no protection.
+    pub fn set_cold_rate(&mut self, cold_rate: Option<RequestRate>, now: LocalMoment) {
+        self.limits.set_cold_rate(cold_rate, now);
+    }
+
+    /// Records a heartbeat of the target, which states the time until it has warmed up. Queued requests
+    /// that a cold target does not admit are refused.
+    pub fn heard(&mut self, warm_up_left: Duration, now: LocalMoment) -> Vec<GateAction> {
+        let before = self.limits.cold_limit(now);
+        self.limits.heard(warm_up_left, now);
+        if before.is_some() || self.limits.cold_limit(now).is_none() {
+            return Vec::new();
+        }
+
+        self.refuse_unadmitted(now)
+    }
+
+    /// Records that the process of the target has ended, so that what it got does not count against the
+    /// limit of the next one.
+    pub fn target_ended(&mut self, now: LocalMoment) {
+        self.limits.target_ended(now);
+    }
+
+    /// Returns the limits on the rate of requests.
+    pub fn limits(&self) -> &TargetLimits {
+        &self.limits
+    }
+
+    /// Refuses the queued requests that the limits do not admit.
+    fn refuse_unadmitted(&mut self, now: LocalMoment) -> Vec<GateAction> {
         let queued = std::mem::take(&mut self.waiting);
         let mut actions = Vec::new();
         for (queue_key, request) in queued {
@@ -187,7 +225,7 @@
                 repeat_id: None,
                 max_pause: Duration::ZERO,
             };
-            match self.limiter.admit(arrival, self.waiting.len(), now) {
+            match self.limits.admit(arrival, self.waiting.len(), now) {
                 Ok(()) => {
                     self.waiting.insert(queue_key, request);
                 }
@@ -200,12 +238,12 @@
 
     /// Returns the limit that the target names.
     pub fn limit(&self) -> Option<RequestRate> {
-        self.limiter.limit()
+        self.limits.stated()
     }
 
-    /// Returns how long it takes until the limit admits new work.
-    pub fn limit_wait(&self, now: LocalMoment) -> Duration {
-        self.limiter.expected_wait(false, now)
+    /// Returns how long it takes until the limits admit new work.
+    pub fn limit_wait(&mut self, now: LocalMoment) -> Duration {
+        self.limits.expected_wait(false, now)
     }
 
     /// Opens or closes the gate. Closing it refuses all queued requests and leaves running ones
@@ -234,7 +272,7 @@
                 repeat_id: arrival.repeat_id,
                 max_pause: arrival.objective_left.mul_f32(self.options.max_wait_share),
             };
-            if let Err(retry_after) = self.limiter.admit(limited, self.waiting.len(), now) {
+            if let Err(retry_after) = self.limits.admit(limited, self.waiting.len(), now) {
                 return vec![limit_refusal(arrival.ticket, retry_after)];
             }
         }
@@ -308,10 +346,10 @@
     /// Returns the estimated throughput of the target, in requests per second; its limit if that is
     /// lower.
     #[expect(clippy::cast_possible_truncation, reason = "an estimate")]
-    pub fn capacity(&self) -> f32 {
+    pub fn capacity(&self, now: LocalMoment) -> f32 {
         let slots = f32::from(u16::try_from(self.slots).unwrap_or(u16::MAX));
         let throughput = slots / self.service_times.overall().max(0.001);
-        let limit = self.limiter.limit().map(RequestRate::per_second);
+        let limit = self.limits.in_force(now).map(RequestRate::per_second);
 
         limit.map_or(throughput, |limit| throughput.min(limit as f32))
     }
@@ -408,8 +446,8 @@
                 });
                 continue;
             }
-            if !self.limiter.take(now) {
-                let retry_after = self.limiter.expected_wait(!queue_key.0, now);
+            if !self.limits.take(now) {
+                let retry_after = self.limits.expected_wait(!queue_key.0, now);
                 actions.push(limit_refusal(ticket, retry_after));
                 continue;
             }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -16,7 +16,9 @@
 //! - [`quarantine`]: which requests are refused because targets crash when they run them.
 //! - [`runs`]: which requests may have run when the target ended.
 //! - [`sizes`]: the expected sizes of responses.
+//! - [`target_limits`]: the limits on the rate of requests to one target.
 //! - [`waits`]: how long callers waited on earlier, refused attempts.
+//! - [`warmup`]: whether a target is cold.
 
 pub mod admission;
 pub mod crash_report;
@@ -28,6 +30,8 @@
 pub mod quarantine;
 pub mod runs;
 pub mod sizes;
+pub mod target_limits;
 pub mod waits;
+pub mod warmup;
 
 pub use admission::{AdmissionGate, GateAction, GateArrival, GateOptions, GateRefusal};
--- a/crates/gate/src/limit.rs
+++ b/crates/gate/src/limit.rs
@@ -23,6 +23,9 @@
     pub burst: Duration,
     /// The time before a limit was named within which requests count against it.
     pub lookback: Duration,
+    /// The share of the limit that requests within the lookback may have used without counting against
+    /// the bucket.
+    pub lookback_share: f64,
     /// The longest time for which a newly named limit may stop all requests because of those before.
     pub max_debt: Duration,
     /// The lowest rate in requests per second. A lower limit does not apply, because only a response
@@ -47,12 +50,27 @@
         Self {
             burst: Duration::from_secs(1),
             lookback: COUNTING_WINDOW.saturating_sub(grace),
+            lookback_share: 1.0,
             max_debt: grace,
             min_rate: 0.5,
             call_share: 0.3,
             return_grace: Duration::from_millis(150),
         }
     }
+
+    /// Creates options for the limit of a cold target, which has to hold in each second. Requests of the
+    /// second before count in full, and stop further ones for a second at most: by then no second holds
+    /// requests from before.
+    #[must_use]
+    pub fn for_cold_targets(stated: Self) -> Self {
+        Self {
+            lookback: Duration::from_secs(1),
+            lookback_share: 0.0,
+            max_debt: Duration::from_secs(1),
+            min_rate: 0.0,
+            ..stated
+        }
+    }
 }
 
 /// `LimitedArrival` describes a request to the limiter.
@@ -120,7 +138,8 @@
 
         #[expect(clippy::cast_precision_loss, reason = "a few thousand requests")]
         let spent = self.started.len() as f64;
-        let unspent = self.bucket_size(rate) + rate * self.options.lookback.as_secs_f64() - spent;
+        let uncounted = rate * self.options.lookback.as_secs_f64() * self.options.lookback_share;
+        let unspent = self.bucket_size(rate) + uncounted - spent;
         let lowest = -rate * self.options.max_debt.as_secs_f64();
         let allowance = unspent.clamp(lowest, self.bucket_size(rate));
         match before {
@@ -190,6 +209,20 @@
         seconds((required - self.tokens_at(now)) / rate)
     }
 
+    /// Returns whether there is a token for a request that is about to start.
+    pub fn has_token(&self, now: LocalMoment) -> bool {
+        self.limit.is_none() || self.tokens_at(now) >= 1.0 - ROUNDING
+    }
+
+    /// Forgets the requests that have started, as none of them counts any more.
+    pub fn reset(&mut self, now: LocalMoment) {
+        self.started.clear();
+        self.filled_at = now;
+        if let Some(rate) = self.rate() {
+            self.tokens = self.bucket_size(rate);
+        }
+    }
+
     /// Takes the token of a request that is about to start. Returns `false` if there is none.
     pub fn take(&mut self, now: LocalMoment) -> bool {
         self.advance(now);
--- a/crates/gate/tests/gate/limits.rs
+++ b/crates/gate/tests/gate/limits.rs
@@ -317,7 +317,7 @@
     });
     assert!(refused.count() >= 2, "{actions:?}");
     assert!(gate.running() >= 1);
-    assert!(gate.capacity() <= 2.0);
+    assert!(gate.capacity(at(0)) <= 2.0);
 }
 
 /// Guards against a burst of queued requests after a limit was named.
--- a/crates/gate/tests/gate/main.rs
+++ b/crates/gate/tests/gate/main.rs
@@ -1,6 +1,7 @@
 //! Tests of admission control and of backpressure between services.
 
 mod calls;
+mod cold;
 mod limits;
 mod link;
 mod quarantine;
--- a/crates/gate/tests/gate/slots.rs
+++ b/crates/gate/tests/gate/slots.rs
@@ -195,5 +195,5 @@
     }
 
     assert!(gate.service_seconds() > 0.2);
-    assert!(gate.capacity() < 5.0);
+    assert!(gate.capacity(at(0)) < 5.0);
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`home`]: the only target that may run a given non-idempotent request.
 //! - [`retry`]: the decision whether a failed attempt is retried.
 //! - [`budget`]: the token bucket that limits retries.
+//! - [`evacuation`]: the availability zones that get no requests.
 //! - [`hosts`]: route lookup by host and path prefix.
 //! - [`pick`]: load balancing for services without keys, by the load that targets report.
 //! - [`table`]: the owners of the slices of keyed services.
@@ -15,6 +16,7 @@
 pub mod announce;
 pub mod budget;
 pub mod choice;
+pub mod evacuation;
 pub mod home;
 pub mod hosts;
 pub mod pick;
--- a/crates/route/src/pick.rs
+++ b/crates/route/src/pick.rs
@@ -37,6 +37,8 @@
     pub failed_share: f32,
     /// The time until the limit of the target admits new work, in milliseconds; zero if it does now.
     pub limited_ms: u32,
+    /// The time until the target has warmed up, in milliseconds; zero if it has.
+    pub cold_ms: u32,
     /// The time for which the link of the target's VM is taken by large responses, in milliseconds.
     pub link_wait_ms: u32,
     /// The time that the link takes for a kilobyte of a large response, in milliseconds.
@@ -357,6 +359,14 @@
         self.targets.get(node)?.report.as_ref()
     }
 
+    /// Returns whether the target of a node is cold, as far as its last report tells.
+    pub fn is_cold(&self, node: &str, now: LocalMoment) -> bool {
+        self.targets.get(node).is_some_and(|observed| {
+            let cold_ms = observed.report.map_or(0, |report| report.cold_ms);
+            now < observed.reported_at + Duration::from_millis(cold_ms.into())
+        })
+    }
+
     /// Drops the observations of the nodes for which `keep` returns false.
     pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
         self.targets.retain(|node, _| keep(node));
--- a/crates/route/tests/fleet_picks.rs
+++ b/crates/route/tests/fleet_picks.rs
@@ -162,6 +162,7 @@
         service_ms: service_ms as f32,
         failed_share: 0.0,
         limited_ms: 0,
+        cold_ms: 0,
         link_wait_ms: 0,
         link_kb_ms: 0.0,
         begin_share: None,
--- a/crates/route/tests/hosts_and_picks.rs
+++ b/crates/route/tests/hosts_and_picks.rs
@@ -55,6 +55,7 @@
         service_ms,
         failed_share: 0.0,
         limited_ms: 0,
+        cold_ms: 0,
         link_wait_ms: 0,
         link_kb_ms: 0.0,
         begin_share: None,
--- a/crates/shard/tests/shard/main.rs
+++ b/crates/shard/tests/shard/main.rs
@@ -2,6 +2,7 @@
 
 mod decisions;
 mod departures;
+mod evacuations;
 mod fleet_reads;
 mod node_calls;
 mod random_faults;
--- a/crates/sidecar/src/directory.rs
+++ b/crates/sidecar/src/directory.rs
@@ -2,6 +2,7 @@
 //! it.
 
 use crate::{
+    evacuations,
     links::NodeLinks,
     messages::{FollowedChanges, PeerRequest, ReplyBody},
     ports::WireDialect,
@@ -32,6 +33,10 @@
 /// seconds after which a failure no longer excuses an old configuration.
 const CONFIG_WATCH_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The longest wait of one watch of the evacuated zones, which bounds how late a silent connection is
+/// found.
+const EVACUATION_WATCH_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// The longest time for which a node waits for changes from another one.
 const FOLLOW_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -80,6 +85,8 @@
     pub links: NodeLinks,
     /// The relay that passes changes on to the nodes that follow this one.
     pub watching: WatchRelay,
+    /// Whether the evacuated zones are followed.
+    pub follows_evacuations: bool,
     /// The seed for random delays and for the choice of the nodes that are asked.
     pub seed: u64,
 }
@@ -89,6 +96,7 @@
 enum FollowedKind {
     Config,
     Fleet,
+    Evacuations,
 }
 
 /// `Result` is the result of one step of following a kind.
@@ -121,10 +129,17 @@
 /// versions of other nodes.
 pub fn spawn(options: &DirectoryOptions) {
     let (config_kind, _) = options.dialect.config_object();
-    let kinds = [
+    let mut kinds = vec![
         (FollowedKind::Config, config_kind),
         (FollowedKind::Fleet, FLEET_KIND),
     ];
+    if options.follows_evacuations {
+        let kind = options.dialect.evacuation_kind();
+        options.view.evacuations().set_kind(kind);
+        kinds.push((FollowedKind::Evacuations, kind));
+        let task = evacuations::catch_up(options.view.clone(), options.links.clone(), kind);
+        compio::runtime::spawn(task).detach();
+    }
 
     for (followed, kind) in kinds {
         let follower = StoreFollower {
@@ -254,7 +269,7 @@
                 let newest = self.options.view.newest_config_node();
                 join(list, self.apply_peer_snapshot(newest)).await.0?
             }
-            FollowedKind::Fleet => list.await?,
+            FollowedKind::Fleet | FollowedKind::Evacuations => list.await?,
         };
         info!(
             event = "store-listed",
@@ -272,6 +287,7 @@
         let wait = match self.followed {
             FollowedKind::Config => CONFIG_WATCH_TIMEOUT,
             FollowedKind::Fleet => FLEET_WATCH_TIMEOUT,
+            FollowedKind::Evacuations => EVACUATION_WATCH_TIMEOUT,
         };
         let changes = {
             let watch = pin!(self.options.store.watch(self.kind, revision, wait));
@@ -288,8 +304,11 @@
         };
 
         let next = changes.revision.max(revision);
-        if !changes.changes.is_empty() {
+        let is_empty = changes.changes.is_empty();
+        if !is_empty || self.followed == FollowedKind::Evacuations {
             self.apply_changes(changes);
+        }
+        if !is_empty {
             sleep(BATCH_DELAY).await;
         }
 
@@ -414,6 +433,11 @@
                 .iter()
                 .for_each(|object| self.apply_config(object)),
             FollowedKind::Fleet => self.options.view.apply_followed(changes),
+            FollowedKind::Evacuations if changes.complete => {
+                let view = &self.options.view;
+                view.apply_evacuations(changes.objects, changes.revision);
+            }
+            FollowedKind::Evacuations => {}
         }
 
         next
@@ -430,6 +454,7 @@
             let since = match self.followed {
                 FollowedKind::Config => self.options.view.config_behind_since(),
                 FollowedKind::Fleet => self.options.view.fleet_behind_since(),
+                FollowedKind::Evacuations => self.options.view.evacuations().behind_since(),
             };
             if since
                 .is_some_and(|since: LocalMoment| clock::now().since(since) >= NOTIFICATION_GRACE)
@@ -444,6 +469,7 @@
         match self.followed {
             FollowedKind::Config => objects.iter().for_each(|object| self.apply_config(object)),
             FollowedKind::Fleet => self.options.view.apply_list(objects, revision),
+            FollowedKind::Evacuations => self.options.view.apply_evacuations(objects, revision),
         }
     }
 
@@ -459,6 +485,12 @@
                     .view
                     .apply_changes(changes.changes, changes.revision);
             }
+            FollowedKind::Evacuations => {
+                let view = &self.options.view;
+                view.evacuations()
+                    .apply_changes(changes.changes, changes.revision);
+                view.wake_listeners();
+            }
         }
     }
 
@@ -523,6 +555,9 @@
                 FollowedKind::Fleet => objects
                     .into_iter()
                     .for_each(|object| self.options.view.apply_object(object)),
+                FollowedKind::Evacuations => {
+                    self.options.view.apply_evacuations(objects, revision);
+                }
             }
         }
     }
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -1,6 +1,7 @@
 //! Forwards a caller's request to a node whose target may run it, and retries at other nodes.
 
 use crate::{
+    evacuations::{ALL_EVACUATED_RETRY_AFTER_MS, ZONE_EVACUATED},
     links::NodeLinks,
     messages::{
         CompletedFields, DispatchHead, NotRunFields, NoticeReport, PauseKind, PeerReply,
@@ -130,6 +131,9 @@
     /// The nodes that declined the request because all slots of their targets are taken. They may be
     /// asked again.
     declined: Vec<Arc<str>>,
+    /// The zones whose nodes refused the request because they are evacuated, which this node may not
+    /// know yet.
+    evacuated_zones: Vec<Arc<str>>,
 }
 
 impl ForwardAttempts {
@@ -370,8 +374,17 @@
                 if &*fields.reason == NODE_STOPPING {
                     self.picker.borrow_mut().unreachable(node, clock::now());
                 }
+                if &*fields.reason == ZONE_EVACUATED
+                    && let Some(record) = self.view.node(node)
+                {
+                    attempts.evacuated_zones.push(Arc::clone(&record.zone));
+                }
                 attempts.target_attempts += u32::from(fields.reached_target);
                 attempts.holder_hint.clone_from(&fields.holder);
+                if &*fields.reason == ZONE_EVACUATED && !job.keyed && attempts.refusal.is_some() {
+                    // The target has no part in when the request may run.
+                    return None;
+                }
                 attempts.refusal = Some(fields.with_sooner(attempts.refusal.take()));
                 None
             }
@@ -497,23 +510,44 @@
             return None;
         }
 
+        let now = clock::now();
+        let may_be_cold = self.view.hosts().is_some_and(|hosts| {
+            hosts
+                .service(&job.dispatch_head.service)
+                .is_some_and(|entry| entry.cold_rate.is_some())
+        });
         let candidates: Vec<PickCandidate> = self
             .view
             .nodes_of(&job.dispatch_head.service)
             .iter()
-            .filter(|record| record.ready)
+            .filter(|record| record.ready && !self.is_evacuated(&record.zone, attempts))
             .map(|record| PickCandidate {
                 node: Arc::clone(&record.node),
                 remote: record.zone != self.settings.zone,
                 slots: record.slots,
-                cold: false,
+                cold: may_be_cold && self.picker.borrow().is_cold(&record.node, now),
             })
             .collect();
         let answer_kb = self.response_sizes.borrow().mean(&job.route.name) / KILOBYTE;
 
         self.picker
             .borrow_mut()
-            .pick(&candidates, &tried, answer_kb, clock::now())
+            .pick(&candidates, &tried, answer_kb, now)
+    }
+
+    /// Returns whether a zone gets no requests, as far as this node or the refusals of a request tell.
+    fn is_evacuated(&self, zone: &Arc<str>, attempts: &ForwardAttempts) -> bool {
+        self.view.evacuated_since(zone).is_some() || attempts.evacuated_zones.contains(zone)
+    }
+
+    /// Returns whether all zones with targets of the service of a request are evacuated.
+    fn is_service_evacuated(&self, job: &ForwardJob, attempts: &ForwardAttempts) -> bool {
+        let nodes = self.view.nodes_of(&job.dispatch_head.service);
+
+        !nodes.is_empty()
+            && nodes
+                .iter()
+                .all(|record| self.is_evacuated(&record.zone, attempts))
     }
 
     /// Returns whether the next attempt of a request goes to another target if all slots of the first one
@@ -572,6 +606,16 @@
         } else {
             "no-target"
         };
+        let has_target_refusal = attempts
+            .refusal
+            .as_ref()
+            .is_some_and(|refusal| &*refusal.reason != ZONE_EVACUATED);
+        if !has_target_refusal && self.is_service_evacuated(job, &attempts) {
+            return ForwardOutcome::NotRun {
+                reason: Arc::from(ZONE_EVACUATED),
+                pause: Duration::from_millis(u64::from(ALL_EVACUATED_RETRY_AFTER_MS)),
+            };
+        }
         let (reason, pause_ms, kind) = attempts.refusal.map_or_else(
             || {
                 (
--- a/crates/sidecar/src/inbound.rs
+++ b/crates/sidecar/src/inbound.rs
@@ -93,12 +93,19 @@
 
     /// Returns the newest objects of a kind that this node knows, with their highest revision.
     fn snapshot(&self, kind: &str) -> ReplyBody {
-        let objects = if kind == FLEET_KIND {
-            self.view.fleet_objects()
+        let (objects, revision) = if self.view.evacuations().is_kind(kind) {
+            // Without objects, the revision tells that no zone is evacuated.
+            let list = self.view.evacuations().snapshot();
+            (list.objects, Some(list.revision))
         } else {
-            self.view.config_object().into_iter().collect()
+            let objects = if kind == FLEET_KIND {
+                self.view.fleet_objects()
+            } else {
+                self.view.config_object().into_iter().collect()
+            };
+            let revision = objects.iter().map(|object| object.revision).max();
+            (objects, revision)
         };
-        let revision = objects.iter().map(|object| object.revision).max();
 
         match PackedValue::new(&objects) {
             Ok(objects) => ReplyBody::Snapshot {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -30,6 +30,7 @@
 
 mod deadline;
 pub mod directory;
+pub mod evacuations;
 pub mod forward;
 pub mod front;
 mod grant_log;
--- a/crates/sidecar/src/messages.rs
+++ b/crates/sidecar/src/messages.rs
@@ -240,6 +240,8 @@
     pub config: u64,
     /// The highest known revision of the fleet objects.
     pub fleet: StoreRevision,
+    /// The revision of the latest change of the evacuated zones; zero where they are not followed.
+    pub evacuations: StoreRevision,
 }
 
 /// `CompletedFields` is the head of a target's response.
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -31,6 +31,8 @@
     fleet: StateGauge,
     nodes: StateGauge,
     store_silence: StateGauge,
+    evacuated_zones: StateGauge,
+    cold_limit: StateGauge,
     skipped_lines: StateGauge,
     dropped_lines: StateGauge,
 }
@@ -75,6 +77,11 @@
                 "store_silence_seconds",
                 "Time since the store last answered a call, itself or through a peer",
             ),
+            evacuated_zones: gauge("evacuated_zones", "Zones that get no requests"),
+            cold_limit: gauge(
+                "cold_limit",
+                "Requests per second that the target gets while it is cold, infinite when warm",
+            ),
             skipped_lines: gauge("log_lines_skipped", "Lines of failures beyond their rate"),
             dropped_lines: gauge("log_lines_dropped", "Lines lost to a slow reader"),
         };
@@ -112,6 +119,12 @@
         gauges.nodes.set(self.view.nodes().len() as f64);
         let silence = clock::now().since(self.relay.reached_at());
         gauges.store_silence.set(silence.as_secs_f64());
+        let evacuated = self.view.evacuations().zone_count();
+        gauges.evacuated_zones.set(evacuated as f64);
+        let cold_limit = self.proxy.cold_limit();
+        gauges
+            .cold_limit
+            .set(cold_limit.map_or(f64::INFINITY, RequestRate::per_second));
         let skipped = self.recorder.skipped_lines();
         gauges.skipped_lines.set(skipped as f64);
         gauges.dropped_lines.set(self.lines.dropped_lines() as f64);
--- a/crates/sidecar/src/planning.rs
+++ b/crates/sidecar/src/planning.rs
@@ -140,7 +140,10 @@
         let asked = nodes.iter().map(|node| self.ask(node));
         let statuses = join_all(asked).await;
         let now = clock::now();
-        for status in statuses.into_iter().flatten() {
+        for mut status in statuses.into_iter().flatten() {
+            // The node beside the target may not know of the evacuation of its zone yet.
+            let record = self.view.node(&status.node);
+            status.ready &= record.is_none_or(|record| !self.is_evacuated(&record.zone));
             planner.answered(status, now);
         }
         if now.since(self.relay.reached_at()) > MAX_STORE_SILENCE {
@@ -157,6 +160,11 @@
         }
     }
 
+    /// Returns whether a zone is evacuated, so that its targets hold no keys.
+    fn is_evacuated(&self, zone: &str) -> bool {
+        self.view.evacuated_since(zone).is_some()
+    }
+
     /// Requests the status of a node's target. Returns `None` if the node does not respond in time.
     async fn ask(&self, node: &Arc<str>) -> Option<TargetStatus> {
         if *node == self.settings.node {
--- a/crates/sidecar/src/ports.rs
+++ b/crates/sidecar/src/ports.rs
@@ -121,6 +121,9 @@
     /// Returns the kind and the name of the stored object that holds the configuration.
     fn config_object(&self) -> (&'static str, &'static str);
 
+    /// Returns the kind of the stored objects that are named after the zones to be evacuated.
+    fn evacuation_kind(&self) -> &'static str;
+
     /// Parses the configuration.
     ///
     /// # Errors
--- a/crates/sidecar/src/proxy/dispatch.rs
+++ b/crates/sidecar/src/proxy/dispatch.rs
@@ -255,6 +255,7 @@
             }
             state.ended = true;
             state.keeper.target_ended();
+            state.gate.target_ended(clock::now());
             state.gate.set_closed(true)
         };
 
--- a/crates/sidecar/src/proxy/mod.rs
+++ b/crates/sidecar/src/proxy/mod.rs
@@ -4,17 +4,21 @@
 //! - `dispatch`: sends the request to the target and classifies its response.
 //! - `crashes`: what ran at the target when its process ended.
 //! - `slots`: guards that free a slot or a queue position when they are dropped.
+//! - `evacuation`: refuses requests while the zone of the target is evacuated.
+//! - `warmth`: protects a cold target.
 //! - `notices`: what the target states about itself in its responses.
 //! - `replies`: builds the replies to other nodes.
 //! - [`headers`]: selects the end-to-end header fields.
 
 mod crashes;
 mod dispatch;
+mod evacuation;
 pub mod headers;
 mod notices;
 mod replies;
 mod serve;
 mod slots;
+mod warmth;
 
 use crate::{
     outcomes::RequestRecorder, pacing::NodeLink, ports::WireDialect, settings::SidecarSettings,
@@ -39,6 +43,7 @@
     pressure::{CallPressure, WorkThrottle},
     runs::RunTracker,
     sizes::ResponseSizes,
+    warmup::TargetWarmth,
 };
 use wagtail_net::{
     client::{HttpPool, PoolOptions},
@@ -112,6 +117,10 @@
     ended: bool,
     stopping: bool,
     last_heartbeat: Option<LocalMoment>,
+    /// The warmth of the target that was logged last.
+    warmth: TargetWarmth,
+    /// The version of the configuration that the rate for a cold target is from.
+    cold_rate_version: u64,
 }
 
 impl TargetProxy {
@@ -129,6 +138,7 @@
         };
         let gate_options = GateOptions {
             limit: LimitOptions::with_grace(settings.limit_grace),
+            warmup: warmth::warmup_options(&settings),
             ..GateOptions::default()
         };
         let state = ProxyState {
@@ -153,6 +163,8 @@
             ended: false,
             stopping: false,
             last_heartbeat: None,
+            warmth: TargetWarmth::Warm,
+            cold_rate_version: 0,
         };
 
         Self {
@@ -206,6 +218,8 @@
 
     /// Records the slots and the draining flag of a heartbeat of the current incarnation.
     pub fn record_heartbeat(&self, target_heartbeat: &TargetHeartbeat, now: LocalMoment) {
+        // Before the slots, as a target that has become cold must not get what is queued.
+        self.record_warm_up(target_heartbeat.warm_up_left, now);
         let actions = {
             let mut state = self.state.borrow_mut();
             state.last_heartbeat = Some(now);
@@ -332,7 +346,8 @@
     /// Returns the load of the target that is reported with each response.
     #[expect(clippy::cast_possible_truncation, reason = "a rate needs few digits")]
     pub fn load(&self) -> LoadReport {
-        let state = self.state.borrow();
+        let now = clock::now();
+        let mut state = self.state.borrow_mut();
 
         LoadReport {
             running: state.gate.running(),
@@ -340,7 +355,8 @@
             slots: state.gate.slots(),
             service_ms: state.gate.service_seconds() * 1_000.0,
             failed_share: state.failed_share,
-            limited_ms: millis_up(state.gate.limit_wait(clock::now())),
+            limited_ms: millis_up(state.gate.limit_wait(now)),
+            cold_ms: millis_up(state.gate.limits().cold_left(now)),
             link_wait_ms: millis_up(self.link.wait()),
             link_kb_ms: KILOBYTE_MS / self.link.bulk_rate() as f32,
             begin_share: None,
@@ -348,9 +364,9 @@
     }
 
     /// Returns the state of the target for the planner of its service. A target counts as not ready
-    /// if its last heartbeat is more than two intervals old.
+    /// if its last heartbeat is more than two intervals old, or while its zone is evacuated.
     pub fn status(&self) -> TargetStatus {
-        let ready = self.is_ready();
+        let ready = self.is_ready() && !self.is_evacuated();
         let now = clock::now();
         let mut state = self.state.borrow_mut();
         let silent = state
@@ -368,7 +384,7 @@
             node: Arc::clone(&self.settings.node),
             life: state.keeper.life().cloned(),
             ready: ready && !silent,
-            capacity: state.gate.capacity(),
+            capacity: state.gate.capacity(now),
             pieces,
         }
     }
--- a/crates/sidecar/src/proxy/serve.rs
+++ b/crates/sidecar/src/proxy/serve.rs
@@ -69,6 +69,9 @@
         if let Some(refusal) = self.check(dispatch_head) {
             return self.not_run(refusal);
         }
+        if let Some(refusal) = self.check_zone(dispatch_head) {
+            return self.not_run(refusal);
+        }
         if dispatch_head.prefers_free_slot && self.state.borrow().gate.has_taken_slots() {
             let refusal = GateRefusal::SlotsTaken;
             return self.not_run(self.gate_refusal(dispatch_head, false, refusal, Duration::ZERO));
@@ -95,6 +98,10 @@
         {
             return self.not_run(self.key_not_held(key));
         }
+        // An evacuation may become known, or its time run out, while the request waits.
+        if let Some(refusal) = self.check_zone(dispatch_head) {
+            return self.not_run(refusal);
+        }
         if self.close_if_drained() {
             return self.not_run(replies::elsewhere(GateRefusal::Closed.as_str()));
         }
@@ -304,7 +311,7 @@
 
     /// Creates the refusal for a key that the target does not hold. If the table assigns the key to
     /// a target of another node, the refusal names that node.
-    fn key_not_held(&self, key: u16) -> NotRunFields {
+    pub(super) fn key_not_held(&self, key: u16) -> NotRunFields {
         let holder = self
             .view
             .table(&self.settings.service)
@@ -337,6 +344,8 @@
         deadline: LocalMoment,
     ) -> std::result::Result<SlotGuard, NotRunFields> {
         let now = clock::now();
+        self.update_cold_rate(now);
+        self.log_warmth(now);
         if !is_call && !self.state.borrow_mut().throttle.admit(now) {
             let retry_after = GateOptions::default().min_retry_after;
             return Err(self.gate_refusal(
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -252,6 +252,7 @@
             view: self.view.clone(),
             links: self.links.clone(),
             watching: self.watching.clone(),
+            follows_evacuations: self.settings.evacuation.is_some(),
             seed: self.seed,
         });
 
--- a/crates/sidecar/src/view.rs
+++ b/crates/sidecar/src/view.rs
@@ -1,6 +1,7 @@
 //! The configuration, the nodes and the assignment tables as this node knows them.
 
 use crate::{
+    evacuations::FleetEvacuations,
     messages::{FollowedChanges, KnownVersions},
     quarantine::FleetQuarantine,
 };
@@ -95,6 +96,7 @@
     /// The node that reported the newest version of the configuration.
     newest_config_node: Rc<RefCell<Option<Arc<str>>>>,
     quarantine: FleetQuarantine,
+    evacuations: FleetEvacuations,
 }
 
 /// `PeerVersions` holds the newest versions that other nodes reported, and since when this node has
@@ -124,9 +126,15 @@
         KnownVersions {
             config: self.config.borrow().version(),
             fleet: self.newest_revision.get(),
+            evacuations: self.evacuations.changed(),
         }
     }
 
+    /// Returns the zones that are evacuated.
+    pub fn evacuations(&self) -> &FleetEvacuations {
+        &self.evacuations
+    }
+
     /// Returns the newest era of the store that this node or another one has heard of.
     pub fn newest_era(&self) -> u64 {
         self.known_fleet_revision()
@@ -148,7 +156,10 @@
         let known = KnownVersions {
             config: self.versions().config,
             fleet: self.known_fleet_revision(),
+            evacuations: StoreRevision::ZERO,
         };
+        self.evacuations
+            .record_peer(node, versions.evacuations, now);
 
         // In a series of changes the time counts from the first missing one: changes in quick
         // succession must not restart it.
--- a/crates/sidecar/src/watching.rs
+++ b/crates/sidecar/src/watching.rs
@@ -77,6 +77,8 @@
         let has_changes = || {
             if kind == FLEET_KIND {
                 self.view.fleet_revision() > revision
+            } else if self.view.evacuations().is_kind(kind) {
+                self.view.evacuations().changed() > revision
             } else {
                 self.view.config_revision() > revision
             }
@@ -101,6 +103,9 @@
     ) -> Option<PackedValue<FollowedChanges>> {
         let changes = if kind == FLEET_KIND {
             self.view.fleet_changes_after(revision)
+        } else if self.view.evacuations().is_kind(kind) {
+            let list = self.view.evacuations().snapshot();
+            Some(list).filter(|list| list.revision > revision)
         } else {
             self.view.config_change_after(revision)
         };
--- a/crates/sidecar/tests/messages.rs
+++ b/crates/sidecar/tests/messages.rs
@@ -25,6 +25,7 @@
             service_ms: 50.0,
             failed_share: 0.0,
             limited_ms: pause_ms,
+            cold_ms: pause_ms,
             link_wait_ms: 0,
             link_kb_ms: 0.0,
             begin_share: None,
--- a/crates/sidecar/tests/proxy.rs
+++ b/crates/sidecar/tests/proxy.rs
@@ -32,6 +32,9 @@
     view::FleetView,
 };
 
+#[path = "proxy/evacuations.rs"]
+mod evacuations;
+
 /// `SilentDialect` neither reads nor writes header fields. Each response counts as genuine, and as that to
 /// the request of [`request_head`].
 #[derive(Debug)]
@@ -68,6 +71,10 @@
         ("config", "main")
     }
 
+    fn evacuation_kind(&self) -> &'static str {
+        "evacuations"
+    }
+
     fn read_config(&self, _content: &str) -> Result<RoutingConfig> {
         Err(FormatError::new("body", "unused"))
     }
--- a/crates/sidecar/tests/view.rs
+++ b/crates/sidecar/tests/view.rs
@@ -164,6 +164,7 @@
         KnownVersions {
             config: 0,
             fleet: revision(5),
+            evacuations: StoreRevision::ZERO,
         },
         at(100),
     );
@@ -175,6 +176,7 @@
             KnownVersions {
                 config: 0,
                 fleet: revision(fleet),
+                evacuations: StoreRevision::ZERO,
             },
             at(millis),
         );
@@ -198,6 +200,7 @@
         KnownVersions {
             config: 0,
             fleet: revision(9),
+            evacuations: StoreRevision::ZERO,
         },
         at(100),
     );
@@ -215,6 +218,7 @@
         let versions = KnownVersions {
             config: 10 + step,
             fleet: revision(20 + step),
+            evacuations: StoreRevision::ZERO,
         };
         view.record_peer_versions(&Arc::from("n9"), versions, at(1_000 + step * 80));
     }
