--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`retry`]: the decision whether a failed attempt is retried.
 //! - [`budget`]: the token bucket that limits retries.
 //! - [`declines`]: how long a request may wait at a full target.
+//! - [`evacuation`]: the availability zones that get no requests.
 //! - [`hosts`]: route lookup by host and path prefix.
 //! - [`pick`]: load balancing for services without keys, by the load that targets report.
 //! - [`returns`]: when a refused caller should return.
@@ -18,6 +19,7 @@
 pub mod budget;
 pub mod choice;
 pub mod declines;
+pub mod evacuation;
 pub mod home;
 pub mod hosts;
 pub mod pick;
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -31,6 +31,7 @@
 mod callers;
 mod deadline;
 pub mod directory;
+pub mod evacuations;
 pub mod forward;
 pub mod front;
 mod grant_log;
