--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -7,6 +7,7 @@
 //! wasted, so calls have precedence. All other requests are new work.
 //!
 //! - [`admission`]: the request queue and the slots.
+//! - [`calls`]: which calls the work on each route makes.
 //! - [`crash_report`]: what one node reports of the crashes of its target.
 //! - [`estimate`]: how long requests occupy a slot.
 //! - [`limit`]: the limit that a target names on the rate of its requests.
@@ -14,11 +15,14 @@
 //! - [`origins`]: which requests are calls from running work.
 //! - [`pressure`]: how much new work the callers of an overloaded service should start.
 //! - [`quarantine`]: which requests are refused because targets crash when they run them.
+//! - [`returns`]: refused callers that come back too early.
 //! - [`runs`]: which requests may have run when the target ended.
 //! - [`sizes`]: the expected sizes of responses.
+//! - [`throttle`]: how much new work begins while called services are overloaded.
 //! - [`waits`]: how long callers waited on earlier, refused attempts.
 
 pub mod admission;
+pub mod calls;
 pub mod crash_report;
 pub mod estimate;
 pub mod limit;
@@ -26,8 +30,10 @@
 pub mod origins;
 pub mod pressure;
 pub mod quarantine;
+pub mod returns;
 pub mod runs;
 pub mod sizes;
+pub mod throttle;
 pub mod waits;
 
 pub use admission::{AdmissionGate, GateAction, GateArrival, GateOptions, GateRefusal};
--- a/crates/gate/tests/gate/main.rs
+++ b/crates/gate/tests/gate/main.rs
@@ -1,9 +1,13 @@
 //! Tests of admission control and of backpressure between services.
 
+mod call_profiles;
+mod call_tree;
+mod call_tree_model;
 mod calls;
 mod limits;
 mod link;
 mod quarantine;
 mod quarantine_storm;
+mod returns;
 mod runs;
 mod slots;
