--- a/crates/gate/src/pressure.rs
+++ b/crates/gate/src/pressure.rs
@@ -11,22 +11,16 @@
 
 /// The share of the slots that is planned for. Arrivals are random, and a call is of use only if it
 /// hardly waits.
-const PLANNED_USE: f32 = 1.0;
+const PLANNED_USE: f32 = 0.95;
 
-/// The time constant in seconds over which work is averaged.
-const WORK_SECONDS: f32 = 0.5;
+/// The time constant in seconds over which work is averaged. With 1 s, the share follows a wave of
+/// arrivals so late that the calls queue up at its rise (`tests/gate/call_tree.rs`).
+const WORK_SECONDS: f32 = 0.3;
 
 /// The part of less urgent own work for which slots are planned, relative to that of other work. It is
 /// above a quarter, so that such work does not starve behind calls.
 const LESS_URGENT_PART: f32 = 0.3;
 
-/// The expected wait of a call, relative to its objective, up to which the share is not reduced for
-/// it.
-const UNTHROTTLED_WAIT: f32 = 0.4;
-
-/// The factor by which a wait of one more objective divides the share.
-const WAIT_WEIGHT: f32 = 0.5;
-
 /// The lowest share of new work. It is not zero because callers learn of the service's state only
 /// through the calls that they still make.
 const MIN_SHARE: f32 = 0.05;
@@ -79,11 +73,7 @@
     /// Records an arrival, also one that is then refused.
     pub fn arrived(&mut self, arrival: &WorkArrival, now: LocalMoment) {
         let decay = self.decay(now);
-        for work in [
-            &mut self.calls,
-            &mut self.urgent_work,
-            &mut self.other_work,
-        ] {
+        for work in [&mut self.calls, &mut self.urgent_work, &mut self.other_work] {
             *work *= decay;
         }
         self.counted_to = now;
@@ -98,17 +88,14 @@
         }
     }
 
-    /// Returns the share of new work that callers should start, from `MIN_SHARE` to 1. `call_wait` is
-    /// the expected wait of a call that arrives now, relative to its objective.
-    pub fn share(&self, slots: u32, call_wait: f32, now: LocalMoment) -> f32 {
+    /// Returns the share of new work that callers should start, from `MIN_SHARE` to 1.
+    pub fn share(&self, slots: u32, now: LocalMoment) -> f32 {
         let slots = f32::from(u16::try_from(slots).unwrap_or(u16::MAX));
         let decay = self.decay(now);
         let other_work = (self.other_work * decay).min(slots) * LESS_URGENT_PART;
         let work = (self.calls + self.urgent_work) * decay + other_work;
-        let room = slots * PLANNED_USE / work.max(f32::MIN_POSITIVE);
-        let excess = (call_wait - UNTHROTTLED_WAIT).max(0.0) * WAIT_WEIGHT;
 
-        (room.min(1.0) / (1.0 + excess)).clamp(MIN_SHARE, 1.0)
+        (slots * PLANNED_USE / work.max(f32::MIN_POSITIVE)).clamp(MIN_SHARE, 1.0)
     }
 
     /// Returns the factor by which the work has decayed since the last arrival.
--- a/crates/gate/src/throttle.rs
+++ b/crates/gate/src/throttle.rs
@@ -16,6 +16,16 @@
 /// The most requests of a rank that may start in a row after a time without any.
 const MAX_CREDIT: f32 = 2.0;
 
+/// The weight of the latest call in the moving average of the times that calls take.
+const CALL_AVERAGE_WEIGHT: f32 = 0.1;
+
+/// The time that calls take, relative to their objective, up to which the share is not reduced for
+/// it.
+const MAX_CALL_TIME: f32 = 0.4;
+
+/// The factor by which calls that take one more objective divide the share.
+const CALL_TIME_WEIGHT: f32 = 5.0;
+
 /// The maximum number of ranks and of called services.
 const MAX_ENTRIES: usize = 16;
 
@@ -31,7 +41,10 @@
 /// rank goes first; the rest is for the next one.
 #[derive(Debug)]
 pub struct WorkThrottle {
+    /// The share that the targets of the service ask for.
     share: f32,
+    /// The mean time that recent calls of this target took, relative to their objective.
+    call_time: f32,
     reported_at: LocalMoment,
     has_expired: bool,
     offered_at: LocalMoment,
@@ -42,6 +55,7 @@
     fn default() -> Self {
         Self {
             share: 1.0,
+            call_time: 0.0,
             reported_at: LocalMoment::ZERO,
             has_expired: true,
             offered_at: LocalMoment::ZERO,
@@ -64,6 +78,13 @@
         self.has_expired = false;
     }
 
+    /// Records the time that a call took, relative to its objective. The reports cannot tell of work
+    /// that its calls keep from ending: it takes the slots of this target, so that less begins, and
+    /// the called service sees no more calls than it serves.
+    pub fn call_ended(&mut self, time: f32) {
+        self.call_time += (time - self.call_time) * CALL_AVERAGE_WEIGHT;
+    }
+
     /// Records an offered request of a rank that makes some calls to the service, and returns whether
     /// it may start. [`Self::take`] has to follow if it does.
     pub fn offer(&mut self, rank: u32, calls: f32, now: LocalMoment) -> bool {
@@ -104,10 +125,17 @@
         if now.since(self.reported_at) > MAX_REPORT_AGE {
             1.0
         } else {
-            self.share
+            self.reduced_share()
         }
     }
 
+    /// Returns the reported share, reduced for calls that take too long.
+    fn reduced_share(&self) -> f32 {
+        let excess = (self.call_time - MAX_CALL_TIME).max(0.0);
+
+        self.share / (1.0 + excess * CALL_TIME_WEIGHT)
+    }
+
     /// Returns the share of the work of a rank that is admitted: what the more urgent ranks leave.
     fn rank_share(&self, rank: u32) -> f32 {
         let offered: f32 = self.ranks.values().map(|offers| offers.calls).sum();
@@ -118,13 +146,14 @@
             .sum();
         let own = self.ranks.get(&rank).map_or(0.0, |offers| offers.calls);
 
-        ((offered * self.share - ahead) / own.max(f32::MIN_POSITIVE)).clamp(0.0, 1.0)
+        ((offered * self.reduced_share() - ahead) / own.max(f32::MIN_POSITIVE)).clamp(0.0, 1.0)
     }
 
     /// Admits all work if the last report is too old.
     fn expire(&mut self, now: LocalMoment) {
         if now.since(self.reported_at) > MAX_REPORT_AGE {
             self.share = 1.0;
+            self.call_time = 0.0;
             self.has_expired = true;
         }
     }
@@ -148,6 +177,13 @@
         }
     }
 
+    /// Records the time that a call to a service took, relative to its objective.
+    pub fn call_ended(&mut self, service: &str, time: f32) {
+        if let Some(throttle) = self.services.get_mut(service) {
+            throttle.call_ended(time);
+        }
+    }
+
     /// Decides on a request of a rank. `calls` returns the calls that it makes to a service, zero if
     /// it makes none. It starts only if all services that it calls agree, so the lowest of their
     /// shares counts.
--- a/crates/gate/tests/gate/main.rs
+++ b/crates/gate/tests/gate/main.rs
@@ -3,6 +3,7 @@
 mod call_profiles;
 mod call_tree;
 mod call_tree_model;
+mod call_tree_rules;
 mod calls;
 mod limits;
 mod link;
