Sidecar: calls of the target are counted, work begins by callee, early returns are refused

A request on a call route that arrives while the target runs requests counts as its call. Replies with a share tell which routes are call routes.

--- a/crates/gate/src/calls.rs
+++ b/crates/gate/src/calls.rs
@@ -158,8 +158,12 @@
     }
 
     /// Returns the calls that a run of a route counts with at the throttle of a service: zero if it
-    /// makes none, and one until enough runs have been seen.
+    /// makes none or no run has called the service yet, and one until enough runs have been seen.
     pub fn throttled_calls(&self, route: &str, service: &str) -> f32 {
+        if !self.services.iter().any(|calls| &*calls.service == service) {
+            return 0.0;
+        }
+
         match self.calls_per_run(route, service) {
             None => 1.0,
             Some(calls) if calls >= MIN_CALLS_PER_RUN => calls,
@@ -167,11 +171,14 @@
         }
     }
 
-    /// Returns whether runs of a route count as calling any known service.
-    pub fn makes_any_calls(&self, route: &str) -> bool {
-        self.services
-            .iter()
-            .any(|calls| self.makes_calls(route, &calls.service))
+    /// Returns whether runs of a route may make calls: to a known service, or to any while none is
+    /// known.
+    pub fn may_make_calls(&self, route: &str) -> bool {
+        self.services.is_empty()
+            || self
+                .services
+                .iter()
+                .any(|calls| self.makes_calls(route, &calls.service))
     }
 
     /// Counts the time since the last event for the mix that ran, and updates the estimates if they
--- a/crates/sidecar/src/messages.rs
+++ b/crates/sidecar/src/messages.rs
@@ -53,6 +53,9 @@
     /// Whether the target's node declines the request if all slots are taken, as another target may have
     /// a free one.
     pub prefers_free_slot: bool,
+    /// For a call, the share of the work that makes such calls which the caller's node admits, from 0
+    /// to 1; the called service derives from it how much is held back.
+    pub begun_share: f32,
 }
 
 impl DispatchHead {
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -116,6 +116,11 @@
         gauges.skipped_lines.set(skipped as f64);
         gauges.dropped_lines.set(self.lines.dropped_lines() as f64);
 
+        for (service, share) in self.proxy.begin_shares() {
+            let metrics = self.recorder.metrics();
+            metrics.set_begin_share(&service, share);
+        }
+
         self.recorder.metrics().text()
     }
 }
--- a/crates/sidecar/src/proxy/mod.rs
+++ b/crates/sidecar/src/proxy/mod.rs
@@ -2,12 +2,14 @@
 //!
 //! - [`serve`](TargetProxy::serve): decides whether and when a request may run here.
 //! - `dispatch`: sends the request to the target and classifies its response.
+//! - `callees`: the services that the target calls, and how much new work begins for them.
 //! - `crashes`: what ran at the target when its process ended.
 //! - `slots`: guards that free a slot or a queue position when they are dropped.
 //! - `notices`: what the target states about itself in its responses.
 //! - `replies`: builds the replies to other nodes.
 //! - [`headers`]: selects the end-to-end header fields.
 
+mod callees;
 mod crashes;
 mod dispatch;
 pub mod headers;
@@ -20,11 +22,13 @@
     outcomes::RequestRecorder, pacing::NodeLink, ports::WireDialect, settings::SidecarSettings,
     view::FleetView,
 };
+use callees::CallRoutes;
 use compio::time::sleep;
 use event_listener::Event;
 use futures_channel::oneshot;
 use notices::NoticeState;
 use replies::millis_up;
+pub use serve::repeat_id;
 use slots::Admission;
 use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc, time::Duration};
 use tracing::info;
@@ -33,12 +37,8 @@
     units::LocalMoment,
 };
 use wagtail_gate::{
-    AdmissionGate, GateOptions,
-    limit::LimitOptions,
-    origins::RouteOrigins,
-    pressure::{CallPressure, WorkThrottle},
-    runs::RunTracker,
-    sizes::ResponseSizes,
+    AdmissionGate, GateOptions, calls::CallProfiles, limit::LimitOptions, origins::RouteOrigins,
+    pressure::CallPressure, runs::RunTracker, sizes::ResponseSizes, throttle::CalleeThrottles,
 };
 use wagtail_net::{
     client::{HttpPool, PoolOptions},
@@ -93,7 +93,9 @@
     keys: KeyCounter,
     origins: RouteOrigins,
     pressure: CallPressure,
-    throttle: WorkThrottle,
+    throttles: CalleeThrottles,
+    profiles: CallProfiles,
+    call_routes: CallRoutes,
     work_priority: u32,
     waiters: HashMap<u64, oneshot::Sender<Admission>>,
     next_ticket: u64,
@@ -137,7 +139,9 @@
             keys: KeyCounter::default(),
             origins: RouteOrigins::default(),
             pressure: CallPressure::default(),
-            throttle: WorkThrottle::default(),
+            throttles: CalleeThrottles::default(),
+            profiles: CallProfiles::default(),
+            call_routes: CallRoutes::default(),
             work_priority: u32::MAX,
             waiters: HashMap::new(),
             next_ticket: 0,
@@ -318,17 +322,12 @@
         self.state.borrow().slots
     }
 
-    /// Returns the priority of the last new work, other than calls, that arrived for the target.
+    /// Returns the priority of the last new work, other than calls, that arrived for the target and may
+    /// make calls.
     pub fn work_priority(&self) -> u32 {
         self.state.borrow().work_priority
     }
 
-    /// Records the share of new work that this target should begin, as requested by a service that
-    /// it calls.
-    pub fn record_begin_share(&self, share: f32) {
-        self.state.borrow_mut().throttle.report(share, clock::now());
-    }
-
     /// Returns the load of the target that is reported with each response.
     #[expect(clippy::cast_possible_truncation, reason = "a rate needs few digits")]
     pub fn load(&self) -> LoadReport {
--- a/crates/sidecar/src/proxy/replies.rs
+++ b/crates/sidecar/src/proxy/replies.rs
@@ -7,6 +7,7 @@
 use http::StatusCode;
 use std::{sync::Arc, time::Duration};
 use wagtail_core::{ports::BodyStream, request::HeaderField};
+use wagtail_net::clock;
 use wagtail_peer::{answer::PeerResponse, stream::EmptyBody};
 use wagtail_route::pick::LoadReport;
 
@@ -17,7 +18,10 @@
     /// Returns the load that is reported to the caller of a request. For a call it includes the
     /// share of new work that the caller should begin.
     pub(super) fn load_for(&self, is_call: bool) -> LoadReport {
-        let begin_share = is_call.then(|| self.state.borrow().pressure.share());
+        let begin_share = is_call.then(|| {
+            let state = self.state.borrow();
+            state.pressure.share(state.gate.slots(), clock::now())
+        });
 
         LoadReport {
             begin_share,
--- a/crates/sidecar/src/proxy/serve.rs
+++ b/crates/sidecar/src/proxy/serve.rs
@@ -22,6 +22,7 @@
 use wagtail_gate::{
     GateArrival, GateOptions, GateRefusal,
     link::{BULK_BYTES, BulkArrival},
+    pressure::WorkArrival,
     runs::RunEnd,
 };
 use wagtail_net::clock;
@@ -213,17 +214,17 @@
 
         if is_call {
             state.pressure.called(dispatch_head.caller_priority);
-        } else {
+        } else if state.profiles.may_make_calls(&dispatch_head.route) {
             state.work_priority = dispatch_head.priority;
         }
 
-        let wait = state
-            .gate
-            .expected_wait(is_call, dispatch_head.priority, clock::now());
-        let objective = Duration::from_millis(u64::from(dispatch_head.objective_ms));
-        state
-            .pressure
-            .arrived(is_call, dispatch_head.priority, wait, objective);
+        let arrival = WorkArrival {
+            is_call,
+            priority: dispatch_head.priority,
+            service_time: state.gate.service_time(&dispatch_head.route),
+            begun_share: dispatch_head.begun_share,
+        };
+        state.pressure.arrived(&arrival, clock::now());
         is_call
     }
 
@@ -337,7 +338,7 @@
         deadline: LocalMoment,
     ) -> std::result::Result<SlotGuard, NotRunFields> {
         let now = clock::now();
-        if !is_call && !self.state.borrow_mut().throttle.admit(now) {
+        if !is_call && !self.begins(dispatch_head, now) {
             let retry_after = GateOptions::default().min_retry_after;
             return Err(self.gate_refusal(
                 dispatch_head,
@@ -374,6 +375,7 @@
         let guard = SlotGuard {
             proxy: self.clone(),
             ticket,
+            route: Arc::clone(&dispatch_head.route),
             started: Cell::new(false),
             executed: Cell::new(false),
             run_end: Cell::new(RunEnd::Unresolved),
@@ -383,6 +385,7 @@
         match receiver.await {
             Ok(Admission::Started) => {
                 guard.started.set(true);
+                self.run_began(&dispatch_head.route);
                 Ok(guard)
             }
             Ok(Admission::Refused {
@@ -421,7 +424,7 @@
 }
 
 /// Returns a number that a request and its repetitions by the same caller have in common.
-fn repeat_id(dispatch_head: &DispatchHead) -> u64 {
+pub fn repeat_id(dispatch_head: &DispatchHead) -> u64 {
     let mut hasher = DefaultHasher::new();
     dispatch_head.method.hash(&mut hasher);
     dispatch_head.path.hash(&mut hasher);
--- a/crates/sidecar/tests/proxy.rs
+++ b/crates/sidecar/tests/proxy.rs
@@ -160,6 +160,7 @@
         headers: Vec::new(),
         notice: None,
         prefers_free_slot: false,
+        begun_share: 1.0,
     }
 }
 
