Gate: estimates of calls do not depend on the order of a hash map; tests guard decay and pauses

Work that is held back for a service is not sent to other nodes, as that service asks all of them for the same share.

--- a/crates/gate/src/calls.rs
+++ b/crates/gate/src/calls.rs
@@ -6,7 +6,7 @@
 //! told apart by the times at which one of them runs without the other; a route that never does
 //! shares the calls with the others, and so counts as one that makes them.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 use wagtail_core::units::LocalMoment;
 
 /// The maximum number of tracked routes; others count as routes that make calls.
@@ -34,8 +34,9 @@
 /// The calls per run from which a route counts as one that makes calls.
 const MIN_CALLS_PER_RUN: f32 = 0.05;
 
-/// The calls that each route must explain beyond doubt. Without it, a few calls that coincide with
-/// runs of a route without calls make it one with calls.
+/// The calls that an estimate takes off each route. Without it, calls that coincide with runs of a
+/// route that makes none hold it back for seconds: 2,427 instead of 11 refused entries in the model in
+/// `tests/gate/call_tree.rs` (seed 2, reports 2 s old).
 const DOUBTED_CALLS: f32 = 1.0;
 
 /// The decayed number of runs below which the last estimate of a route is kept.
@@ -69,7 +70,7 @@
 #[derive(Debug)]
 struct ServiceCalls {
     service: Arc<str>,
-    mixes: HashMap<RunningMix, MixCounts>,
+    mixes: BTreeMap<RunningMix, MixCounts>,
     /// The decayed number of runs by route.
     recent_runs: [f32; MAX_ROUTES],
     /// The number of runs by route, up to [`MIN_RUNS`].
@@ -238,7 +239,7 @@
     fn new(service: Arc<str>) -> Self {
         Self {
             service,
-            mixes: HashMap::new(),
+            mixes: BTreeMap::new(),
             recent_runs: [0.0; MAX_ROUTES],
             runs: [0; MAX_ROUTES],
             rates: [0.0; MAX_ROUTES],
--- a/crates/gate/tests/gate/call_profiles.rs
+++ b/crates/gate/tests/gate/call_profiles.rs
@@ -112,6 +112,7 @@
         }
     }
 
+    // After so few runs, some entries have only run beside lookups that called.
     assert!(wrong.len() <= 20, "{} of 200: {wrong:?}", wrong.len());
 }
 
@@ -154,7 +155,8 @@
     events.play(&mut profiles);
     settle(&mut profiles, 92_000);
 
-    assert!(profiles.makes_calls("entry", "registry-check"));
+    let entry = learned(&profiles).1.unwrap();
+    assert!((1.1..1.7).contains(&entry), "{entry}");
 }
 
 /// Guards against routes that come and go, of which more than are tracked replace the known ones, and
@@ -168,27 +170,29 @@
         events.add_run(LOOKUP, 1_000 + step * 120, &mut random);
         events.add_run(ENTRY, 1_050 + step * 90, &mut random);
     }
-    for step in 0..400 {
+    for step in 0..1_200 {
         let others = ["a", "b", "c", "d", "e", "f", "g"];
         let mut other = ENTRY;
         other.name = others[random.random_range(0..others.len())];
         events.add_run(other, 40_000 + step * 100, &mut random);
     }
     events.play(&mut profiles);
-    settle(&mut profiles, 82_000);
+    settle(&mut profiles, 162_000);
     let after_pause = learned(&profiles);
 
     let mut events = RunEvents::default();
     for step in 0..60_u64 {
         let mut other = ENTRY;
         other.name = Box::leak(format!("once-{step}").into_boxed_str());
-        events.add_run(other, 83_000 + step * 200, &mut random);
+        events.add_run(other, 163_000 + step * 200, &mut random);
     }
     events.play(&mut profiles);
 
     assert!(after_pause.0.unwrap() > 1.0, "{after_pause:?}");
     assert!(after_pause.1.unwrap() < 0.05, "{after_pause:?}");
     assert_eq!(learned(&profiles), (None, None));
+    let successor = profiles.calls_per_run("once-59", "registry-check");
+    assert_eq!(successor, None);
     assert!(profiles.makes_calls("lookup", "registry-check"));
 }
 
--- a/crates/gate/tests/gate/calls.rs
+++ b/crates/gate/tests/gate/calls.rs
@@ -104,6 +104,23 @@
     assert!((pressure.share(SLOTS, at(5_000)) - 1.0).abs() < 0.01);
 }
 
+/// Guards against less urgent work of the called service that starves behind calls: it must get a
+/// quarter of the share of other work.
+#[test]
+fn calls_leave_slots_for_less_urgent_work() {
+    let mut pressure = CallPressure::default();
+    pressure.called(1);
+    for step in 0..500 {
+        pressure.arrived(&arrival(true, 1, 120), at(step * 10));
+        pressure.arrived(&arrival(false, 2, 40), at(step * 10));
+    }
+
+    let share = pressure.share(SLOTS, at(5_000));
+    let (calls, other_work) = (12.0, 4.0);
+    let rest = 4.0 - share * calls;
+    assert!(rest / other_work > share / 4.0, "{share}");
+}
+
 /// Guards against a share that oscillates: calls become fewer because callers hold work back, and the
 /// service asks for more of it again.
 #[test]
--- a/crates/sidecar/src/proxy/callees.rs
+++ b/crates/sidecar/src/proxy/callees.rs
@@ -1,9 +1,13 @@
 //! The services that the target calls, and how much new work begins for them.
 
-use super::TargetProxy;
-use crate::messages::DispatchHead;
+use super::{
+    TargetProxy,
+    replies::{elsewhere, millis_up},
+};
+use crate::messages::{DispatchHead, NotRunFields};
 use std::{collections::HashMap, sync::Arc, time::Duration};
 use wagtail_core::units::LocalMoment;
+use wagtail_gate::{GateOptions, GateRefusal};
 use wagtail_net::clock;
 
 /// The time for which a route counts as a call route after a reply stated so.
@@ -86,19 +90,31 @@
     }
 
     /// Decides whether new work may begin, and records it if a service that it calls has no room.
-    pub(super) fn begins(&self, dispatch_head: &DispatchHead, now: LocalMoment) -> bool {
+    /// Returns the refusal in that case.
+    pub(super) fn hold_back(
+        &self,
+        dispatch_head: &DispatchHead,
+        now: LocalMoment,
+    ) -> Option<NotRunFields> {
         let route = &dispatch_head.route;
         let state = &mut *self.state.borrow_mut();
         let calls = |service: &str| state.profiles.throttled_calls(route, service);
-        let Err(callee) = state.throttles.admit(dispatch_head.priority, calls, now) else {
-            return true;
-        };
+        let callee = state
+            .throttles
+            .admit(dispatch_head.priority, calls, now)
+            .err()?;
 
         let share = state.throttles.share(&callee, now);
         let calls_per_run = state.profiles.calls_per_run(route, &callee);
         self.recorder
             .callee_busy(dispatch_head, &callee, share, calls_per_run);
-        false
+        Some(NotRunFields {
+            pause_ms: millis_up(GateOptions::default().min_retry_after),
+            // The called service asks all nodes for the same share, so another node helps only if this
+            // one does not know yet whether the route makes calls.
+            elsewhere: calls_per_run.is_none() && dispatch_head.key.is_none(),
+            ..elsewhere(GateRefusal::CalleeBusy.as_str())
+        })
     }
 
     /// Records that a run of a route begins at the target.
--- a/crates/sidecar/src/proxy/serve.rs
+++ b/crates/sidecar/src/proxy/serve.rs
@@ -20,7 +20,7 @@
 };
 use wagtail_core::units::LocalMoment;
 use wagtail_gate::{
-    GateArrival, GateOptions, GateRefusal,
+    GateArrival, GateRefusal,
     link::{BULK_BYTES, BulkArrival},
     pressure::WorkArrival,
     runs::RunEnd,
@@ -338,14 +338,11 @@
         deadline: LocalMoment,
     ) -> std::result::Result<SlotGuard, NotRunFields> {
         let now = clock::now();
-        if !is_call && !self.begins(dispatch_head, now) {
-            let retry_after = GateOptions::default().min_retry_after;
-            return Err(self.gate_refusal(
-                dispatch_head,
-                is_call,
-                GateRefusal::CalleeBusy,
-                retry_after,
-            ));
+        if !is_call && let Some(refusal) = self.hold_back(dispatch_head, now) {
+            return Err(NotRunFields {
+                load: Some(self.load()),
+                ..refusal
+            });
         }
 
         let (sender, receiver) = oneshot::channel();
