--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -148,6 +148,10 @@
         gauges.pipelined_requests.set(pipelined as f64);
         let depth = self.pipeline.take_max_depth();
         gauges.pipeline_depth.set(depth as f64);
+        for (service, share) in self.proxy.begin_shares() {
+            let metrics = self.recorder.metrics();
+            metrics.set_begin_share(&service, share);
+        }
 
         self.recorder.metrics().text()
     }
