--- a/crates/core/src/notice.rs
+++ b/crates/core/src/notice.rs
@@ -53,3 +53,28 @@
     /// The target names a limit that cannot be parsed.
     Malformed,
 }
+
+/// `StatedLoad` is the load of a target and the pace of its VM, as one response states them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StatedLoad {
+    /// The number of running requests.
+    pub running: u32,
+    /// The number of requests that wait inside the target.
+    pub waiting: u32,
+    /// The number of requests that the target runs concurrently.
+    pub slots: u32,
+    /// How long work takes at present, in percent of its normal duration.
+    pub pace: Option<u32>,
+}
+
+/// `LoadStatement` is what one response states about the load of its target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum LoadStatement {
+    /// The target states nothing.
+    #[default]
+    Absent,
+    /// The target states this load.
+    Stated(StatedLoad),
+    /// The target states a load that cannot be parsed.
+    Malformed,
+}
--- a/crates/gate/src/admission.rs
+++ b/crates/gate/src/admission.rs
@@ -4,11 +4,16 @@
 //! carry out.
 
 use crate::{
-    estimate::ServiceTimes,
+    capacity::{CapacityChange, CapacityEstimator, CapacityOptions, TargetLevel},
+    estimate::{PaceClock, ServiceTimes},
     limit::{LimitOptions, LimitedArrival, RateLimiter},
+    trial::RunMark,
 };
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
-use wagtail_core::{notice::RequestRate, units::LocalMoment};
+use wagtail_core::{
+    notice::{RequestRate, StatedLoad},
+    units::LocalMoment,
+};
 
 /// `GateOptions` limits how long and how many requests wait for a slot.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -29,6 +34,8 @@
     pub max_retry_after: Duration,
     /// The tolerances of the limit that the target names.
     pub limit: LimitOptions,
+    /// How the number of slots that the target handles well is learned.
+    pub capacity: CapacityOptions,
 }
 
 impl Default for GateOptions {
@@ -41,6 +48,7 @@
             min_retry_after: Duration::from_millis(50),
             max_retry_after: Duration::from_secs(1),
             limit: LimitOptions::default(),
+            capacity: CapacityOptions::default(),
         }
     }
 }
@@ -135,7 +143,9 @@
 #[derive(Debug)]
 struct RunningRequest {
     class: Arc<str>,
-    started_at: LocalMoment,
+    /// The work that the target had done at the start, in seconds at normal pace.
+    worked: f64,
+    mark: RunMark,
 }
 
 /// `AdmissionGate` assigns the slots of one target to its requests.
@@ -145,6 +155,9 @@
     slots: u32,
     closed: bool,
     limiter: RateLimiter,
+    pace: PaceClock,
+    /// Learns the limit of a target that states its load.
+    capacity: Option<CapacityEstimator>,
     service_times: ServiceTimes,
     waiting: BTreeMap<QueueKey, WaitingRequest>,
     running: BTreeMap<u64, RunningRequest>,
@@ -158,6 +171,8 @@
             slots: 0,
             closed: false,
             limiter: RateLimiter::new(options.limit),
+            pace: PaceClock::default(),
+            capacity: None,
             service_times: ServiceTimes::new(options.initial_service_time),
             waiting: BTreeMap::new(),
             running: BTreeMap::new(),
@@ -168,10 +183,41 @@
     /// free; running requests keep their slots when the number shrinks.
     pub fn set_slots(&mut self, slots: u32, now: LocalMoment) -> Vec<GateAction> {
         self.slots = slots;
+        if let Some(capacity) = &mut self.capacity {
+            capacity.set_slots(slots);
+        }
 
         self.start_queued(now)
     }
 
+    /// Records the load that the target states. From the first statement on, the gate learns how many
+    /// of the slots the target handles well.
+    pub fn set_load(&mut self, load: StatedLoad, now: LocalMoment) {
+        if let Some(pace) = load.pace {
+            self.pace.state(pace, now);
+        }
+        if self.capacity.is_none() {
+            let mut capacity = CapacityEstimator::new(self.options.capacity);
+            capacity.set_slots(self.slots);
+            self.capacity = Some(capacity);
+        }
+    }
+
+    /// Discards what was learned from the load that a previous incarnation of the target stated.
+    pub fn forget_load(&mut self) {
+        self.capacity = None;
+    }
+
+    /// Returns the stated pace of the target's VM in percent, 100 if none is valid.
+    pub fn pace(&self, now: LocalMoment) -> u32 {
+        self.pace.pace(now)
+    }
+
+    /// Takes the latest change of the learned limit, for the log.
+    pub fn take_capacity_change(&mut self) -> Option<CapacityChange> {
+        self.capacity.as_mut()?.take_change()
+    }
+
     /// Sets the limit that the target names. Queued requests that it does not admit are refused.
     pub fn set_limit(&mut self, limit: Option<RequestRate>, now: LocalMoment) -> Vec<GateAction> {
         if limit == self.limiter.limit() {
@@ -265,8 +311,13 @@
         if let Some(request) = self.running.remove(&ticket)
             && executed
         {
+            let level = self.level(now);
+            let worked = (level.worked - request.worked).max(0.0);
             self.service_times
-                .record(&request.class, now.since(request.started_at));
+                .record(&request.class, Duration::from_secs_f64(worked));
+            if let Some(capacity) = &mut self.capacity {
+                capacity.ended(&request.class, request.mark, level);
+            }
         }
 
         self.start_queued(now)
@@ -287,12 +338,15 @@
         u32::try_from(self.waiting.len()).unwrap_or(u32::MAX)
     }
 
-    /// Returns the number of requests that the target runs concurrently.
+    /// Returns the number of requests that the target handles well concurrently: its slots, or fewer
+    /// if it slows down before all of them are taken.
     pub fn slots(&self) -> u32 {
-        self.slots
+        let learned = self.capacity.as_ref().map(CapacityEstimator::limit);
+
+        learned.map_or(self.slots, |limit| limit.min(self.slots))
     }
 
-    /// Returns the mean service time over all classes, in seconds.
+    /// Returns the mean service time over all classes at normal pace, in seconds.
     pub fn service_seconds(&self) -> f32 {
         self.service_times.overall()
     }
@@ -302,14 +356,14 @@
     pub fn expected_time(&self, class: &str, priority: u32, now: LocalMoment) -> Duration {
         let wait = self.expected_wait(false, priority, now);
 
-        Duration::from_secs_f32((wait + self.service_times.expected(class)).max(0.0))
+        Duration::from_secs_f32((wait + self.expected_service(class, now)).max(0.0))
     }
 
     /// Returns the estimated throughput of the target, in requests per second; its limit if that is
     /// lower.
     #[expect(clippy::cast_possible_truncation, reason = "an estimate")]
     pub fn capacity(&self) -> f32 {
-        let slots = f32::from(u16::try_from(self.slots).unwrap_or(u16::MAX));
+        let slots = f32::from(u16::try_from(self.slots()).unwrap_or(u16::MAX));
         let throughput = slots / self.service_times.overall().max(0.001);
         let limit = self.limiter.limit().map(RequestRate::per_second);
 
@@ -318,7 +372,7 @@
 
     /// Returns whether the target accepts requests, but a request would have to wait for a slot.
     pub fn has_taken_slots(&self) -> bool {
-        !self.closed && self.slots > 0 && self.running.len() >= self.slots as usize
+        !self.closed && self.slots > 0 && !self.has_free_slot(false)
     }
 
     /// Returns how long a request of this kind and priority would wait for a slot, in seconds.
@@ -326,21 +380,21 @@
     /// The estimate is the work queued ahead of it plus the rest of the running work, divided by
     /// the number of slots. It leaves the limit of the target out, as requests do not wait for that.
     pub fn expected_wait(&self, is_call: bool, priority: u32, now: LocalMoment) -> f32 {
-        if self.running.len() < self.slots as usize && self.waiting.is_empty() {
+        if self.has_free_slot(is_call) && self.waiting.is_empty() {
             return 0.0;
         }
 
         let queued_ahead: f32 = self
             .waiting
             .range(..(!is_call, priority, u64::MAX))
-            .map(|(_, request)| self.service_times.expected(&request.class))
+            .map(|(_, request)| self.expected_service(&request.class, now))
             .sum();
         let running: f32 = self
             .running
             .values()
             .map(|request| self.remaining_time(request, now))
             .sum();
-        let slots = f32::from(u16::try_from(self.slots.max(1)).unwrap_or(u16::MAX));
+        let slots = f32::from(u16::try_from(self.slots().max(1)).unwrap_or(u16::MAX));
 
         (queued_ahead + running) / slots
     }
@@ -355,7 +409,7 @@
         }
 
         let wait = self.expected_wait(arrival.is_call, arrival.priority, now);
-        let service_time = self.service_times.expected(&arrival.class);
+        let service_time = self.expected_service(&arrival.class, now);
         let time_left = arrival.deadline.since(now).as_secs_f32();
         if wait + service_time > time_left {
             return Some(GateRefusal::DeadlineTooNear);
@@ -394,8 +448,13 @@
     /// Starts queued requests while slots are free, and refuses those whose deadline has passed.
     fn start_queued(&mut self, now: LocalMoment) -> Vec<GateAction> {
         let mut actions = Vec::new();
+        self.observe_level(now);
 
-        while self.running.len() < self.slots as usize && !self.closed {
+        while !self.closed {
+            let is_call = self.waiting.keys().next().is_some_and(|key| !key.0);
+            if !self.has_free_slot(is_call) {
+                break;
+            }
             let Some((queue_key, request)) = self.waiting.pop_first() else {
                 break;
             };
@@ -418,25 +477,63 @@
                 ticket,
                 RunningRequest {
                     class: request.class,
-                    started_at: now,
+                    worked: self.pace.worked(now),
+                    mark: self
+                        .capacity
+                        .as_ref()
+                        .map_or_else(RunMark::default, CapacityEstimator::started),
                 },
             );
             actions.push(GateAction::Start { ticket });
         }
+        self.observe_level(now);
 
         actions
     }
 
+    /// Returns whether a request may start. Calls may use one slot above the learned limit.
+    fn has_free_slot(&self, is_call: bool) -> bool {
+        let admitted = self.capacity.as_ref().map_or(self.slots, |capacity| {
+            (capacity.admitted() + u32::from(is_call)).min(self.slots)
+        });
+
+        self.running.len() < admitted as usize
+    }
+
+    /// Returns what the target does now.
+    fn level(&self, now: LocalMoment) -> TargetLevel {
+        TargetLevel {
+            running: self.running(),
+            has_waiting: !self.waiting.is_empty(),
+            now,
+            worked: self.pace.worked(now),
+        }
+    }
+
+    /// Tells the estimator what the target does from now on.
+    fn observe_level(&mut self, now: LocalMoment) {
+        let level = self.level(now);
+        if let Some(capacity) = &mut self.capacity {
+            capacity.observe(level);
+        }
+    }
+
+    /// Returns the expected service time of a class at the present pace, in seconds.
+    fn expected_service(&self, class: &str, now: LocalMoment) -> f32 {
+        self.service_times.expected(class) * self.pace.factor(now)
+    }
+
     /// Returns the expected rest of the service time of a running request, in seconds.
+    #[expect(clippy::cast_possible_truncation, reason = "an estimate")]
     fn remaining_time(&self, request: &RunningRequest, now: LocalMoment) -> f32 {
         // A running request counts with at least this share of its expected service time, even if
         // it has exceeded that time.
         const MIN_REMAINING_SHARE: f32 = 0.25;
 
         let expected = self.service_times.expected(&request.class);
-        let elapsed = now.since(request.started_at).as_secs_f32();
+        let worked = (self.pace.worked(now) - request.worked) as f32;
 
-        (expected - elapsed).max(expected * MIN_REMAINING_SHARE)
+        (expected - worked).max(expected * MIN_REMAINING_SHARE) * self.pace.factor(now)
     }
 }
 
--- a/crates/gate/src/estimate.rs
+++ b/crates/gate/src/estimate.rs
@@ -1,6 +1,7 @@
 //! Estimates of the service time: how long a request occupies a slot.
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
+use wagtail_core::units::LocalMoment;
 
 /// The weight of the latest service time in the exponential moving averages.
 const AVERAGE_WEIGHT: f32 = 0.08;
@@ -8,6 +9,62 @@
 /// The maximum number of classes with their own mean; further classes use the overall mean.
 const MAX_CLASSES: usize = 256;
 
+/// The time for which a stated pace is valid. The pace of a VM changes about this often.
+const PACE_VALIDITY: Duration = Duration::from_millis(400);
+
+/// The normal pace, in percent.
+const NORMAL_PACE: u32 = 100;
+
+/// The slowest pace that counts, in percent. A larger one is far beyond what VMs state, and would
+/// make any request look too slow to be accepted.
+const MAX_PACE: u32 = 1_000;
+
+/// `PaceClock` measures time as the work that a VM does in it at normal pace.
+#[derive(Debug, Default)]
+pub struct PaceClock {
+    /// The latest stated pace in percent and when it was stated.
+    stated: Option<(u32, LocalMoment)>,
+    /// The work done until `counted_at`, in seconds at normal pace.
+    worked: f64,
+    counted_at: LocalMoment,
+}
+
+impl PaceClock {
+    /// Records a stated pace in percent; zero counts as the normal one.
+    pub fn state(&mut self, pace: u32, now: LocalMoment) {
+        self.worked = self.worked(now);
+        self.counted_at = now;
+        let pace = if pace == 0 { NORMAL_PACE } else { pace };
+
+        self.stated = Some((pace.min(MAX_PACE), now));
+    }
+
+    /// Returns the pace in percent: the stated one while it is valid, otherwise the normal one.
+    pub fn pace(&self, now: LocalMoment) -> u32 {
+        self.stated
+            .filter(|(_, stated_at)| now.since(*stated_at) < PACE_VALIDITY)
+            .map_or(NORMAL_PACE, |(pace, _)| pace)
+    }
+
+    /// Returns the factor by which work takes longer than at normal pace.
+    pub fn factor(&self, now: LocalMoment) -> f32 {
+        f32::from(u16::try_from(self.pace(now)).unwrap_or(u16::MAX)) / 100.0
+    }
+
+    /// Returns the work done until now, in seconds at normal pace.
+    pub fn worked(&self, now: LocalMoment) -> f64 {
+        let elapsed = now.since(self.counted_at);
+        let (pace, valid) = self
+            .stated
+            .map_or((NORMAL_PACE, Duration::ZERO), |(pace, _)| {
+                (pace, elapsed.min(PACE_VALIDITY))
+            });
+        let normal = elapsed.saturating_sub(valid);
+
+        self.worked + valid.as_secs_f64() * 100.0 / f64::from(pace) + normal.as_secs_f64()
+    }
+}
+
 /// `ServiceTimes` keeps moving averages of the service time in seconds, for each class and overall.
 #[derive(Debug)]
 pub struct ServiceTimes {
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -7,6 +7,7 @@
 //! wasted, so calls have precedence. All other requests are new work.
 //!
 //! - [`admission`]: the request queue and the slots.
+//! - [`capacity`]: how many requests the target handles well at a time.
 //! - [`crash_report`]: what one node reports of the crashes of its target.
 //! - [`estimate`]: how long requests occupy a slot.
 //! - [`limit`]: the limit that a target names on the rate of its requests.
@@ -16,9 +17,11 @@
 //! - [`quarantine`]: which requests are refused because targets crash when they run them.
 //! - [`runs`]: which requests may have run when the target ended.
 //! - [`sizes`]: the expected sizes of responses.
+//! - [`trial`]: compares the rates of work at two levels.
 //! - [`waits`]: how long callers waited on earlier, refused attempts.
 
 pub mod admission;
+pub mod capacity;
 pub mod crash_report;
 pub mod estimate;
 pub mod limit;
@@ -28,6 +31,7 @@
 pub mod quarantine;
 pub mod runs;
 pub mod sizes;
+pub mod trial;
 pub mod waits;
 
 pub use admission::{AdmissionGate, GateAction, GateArrival, GateOptions, GateRefusal};
--- /dev/null
+++ b/crates/gate/src/trial.rs
@@ -0,0 +1,192 @@
+//! Compares the rate of work at the limit of a target with that at a level that is tried.
+
+/// The lowest determinant, as a share of its largest value, at which the two rates can be told apart.
+const MIN_DETERMINANT: f64 = 0.2;
+
+/// `RunMark` is the state of a comparison when a request started.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct RunMark {
+    epoch: u64,
+    time: LevelTime,
+}
+
+/// `LevelTime` is the time that was spent at the levels, in seconds at normal pace.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct LevelTime {
+    /// The time at the limit.
+    pub base: f64,
+    /// The time at the level of the trial.
+    pub trial: f64,
+    /// The time at which fewer requests ran than might have.
+    pub idle: f64,
+}
+
+impl LevelTime {
+    /// Returns the time at all levels.
+    pub fn total(&self) -> f64 {
+        self.base + self.trial + self.idle
+    }
+}
+
+/// `RunGroup` sums up requests that ran mainly at the same level. Times are multiples of the mean
+/// service time of each request's class, so that classes of different lengths count alike.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct RunGroup {
+    /// The number of requests.
+    pub runs: f64,
+    base: f64,
+    trial: f64,
+}
+
+impl RunGroup {
+    /// Returns the mean service time as a multiple of the mean of each request's class.
+    pub fn slowness(&self) -> f64 {
+        if self.runs > 0.0 {
+            (self.base + self.trial) / self.runs
+        } else {
+            1.0
+        }
+    }
+
+    /// Multiplies the weight of the requests so far by a factor.
+    pub fn fade(&mut self, factor: f64) {
+        self.runs *= factor;
+        self.base *= factor;
+        self.trial *= factor;
+    }
+}
+
+/// `LevelRates` holds the work that a request gets done per second at two levels, as a multiple of
+/// the usual one.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LevelRates {
+    /// The rate at the limit.
+    pub base: f64,
+    /// The rate at the level of the trial.
+    pub trial: f64,
+}
+
+/// `LevelComparison` compares the limit with the level of the latest trial.
+///
+/// A request that ran at both levels counts in the group of the one at which it ran longer. Each
+/// group yields one equation: its number of requests is the sum of the work done at both rates. The
+/// two equations determine both rates, however quickly the levels alternate.
+#[derive(Debug, Default)]
+pub struct LevelComparison {
+    /// The requests that ran mainly at the limit.
+    pub base: RunGroup,
+    /// The requests that ran mainly at the level of the trial.
+    pub trial: RunGroup,
+    trial_level: u32,
+    epoch: u64,
+    time: LevelTime,
+}
+
+impl LevelComparison {
+    /// Returns the level of the latest trial.
+    pub fn trial_level(&self) -> u32 {
+        self.trial_level
+    }
+
+    /// Returns the mark of a request that starts now.
+    pub fn mark(&self) -> RunMark {
+        RunMark {
+            epoch: self.epoch,
+            time: self.time,
+        }
+    }
+
+    /// Returns the time since a mark, or `None` if it belongs to other levels.
+    pub fn run_since(&self, mark: RunMark) -> Option<LevelTime> {
+        (mark.epoch == self.epoch).then_some(LevelTime {
+            base: self.time.base - mark.time.base,
+            trial: self.time.trial - mark.time.trial,
+            idle: self.time.idle - mark.time.idle,
+        })
+    }
+
+    /// Adds time at a level. Levels between the limit and that of the trial count as a share of both.
+    pub fn advance(&mut self, limit: u32, running: u32, is_pressed: bool, elapsed: f64) {
+        if !is_pressed {
+            self.time.idle += elapsed;
+            return;
+        }
+        let distance = f64::from(self.trial_level) - f64::from(limit);
+        let share = if self.trial_level == 0 || distance == 0.0 {
+            0.0
+        } else {
+            ((f64::from(running) - f64::from(limit)) / distance).clamp(0.0, 1.0)
+        };
+
+        self.time.trial += elapsed * share;
+        self.time.base += elapsed * (1.0 - share);
+    }
+
+    /// Counts a request with the given mean service time of its class.
+    pub fn count(&mut self, run: &LevelTime, reference: f64) {
+        let group = if run.trial > run.base {
+            &mut self.trial
+        } else {
+            &mut self.base
+        };
+
+        group.runs += 1.0;
+        group.base += run.base / reference;
+        group.trial += run.trial / reference;
+    }
+
+    /// Returns the rates at both levels, or `None` while they cannot be told apart.
+    pub fn rates(&self) -> Option<LevelRates> {
+        let (base, trial) = (&self.base, &self.trial);
+        let determinant = base.base * trial.trial - base.trial * trial.base;
+        if determinant <= MIN_DETERMINANT * base.base * trial.trial || determinant <= 0.0 {
+            return None;
+        }
+
+        Some(LevelRates {
+            base: ((base.runs * trial.trial - base.trial * trial.runs) / determinant).max(0.0),
+            trial: ((base.base * trial.runs - trial.base * base.runs) / determinant).max(0.0),
+        })
+    }
+
+    /// Begins the trial of a level. Time at another tried level is counted at the rate of the limit.
+    pub fn begin_trial(&mut self, level: u32) {
+        if let Some(rates) = self.rates()
+            && rates.base > 0.0
+        {
+            self.base.base = self.base.runs / rates.base;
+        } else {
+            self.base.base += self.base.trial;
+        }
+        self.base.trial = 0.0;
+        self.trial = RunGroup::default();
+
+        if level != self.trial_level {
+            self.trial_level = level;
+        }
+    }
+
+    /// Makes the level of the trial the one at the limit.
+    pub fn adopt_trial(&mut self) {
+        let trial = self.trial;
+        self.forget();
+        self.base = RunGroup {
+            runs: trial.runs,
+            base: trial.base + trial.trial,
+            trial: 0.0,
+        };
+    }
+
+    /// Discards what is known about the limit.
+    pub fn forget_base(&mut self) {
+        self.base = RunGroup::default();
+        self.trial = RunGroup::default();
+    }
+
+    /// Discards everything, also the runs that are in progress.
+    pub fn forget(&mut self) {
+        self.forget_base();
+        self.trial_level = 0;
+        self.epoch += 1;
+    }
+}
