--- a/crates/gate/src/capacity.rs
+++ b/crates/gate/src/capacity.rs
@@ -14,6 +14,9 @@
 /// The weight of the latest service time in the mean of its class, once that has settled.
 const REFERENCE_WEIGHT: f64 = 0.02;
 
+/// The weight in the mean of its class below which a request is counted: the third one.
+const SETTLED_WEIGHT: f64 = 0.34;
+
 /// The weight of the latest request in the recent slowness. It reaches [`SHIFT_FACTOR`] at the
 /// second request after service times have tripled.
 const SLOWNESS_WEIGHT: f64 = 0.12;
@@ -26,8 +29,12 @@
 /// load a slow phase raises the level, and not the level the service time.
 const MAX_IDLE_SHARE: f64 = 0.25;
 
-/// The throughput of a trial, as a share of that at the limit, below which the trial ends early.
-const CLEAR_FACTOR: f64 = 0.8;
+/// The number of standard deviations from the needed throughput at which a trial ends early.
+const CLEAR_DEVIATIONS: f64 = 1.7;
+
+/// The factor by which a clear result against a lower level lengthens the interval to the next trial.
+/// A target that changes later is noticed by its service times.
+const CLEAR_BACKOFF: u32 = 8;
 
 /// `CapacityOptions` sets how the limit of a target is learned.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -40,12 +47,16 @@
     pub min_slots: u32,
     /// The half-life of what is known about the level of the limit.
     pub half_life: Duration,
-    /// The number of requests that a trial needs.
+    /// The number of requests at the limit that a trial is compared with, at least.
+    pub base_runs: f64,
+    /// The number of requests in a trial from which it is judged even if its result is not clear.
     pub trial_runs: f64,
     /// The number of requests after which a trial ends early if its result is clear.
     pub clear_runs: f64,
-    /// The longest duration of a trial.
+    /// The longest duration of a trial from the time at which its level is reached.
     pub max_trial: Duration,
+    /// The longest time until the level of a trial is reached.
+    pub max_drain: Duration,
     /// The time between trials of a higher level.
     pub raise_interval: Duration,
     /// The shortest and the longest time between trials of a lower level. It doubles with each trial
@@ -62,11 +73,13 @@
             min_share: 1.0 / 3.0,
             min_slots: 2,
             half_life: Duration::from_secs(3),
-            trial_runs: 8.0,
-            clear_runs: 3.0,
+            base_runs: 8.0,
+            trial_runs: 24.0,
+            clear_runs: 4.0,
             max_trial: Duration::from_secs(1),
+            max_drain: Duration::from_secs(5),
             raise_interval: Duration::from_millis(1_500),
-            lower_intervals: (Duration::from_secs(3), Duration::from_secs(24)),
+            lower_intervals: (Duration::from_secs(3), Duration::from_secs(60)),
             idle_time: Duration::from_secs(30),
         }
     }
@@ -124,6 +137,10 @@
     comparison: LevelComparison,
     /// The start of the present trial.
     trial_start: Option<LocalMoment>,
+    /// Whether the number of running requests has reached the level of the trial.
+    has_reached: bool,
+    /// Whether the latest trial has ended without a result: requests that ran in it may still yield one.
+    is_open: bool,
     /// The latest requests at the limit: their service time as a multiple of their class's mean.
     recent_slowness: f64,
     raise_at: LocalMoment,
@@ -131,6 +148,8 @@
     lower_interval: Duration,
     /// Whether the next higher level to try is the number of slots, instead of the next one.
     tries_all_slots: bool,
+    /// Whether the next lower level to try is half the limit, instead of the next one.
+    tries_half: bool,
     last: TargetLevel,
     pressed_at: LocalMoment,
     change: Option<CapacityChange>,
@@ -146,11 +165,14 @@
             references: HashMap::new(),
             comparison: LevelComparison::default(),
             trial_start: None,
+            has_reached: false,
+            is_open: false,
             recent_slowness: 1.0,
             raise_at: LocalMoment::ZERO,
             lower_at: LocalMoment::ZERO,
             lower_interval: options.lower_intervals.0,
             tries_all_slots: true,
+            tries_half: true,
             last: TargetLevel {
                 running: 0,
                 has_waiting: false,
@@ -201,9 +223,16 @@
             self.restart();
         }
 
-        if let Some(trial_start) = self.trial_start {
-            self.judge_trial(level.now.since(trial_start));
-        } else if level.has_waiting && self.comparison.base.runs >= self.options.trial_runs {
+        if self.trial_start.is_some() {
+            self.check_reached(level);
+        }
+        if self.trial_start.is_some() || self.is_open {
+            self.judge_trial();
+        }
+        if self.trial_start.is_some() {
+            return;
+        }
+        if level.has_waiting && self.comparison.base.runs >= self.options.base_runs {
             self.plan_trial(level.now);
         }
     }
@@ -225,15 +254,19 @@
         let Some(run) = self.comparison.run_since(mark) else {
             return;
         };
-        let Some(reference) = self.reference(class, run.total()) else {
-            return;
-        };
-        if reference <= 0.0 || run.idle > MAX_IDLE_SHARE * run.total() {
+        if run.idle > MAX_IDLE_SHARE * run.total() {
             return;
         }
+        let is_at_limit = run.trial <= MAX_IDLE_SHARE * run.total();
+        if is_at_limit {
+            self.add_reference(class, run.total());
+        }
+        let Some(reference) = self.reference(class) else {
+            return;
+        };
 
         self.comparison.count(&run, reference);
-        if run.trial <= MAX_IDLE_SHARE * run.total() {
+        if is_at_limit {
             let slowness = run.total() / reference;
             self.recent_slowness += (slowness - self.recent_slowness) * SLOWNESS_WEIGHT;
             self.check_shift(level.now);
@@ -250,30 +283,41 @@
             .advance(self.limit, self.last.running, is_pressed, elapsed);
     }
 
-    /// Returns the mean service time of a class in seconds, after adding that of a request to it.
-    fn reference(&mut self, class: &Arc<str>, seconds: f64) -> Option<f64> {
+    /// Adds a request at the limit to the mean service time of its class.
+    fn add_reference(&mut self, class: &Arc<str>, seconds: f64) {
         if let Some(reference) = self.references.get_mut(class) {
             reference.mean += (seconds - reference.mean) * reference.weight;
-            reference.weight = (reference.weight / (1.0 + reference.weight)).max(REFERENCE_WEIGHT);
-            return Some(reference.mean);
+            let weight = reference.weight / (1.0 + reference.weight);
+            reference.weight = weight.max(REFERENCE_WEIGHT);
+        } else if self.references.len() < MAX_CLASSES {
+            let reference = ClassReference {
+                mean: seconds,
+                weight: 0.5,
+            };
+            self.references.insert(Arc::clone(class), reference);
         }
-        if self.references.len() >= MAX_CLASSES {
-            return None;
-        }
-        let reference = ClassReference {
-            mean: seconds,
-            weight: 0.5,
-        };
-        self.references.insert(Arc::clone(class), reference);
+    }
 
-        Some(seconds)
+    /// Returns the mean service time of a class in seconds, if it has settled.
+    fn reference(&self, class: &str) -> Option<f64> {
+        self.references
+            .get(class)
+            .filter(|reference| reference.weight <= SETTLED_WEIGHT && reference.mean > 0.0)
+            .map(|reference| reference.mean)
+    }
+
+    /// Multiplies the mean service time of all classes by a factor.
+    fn scale_references(&mut self, factor: f64) {
+        for reference in self.references.values_mut() {
+            reference.mean *= factor;
+        }
     }
 
     /// Discards what is known about the present limit if the target has become slower or faster
     /// there, and lets trials start at once.
     fn check_shift(&mut self, now: LocalMoment) {
         let base = &self.comparison.base;
-        if base.runs < self.options.trial_runs {
+        if base.runs < self.options.base_runs {
             self.recent_slowness = base.slowness();
             return;
         }
@@ -282,8 +326,13 @@
             return;
         }
 
+        eprintln!("SHIFT t={:.2} {shift:.2}", now.as_micros() as f64/1e6);
+        if std::env::var("DBG").is_ok() { eprintln!("SHIFT t={:.2} {shift:.2}", now.as_micros() as f64/1e6); }
+        self.scale_references(self.recent_slowness);
+        self.recent_slowness = 1.0;
         self.comparison.forget_base();
         self.trial_start = None;
+        self.is_open = false;
         self.raise_at = now;
         self.lower_at = now;
         self.lower_interval = self.options.lower_intervals.0;
@@ -300,27 +349,55 @@
                 self.limit + 1
             }
         } else if self.limit > self.min_limit() && now >= self.lower_at {
-            (self.limit * 2 / 3).max(self.min_limit())
+            let tries_half = self.tries_half;
+            self.tries_half = !tries_half;
+            if tries_half {
+                (self.limit / 2).max(self.min_limit())
+            } else {
+                self.limit - 1
+            }
         } else {
             return;
         };
 
         self.comparison.begin_trial(level);
         self.trial_start = Some(now);
+        self.has_reached = false;
+        self.is_open = false;
+    }
+
+    /// Starts the time of a trial anew when its level is reached.
+    fn check_reached(&mut self, level: TargetLevel) {
+        let trial_level = self.comparison.trial_level();
+        let is_there = if trial_level < self.limit {
+            level.running <= trial_level
+        } else {
+            level.running >= trial_level
+        };
+
+        if is_there && !self.has_reached {
+            self.has_reached = true;
+            self.trial_start = Some(level.now);
+        }
     }
 
     /// Ends the present trial if its result is clear or its time is over.
-    fn judge_trial(&mut self, elapsed: Duration) {
-        let is_over = elapsed >= self.options.max_trial;
+    fn judge_trial(&mut self) {
+        let elapsed = self.trial_start.map(|start| self.last.now.since(start));
+        let max_trial = if self.has_reached {
+            self.options.max_trial
+        } else {
+            self.options.max_drain
+        };
+        let is_over = elapsed.is_some_and(|elapsed| elapsed >= max_trial);
         let (base_level, level) = (self.limit, self.comparison.trial_level());
         let runs = self.comparison.trial.runs;
-        let Some(rates) = self
-            .comparison
-            .rates()
-            .filter(|_| runs >= self.options.clear_runs)
-        else {
+        let rates = self.comparison.rates();
+        let Some(rates) = rates.filter(|_| runs >= self.options.clear_runs) else {
             if is_over {
-                self.reject_trial(false);
+                if std::env::var("DBG").is_ok() { eprintln!("OVER t={:.2} {}->{} base {:.1} trial {:.1} running {}", self.last.now.as_micros() as f64/1e6, base_level, level, self.comparison.base.runs, self.comparison.trial.runs, self.last.running); }
+                self.is_open = true;
+                self.reject_trial(2);
             }
             return;
         };
@@ -333,31 +410,36 @@
             level,
             throughput: f64::from(level) * rates.trial,
         };
-        let is_clear = after.throughput < CLEAR_FACTOR * before.throughput;
-        if !(is_over || is_clear || runs >= self.options.trial_runs) {
-            return;
-        }
-
         let least = 1.0 - self.options.tolerance;
-        let is_better = if level < base_level {
-            after.throughput >= least * before.throughput
+        let needed = if level < base_level {
+            least
         } else {
-            after.throughput * least > before.throughput
+            1.0 / least
         };
-        if !is_better {
-            self.reject_trial(true);
+        let excess = (after.throughput / before.throughput.max(f64::MIN_POSITIVE) / needed).ln();
+        let is_clear = excess.abs() > CLEAR_DEVIATIONS * self.comparison.deviation();
+        if !(is_over || is_clear || runs >= self.options.trial_runs) {
             return;
         }
-        self.accept_trial(before, after);
+
+        if std::env::var("DBG").is_ok() { eprintln!("JUDGE t={:.2} {}->{} base {:.1} trial {:.1} rates {:.2} {:.2} excess {:.2} dev {:.2} over {} after {:?}", self.last.now.as_micros() as f64/1e6, base_level, level, self.comparison.base.runs, self.comparison.trial.runs, rates.base, rates.trial, excess, self.comparison.deviation(), is_over, elapsed); }
+        let is_shown = is_clear || level > base_level || runs >= self.options.trial_runs;
+        if excess >= 0.0 && is_shown {
+            self.accept_trial(before, after);
+        } else if self.trial_start.is_some() {
+            self.reject_trial(if is_clear { CLEAR_BACKOFF } else { 2 });
+        }
     }
 
     /// Makes the level of the trial the limit.
     fn accept_trial(&mut self, before: LevelThroughput, after: LevelThroughput) {
         let now = self.last.now;
         self.trial_start = None;
+        self.is_open = false;
         self.limit = after.level;
-        self.comparison.adopt_trial();
-        self.recent_slowness = self.comparison.base.slowness();
+        let slowness = self.comparison.adopt_trial();
+        self.scale_references(slowness);
+        self.recent_slowness = 1.0;
         self.lower_interval = self.options.lower_intervals.0;
         self.raise_at = now + self.options.raise_interval;
         self.lower_at = if after.level < before.level {
@@ -373,8 +455,9 @@
         });
     }
 
-    /// Ends a trial and keeps the limit. `is_known` says whether the trial had enough requests.
-    fn reject_trial(&mut self, is_known: bool) {
+    /// Ends a trial and keeps the limit. The interval between trials of a lower level is multiplied
+    /// by the given factor.
+    fn reject_trial(&mut self, backoff: u32) {
         let now = self.last.now;
         self.trial_start = None;
 
@@ -382,11 +465,9 @@
             self.raise_at = now + self.options.raise_interval;
             return;
         }
+        let (_, longest) = self.options.lower_intervals;
+        self.lower_interval = (self.lower_interval * backoff).min(longest);
         self.lower_at = now + self.lower_interval;
-        if is_known {
-            let (_, longest) = self.options.lower_intervals;
-            self.lower_interval = (self.lower_interval * 2).min(longest);
-        }
     }
 
     /// Returns the limit to the slots and discards what is known about levels.
@@ -394,6 +475,7 @@
         self.limit = self.slots;
         self.comparison.forget();
         self.trial_start = None;
+        self.is_open = false;
         self.recent_slowness = 1.0;
         self.raise_at = self.last.now;
         self.lower_at = self.last.now;
--- a/crates/gate/src/trial.rs
+++ b/crates/gate/src/trial.rs
@@ -3,6 +3,15 @@
 /// The lowest determinant, as a share of its largest value, at which the two rates can be told apart.
 const MIN_DETERMINANT: f64 = 0.2;
 
+/// The variance of the logarithm of service times until it has been measured.
+const INITIAL_VARIANCE: f64 = 0.25;
+
+/// The weight of the latest request in the variance.
+const VARIANCE_WEIGHT: f64 = 0.02;
+
+/// The largest deviation of the logarithm of a service time that counts in the variance.
+const MAX_DEVIATION: f64 = 2.0;
+
 /// `RunMark` is the state of a comparison when a request started.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct RunMark {
@@ -71,17 +80,32 @@
 /// A request that ran at both levels counts in the group of the one at which it ran longer. Each
 /// group yields one equation: its number of requests is the sum of the work done at both rates. The
 /// two equations determine both rates, however quickly the levels alternate.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct LevelComparison {
     /// The requests that ran mainly at the limit.
     pub base: RunGroup,
     /// The requests that ran mainly at the level of the trial.
     pub trial: RunGroup,
     trial_level: u32,
+    /// The variance of the service time of a request, as a multiple of the mean of its class.
+    variance: f64,
     epoch: u64,
     time: LevelTime,
 }
 
+impl Default for LevelComparison {
+    fn default() -> Self {
+        Self {
+            base: RunGroup::default(),
+            trial: RunGroup::default(),
+            trial_level: 0,
+            variance: INITIAL_VARIANCE,
+            epoch: 0,
+            time: LevelTime::default(),
+        }
+    }
+}
+
 impl LevelComparison {
     /// Returns the level of the latest trial.
     pub fn trial_level(&self) -> u32 {
@@ -130,11 +154,22 @@
             &mut self.base
         };
 
+        let deviation = ((run.base + run.trial) / reference).ln()
+            - if group.runs > 0.0 { group.slowness().ln() } else { 0.0 };
+        let deviation = deviation.clamp(-MAX_DEVIATION, MAX_DEVIATION);
+        self.variance += (deviation * deviation - self.variance) * VARIANCE_WEIGHT;
         group.runs += 1.0;
         group.base += run.base / reference;
         group.trial += run.trial / reference;
     }
 
+    /// Returns the standard deviation of the logarithm of the ratio of both rates.
+    pub fn deviation(&self) -> f64 {
+        let runs = 1.0 / self.base.runs.max(1.0) + 1.0 / self.trial.runs.max(1.0);
+
+        (self.variance * runs).sqrt()
+    }
+
     /// Returns the rates at both levels, or `None` while they cannot be told apart.
     pub fn rates(&self) -> Option<LevelRates> {
         let (base, trial) = (&self.base, &self.trial);
@@ -166,15 +201,26 @@
         }
     }
 
-    /// Makes the level of the trial the one at the limit.
-    pub fn adopt_trial(&mut self) {
-        let trial = self.trial;
+    /// Makes the level of the trial the one at the limit. Returns the slowness of requests there, by
+    /// which the mean service times of all classes change.
+    pub fn adopt_trial(&mut self) -> f64 {
+        let (runs, slowness) = (self.trial.runs, self.trial_slowness());
         self.forget();
         self.base = RunGroup {
-            runs: trial.runs,
-            base: trial.base + trial.trial,
+            runs,
+            base: runs,
             trial: 0.0,
         };
+
+        slowness
+    }
+
+    /// Returns the slowness of requests at the level of the trial.
+    fn trial_slowness(&self) -> f64 {
+        match self.rates() {
+            Some(rates) if rates.trial > 0.0 => 1.0 / rates.trial,
+            _ => self.trial.slowness(),
+        }
     }
 
     /// Discards what is known about the limit.
