--- a/crates/gate/src/admission.rs
+++ b/crates/gate/src/admission.rs
@@ -387,7 +387,7 @@
         let queued_ahead: f32 = self
             .waiting
             .range(..(!is_call, priority, u64::MAX))
-            .map(|(_, request)| self.expected_service(&request.class, now))
+            .map(|(_, request)| self.service_times.expected(&request.class))
             .sum();
         let running: f32 = self
             .running
@@ -396,7 +396,7 @@
             .sum();
         let slots = f32::from(u16::try_from(self.slots().max(1)).unwrap_or(u16::MAX));
 
-        (queued_ahead + running) / slots
+        self.pace.time_for((queued_ahead + running) / slots, now)
     }
 
     /// Returns the reason to refuse a request, or `None` if it may wait or start.
@@ -520,10 +520,10 @@
 
     /// Returns the expected service time of a class at the present pace, in seconds.
     fn expected_service(&self, class: &str, now: LocalMoment) -> f32 {
-        self.service_times.expected(class) * self.pace.factor(now)
+        self.pace.time_for(self.service_times.expected(class), now)
     }
 
-    /// Returns the expected rest of the service time of a running request, in seconds.
+    /// Returns the expected rest of the service time of a running request, in seconds at normal pace.
     #[expect(clippy::cast_possible_truncation, reason = "an estimate")]
     fn remaining_time(&self, request: &RunningRequest, now: LocalMoment) -> f32 {
         // A running request counts with at least this share of its expected service time, even if
@@ -533,7 +533,7 @@
         let expected = self.service_times.expected(&request.class);
         let worked = (self.pace.worked(now) - request.worked) as f32;
 
-        (expected - worked).max(expected * MIN_REMAINING_SHARE) * self.pace.factor(now)
+        (expected - worked).max(expected * MIN_REMAINING_SHARE)
     }
 }
 
--- a/crates/gate/src/capacity.rs
+++ b/crates/gate/src/capacity.rs
@@ -18,8 +18,8 @@
 const SETTLED_WEIGHT: f64 = 0.34;
 
 /// The weight of the latest request in the recent slowness. It reaches [`SHIFT_FACTOR`] at the
-/// second request after service times have tripled.
-const SLOWNESS_WEIGHT: f64 = 0.12;
+/// fourth request after service times have tripled.
+const SLOWNESS_WEIGHT: f64 = 0.06;
 
 /// The factor between the recent and the usual slowness from which the target has changed. Service
 /// times with a deviation of 0.3 stay below it by more than four deviations of the recent slowness.
@@ -333,6 +333,8 @@
         self.comparison.forget_base();
         self.trial_start = None;
         self.is_open = false;
+        self.tries_half = true;
+        self.tries_all_slots = true;
         self.raise_at = now;
         self.lower_at = now;
         self.lower_interval = self.options.lower_intervals.0;
--- a/crates/gate/src/estimate.rs
+++ b/crates/gate/src/estimate.rs
@@ -46,9 +46,21 @@
             .map_or(NORMAL_PACE, |(pace, _)| pace)
     }
 
-    /// Returns the factor by which work takes longer than at normal pace.
-    pub fn factor(&self, now: LocalMoment) -> f32 {
-        f32::from(u16::try_from(self.pace(now)).unwrap_or(u16::MAX)) / 100.0
+    /// Returns how long some work takes from now on. Both are in seconds, the work at normal pace. The
+    /// stated pace applies to the time for which it is still valid.
+    pub fn time_for(&self, work: f32, now: LocalMoment) -> f32 {
+        let Some((pace, stated_at)) = self.stated else {
+            return work;
+        };
+        let valid = PACE_VALIDITY.saturating_sub(now.since(stated_at));
+        let factor = f32::from(u16::try_from(pace).unwrap_or(u16::MAX)) / 100.0;
+        let valid = valid.as_secs_f32();
+
+        if work * factor <= valid {
+            work * factor
+        } else {
+            valid + work - valid / factor
+        }
     }
 
     /// Returns the work done until now, in seconds at normal pace.
