--- a/crates/gate/src/admission.rs
+++ b/crates/gate/src/admission.rs
@@ -4,10 +4,9 @@
 //! carry out.
 
 use crate::{
-    capacity::{CapacityChange, CapacityEstimator, CapacityOptions, TargetLevel},
-    estimate::{PaceClock, ServiceTimes},
+    capacity::{CapacityChange, CapacityOptions},
     limit::{LimitOptions, LimitedArrival, RateLimiter},
-    trial::RunMark,
+    slots::{SlotUse, TargetSlots},
 };
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 use wagtail_core::{
@@ -143,22 +142,16 @@
 #[derive(Debug)]
 struct RunningRequest {
     class: Arc<str>,
-    /// The work that the target had done at the start, in seconds at normal pace.
-    worked: f64,
-    mark: RunMark,
+    slot_use: SlotUse,
 }
 
 /// `AdmissionGate` assigns the slots of one target to its requests.
 #[derive(Debug)]
 pub struct AdmissionGate {
     options: GateOptions,
-    slots: u32,
+    slots: TargetSlots,
     closed: bool,
     limiter: RateLimiter,
-    pace: PaceClock,
-    /// Learns the limit of a target that states its load.
-    capacity: Option<CapacityEstimator>,
-    service_times: ServiceTimes,
     waiting: BTreeMap<QueueKey, WaitingRequest>,
     running: BTreeMap<u64, RunningRequest>,
 }
@@ -168,12 +161,9 @@
     pub fn new(options: GateOptions) -> Self {
         Self {
             options,
-            slots: 0,
+            slots: TargetSlots::new(options.capacity, options.initial_service_time),
             closed: false,
             limiter: RateLimiter::new(options.limit),
-            pace: PaceClock::default(),
-            capacity: None,
-            service_times: ServiceTimes::new(options.initial_service_time),
             waiting: BTreeMap::new(),
             running: BTreeMap::new(),
         }
@@ -182,10 +172,7 @@
     /// Sets how many requests the target runs concurrently. Starts queued requests if slots became
     /// free; running requests keep their slots when the number shrinks.
     pub fn set_slots(&mut self, slots: u32, now: LocalMoment) -> Vec<GateAction> {
-        self.slots = slots;
-        if let Some(capacity) = &mut self.capacity {
-            capacity.set_slots(slots);
-        }
+        self.slots.set_stated(slots);
 
         self.start_queued(now)
     }
@@ -193,29 +180,22 @@
     /// Records the load that the target states. From the first statement on, the gate learns how many
     /// of the slots the target handles well.
     pub fn set_load(&mut self, load: StatedLoad, now: LocalMoment) {
-        if let Some(pace) = load.pace {
-            self.pace.state(pace, now);
-        }
-        if self.capacity.is_none() {
-            let mut capacity = CapacityEstimator::new(self.options.capacity);
-            capacity.set_slots(self.slots);
-            self.capacity = Some(capacity);
-        }
+        self.slots.set_load(load, now);
     }
 
-    /// Discards what was learned from the load that a previous incarnation of the target stated.
-    pub fn forget_load(&mut self) {
-        self.capacity = None;
+    /// Discards what was learned of a previous incarnation of the target.
+    pub fn forget_load(&mut self, now: LocalMoment) {
+        self.slots.forget_load(now);
     }
 
     /// Returns the stated pace of the target's VM in percent, 100 if none is valid.
     pub fn pace(&self, now: LocalMoment) -> u32 {
-        self.pace.pace(now)
+        self.slots.pace().pace(now)
     }
 
     /// Takes the latest change of the learned limit, for the log.
     pub fn take_capacity_change(&mut self) -> Option<CapacityChange> {
-        self.capacity.as_mut()?.take_change()
+        self.slots.take_change()
     }
 
     /// Sets the limit that the target names. Queued requests that it does not admit are refused.
@@ -274,7 +254,7 @@
 
     /// Starts, queues or refuses a request. The actions may also concern other queued requests.
     pub fn arrive(&mut self, arrival: GateArrival, now: LocalMoment) -> Vec<GateAction> {
-        if !self.closed && self.slots > 0 {
+        if !self.closed && self.slots.stated() > 0 {
             let limited = LimitedArrival {
                 is_call: arrival.is_call,
                 repeat_id: arrival.repeat_id,
@@ -311,13 +291,7 @@
         if let Some(request) = self.running.remove(&ticket)
             && executed
         {
-            let level = self.level(now);
-            let worked = (level.worked - request.worked).max(0.0);
-            self.service_times
-                .record(&request.class, Duration::from_secs_f64(worked));
-            if let Some(capacity) = &mut self.capacity {
-                capacity.ended(&request.class, request.mark, level);
-            }
+            self.slots.end(&request.class, request.slot_use, now);
         }
 
         self.start_queued(now)
@@ -328,6 +302,11 @@
         self.waiting.retain(|queue_key, _| queue_key.2 != ticket);
     }
 
+    /// Returns the number of slots that the target states.
+    pub fn stated_slots(&self) -> u32 {
+        self.slots.stated()
+    }
+
     /// Returns the number of running requests.
     pub fn running(&self) -> u32 {
         u32::try_from(self.running.len()).unwrap_or(u32::MAX)
@@ -341,14 +320,12 @@
     /// Returns the number of requests that the target handles well concurrently: its slots, or fewer
     /// if it slows down before all of them are taken.
     pub fn slots(&self) -> u32 {
-        let learned = self.capacity.as_ref().map(CapacityEstimator::limit);
-
-        learned.map_or(self.slots, |limit| limit.min(self.slots))
+        self.slots.limit()
     }
 
     /// Returns the mean service time over all classes at normal pace, in seconds.
     pub fn service_seconds(&self) -> f32 {
-        self.service_times.overall()
+        self.slots.service_times().overall()
     }
 
     /// Returns the expected time from the arrival of new work until its response is ready: its wait for a
@@ -356,7 +333,7 @@
     pub fn expected_time(&self, class: &str, priority: u32, now: LocalMoment) -> Duration {
         let wait = self.expected_wait(false, priority, now);
 
-        Duration::from_secs_f32((wait + self.expected_service(class, now)).max(0.0))
+        Duration::from_secs_f32((wait + self.slots.expected(class, now)).max(0.0))
     }
 
     /// Returns the estimated throughput of the target, in requests per second; its limit if that is
@@ -364,7 +341,7 @@
     #[expect(clippy::cast_possible_truncation, reason = "an estimate")]
     pub fn capacity(&self) -> f32 {
         let slots = f32::from(u16::try_from(self.slots()).unwrap_or(u16::MAX));
-        let throughput = slots / self.service_times.overall().max(0.001);
+        let throughput = slots / self.slots.service_times().overall().max(0.001);
         let limit = self.limiter.limit().map(RequestRate::per_second);
 
         limit.map_or(throughput, |limit| throughput.min(limit as f32))
@@ -372,7 +349,7 @@
 
     /// Returns whether the target accepts requests, but a request would have to wait for a slot.
     pub fn has_taken_slots(&self) -> bool {
-        !self.closed && self.slots > 0 && !self.has_free_slot(false)
+        !self.closed && self.slots.stated() > 0 && !self.has_free_slot(false)
     }
 
     /// Returns how long a request of this kind and priority would wait for a slot, in seconds.
@@ -387,21 +364,23 @@
         let queued_ahead: f32 = self
             .waiting
             .range(..(!is_call, priority, u64::MAX))
-            .map(|(_, request)| self.service_times.expected(&request.class))
+            .map(|(_, request)| self.slots.service_times().expected(&request.class))
             .sum();
         let running: f32 = self
             .running
             .values()
-            .map(|request| self.remaining_time(request, now))
+            .map(|request| self.slots.work_left(&request.class, request.slot_use, now))
             .sum();
         let slots = f32::from(u16::try_from(self.slots().max(1)).unwrap_or(u16::MAX));
 
-        self.pace.time_for((queued_ahead + running) / slots, now)
+        self.slots
+            .pace()
+            .time_for((queued_ahead + running) / slots, now)
     }
 
     /// Returns the reason to refuse a request, or `None` if it may wait or start.
     fn find_refusal(&self, arrival: &GateArrival, now: LocalMoment) -> Option<GateRefusal> {
-        if self.closed || self.slots == 0 {
+        if self.closed || self.slots.stated() == 0 {
             return Some(GateRefusal::Closed);
         }
         if self.waiting.len() >= self.options.max_waiting {
@@ -409,7 +388,7 @@
         }
 
         let wait = self.expected_wait(arrival.is_call, arrival.priority, now);
-        let service_time = self.expected_service(&arrival.class, now);
+        let service_time = self.slots.expected(&arrival.class, now);
         let time_left = arrival.deadline.since(now).as_secs_f32();
         if wait + service_time > time_left {
             return Some(GateRefusal::DeadlineTooNear);
@@ -448,7 +427,7 @@
     /// Starts queued requests while slots are free, and refuses those whose deadline has passed.
     fn start_queued(&mut self, now: LocalMoment) -> Vec<GateAction> {
         let mut actions = Vec::new();
-        self.observe_level(now);
+        self.observe(now);
 
         while !self.closed {
             let is_call = self.waiting.keys().next().is_some_and(|key| !key.0);
@@ -477,63 +456,25 @@
                 ticket,
                 RunningRequest {
                     class: request.class,
-                    worked: self.pace.worked(now),
-                    mark: self
-                        .capacity
-                        .as_ref()
-                        .map_or_else(RunMark::default, CapacityEstimator::started),
+                    slot_use: self.slots.begin(now),
                 },
             );
             actions.push(GateAction::Start { ticket });
         }
-        self.observe_level(now);
+        self.observe(now);
 
         actions
     }
 
-    /// Returns whether a request may start. Calls may use one slot above the learned limit.
+    /// Returns whether a slot is free.
     fn has_free_slot(&self, is_call: bool) -> bool {
-        let admitted = self.capacity.as_ref().map_or(self.slots, |capacity| {
-            (capacity.admitted() + u32::from(is_call)).min(self.slots)
-        });
-
-        self.running.len() < admitted as usize
+        self.slots.admits(self.running.len(), is_call)
     }
 
-    /// Returns what the target does now.
-    fn level(&self, now: LocalMoment) -> TargetLevel {
-        TargetLevel {
-            running: self.running(),
-            has_waiting: !self.waiting.is_empty(),
-            now,
-            worked: self.pace.worked(now),
-        }
-    }
-
-    /// Tells the estimator what the target does from now on.
-    fn observe_level(&mut self, now: LocalMoment) {
-        let level = self.level(now);
-        if let Some(capacity) = &mut self.capacity {
-            capacity.observe(level);
-        }
-    }
-
-    /// Returns the expected service time of a class at the present pace, in seconds.
-    fn expected_service(&self, class: &str, now: LocalMoment) -> f32 {
-        self.pace.time_for(self.service_times.expected(class), now)
-    }
-
-    /// Returns the expected rest of the service time of a running request, in seconds at normal pace.
-    #[expect(clippy::cast_possible_truncation, reason = "an estimate")]
-    fn remaining_time(&self, request: &RunningRequest, now: LocalMoment) -> f32 {
-        // A running request counts with at least this share of its expected service time, even if
-        // it has exceeded that time.
-        const MIN_REMAINING_SHARE: f32 = 0.25;
-
-        let expected = self.service_times.expected(&request.class);
-        let worked = (self.pace.worked(now) - request.worked) as f32;
-
-        (expected - worked).max(expected * MIN_REMAINING_SHARE)
+    /// Records what the target does from now on.
+    fn observe(&mut self, now: LocalMoment) {
+        let (running, has_waiting) = (self.running(), !self.waiting.is_empty());
+        self.slots.observe(running, has_waiting, now);
     }
 }
 
--- a/crates/gate/src/capacity.rs
+++ b/crates/gate/src/capacity.rs
@@ -4,19 +4,13 @@
 //! is not seen. The estimator therefore runs short trials at another level while requests wait, and
 //! compares the rate of work per running request at both levels over the same seconds.
 
-use crate::trial::{LevelComparison, RunMark};
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use crate::{
+    estimate::ClassMeans,
+    trial::{LevelComparison, RunMark},
+};
+use std::{sync::Arc, time::Duration};
 use wagtail_core::units::LocalMoment;
 
-/// The maximum number of classes with their own mean service time; further ones are not measured.
-const MAX_CLASSES: usize = 256;
-
-/// The weight of the latest service time in the mean of its class, once that has settled.
-const REFERENCE_WEIGHT: f64 = 0.02;
-
-/// The weight in the mean of its class below which a request is counted: the third one.
-const SETTLED_WEIGHT: f64 = 0.34;
-
 /// The weight of the latest request in the recent slowness. It reaches [`SHIFT_FACTOR`] at the
 /// fourth request after service times have tripled.
 const SLOWNESS_WEIGHT: f64 = 0.06;
@@ -56,7 +50,7 @@
     /// The longest duration of a trial from the time at which its level is reached.
     pub max_trial: Duration,
     /// The longest time until the level of a trial is reached.
-    pub max_drain: Duration,
+    pub max_approach: Duration,
     /// The time between trials of a higher level.
     pub raise_interval: Duration,
     /// The shortest and the longest time between trials of a lower level. It doubles with each trial
@@ -77,9 +71,9 @@
             trial_runs: 24.0,
             clear_runs: 4.0,
             max_trial: Duration::from_secs(2),
-            max_drain: Duration::from_secs(5),
+            max_approach: Duration::from_secs(5),
             raise_interval: Duration::from_millis(1_500),
-            lower_intervals: (Duration::from_secs(3), Duration::from_secs(60)),
+            lower_intervals: (Duration::from_secs(3), Duration::from_mins(1)),
             idle_time: Duration::from_secs(30),
         }
     }
@@ -120,11 +114,24 @@
     pub worked: f64,
 }
 
-/// `ClassReference` is the mean service time of a class, in seconds at normal pace.
-#[derive(Debug, Clone, Copy)]
-struct ClassReference {
-    mean: f64,
-    weight: f64,
+/// `TrialStage` is the progress of the latest trial.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum TrialStage {
+    /// No trial has begun, or the latest one has a result.
+    Idle,
+    /// A trial has begun at this time; its level is not reached yet.
+    Approaching(LocalMoment),
+    /// The level of the trial was reached at this time.
+    Reached(LocalMoment),
+    /// The trial has ended without a result. Requests that ran in it may still yield one.
+    Open,
+}
+
+impl TrialStage {
+    /// Returns whether a trial is under way.
+    const fn is_running(self) -> bool {
+        matches!(self, Self::Approaching(_) | Self::Reached(_))
+    }
 }
 
 /// `CapacityEstimator` learns how many requests a target handles well.
@@ -133,14 +140,9 @@
     options: CapacityOptions,
     slots: u32,
     limit: u32,
-    references: HashMap<Arc<str>, ClassReference>,
+    references: ClassMeans,
     comparison: LevelComparison,
-    /// The start of the present trial.
-    trial_start: Option<LocalMoment>,
-    /// Whether the number of running requests has reached the level of the trial.
-    has_reached: bool,
-    /// Whether the latest trial has ended without a result: requests that ran in it may still yield one.
-    is_open: bool,
+    stage: TrialStage,
     /// The latest requests at the limit: their service time as a multiple of their class's mean.
     recent_slowness: f64,
     raise_at: LocalMoment,
@@ -162,11 +164,9 @@
             options,
             slots: 0,
             limit: 0,
-            references: HashMap::new(),
+            references: ClassMeans::default(),
             comparison: LevelComparison::default(),
-            trial_start: None,
-            has_reached: false,
-            is_open: false,
+            stage: TrialStage::Idle,
             recent_slowness: 1.0,
             raise_at: LocalMoment::ZERO,
             lower_at: LocalMoment::ZERO,
@@ -192,6 +192,13 @@
         }
     }
 
+    /// Discards everything that is known; the limit starts at the slots.
+    pub fn reset(&mut self) {
+        self.references = ClassMeans::default();
+        self.change = None;
+        self.restart();
+    }
+
     /// Returns the limit: how many requests the target handles well.
     pub fn limit(&self) -> u32 {
         self.limit
@@ -199,7 +206,7 @@
 
     /// Returns how many requests may run now: the limit, or the level of a trial.
     pub fn admitted(&self) -> u32 {
-        if self.trial_start.is_some() {
+        if self.stage.is_running() {
             self.comparison.trial_level()
         } else {
             self.limit
@@ -215,24 +222,24 @@
     pub fn observe(&mut self, level: TargetLevel) {
         self.advance(level.worked);
         self.last = level;
-        if level.has_waiting {
-            self.pressed_at = level.now;
-        } else if level.now.since(self.pressed_at) > self.options.idle_time
-            && self.limit < self.slots
-        {
+        let is_idle = level.now.since(self.pressed_at) > self.options.idle_time;
+        if is_idle && self.limit < self.slots {
             self.restart();
         }
-
-        if self.trial_start.is_some() {
-            self.check_reached(level);
+        // A request that has just arrived counts as waiting until it starts.
+        let is_pressed = level.has_waiting && level.running >= self.admitted();
+        if is_pressed {
+            self.pressed_at = level.now;
         }
-        if self.trial_start.is_some() || self.is_open {
+
+        self.check_reached(level);
+        if self.stage != TrialStage::Idle {
             self.judge_trial();
         }
-        if self.trial_start.is_some() {
+        if self.stage.is_running() {
             return;
         }
-        if level.has_waiting && self.comparison.base.runs >= self.options.base_runs {
+        if is_pressed && self.comparison.base.runs >= self.options.base_runs {
             self.plan_trial(level.now);
         }
     }
@@ -259,9 +266,9 @@
         }
         let is_at_limit = run.trial <= MAX_IDLE_SHARE * run.total();
         if is_at_limit {
-            self.add_reference(class, run.total());
+            self.references.add(class, run.total());
         }
-        let Some(reference) = self.reference(class) else {
+        let Some(reference) = self.references.settled(class) else {
             return;
         };
 
@@ -283,36 +290,6 @@
             .advance(self.limit, self.last.running, is_pressed, elapsed);
     }
 
-    /// Adds a request at the limit to the mean service time of its class.
-    fn add_reference(&mut self, class: &Arc<str>, seconds: f64) {
-        if let Some(reference) = self.references.get_mut(class) {
-            reference.mean += (seconds - reference.mean) * reference.weight;
-            let weight = reference.weight / (1.0 + reference.weight);
-            reference.weight = weight.max(REFERENCE_WEIGHT);
-        } else if self.references.len() < MAX_CLASSES {
-            let reference = ClassReference {
-                mean: seconds,
-                weight: 0.5,
-            };
-            self.references.insert(Arc::clone(class), reference);
-        }
-    }
-
-    /// Returns the mean service time of a class in seconds, if it has settled.
-    fn reference(&self, class: &str) -> Option<f64> {
-        self.references
-            .get(class)
-            .filter(|reference| reference.weight <= SETTLED_WEIGHT && reference.mean > 0.0)
-            .map(|reference| reference.mean)
-    }
-
-    /// Multiplies the mean service time of all classes by a factor.
-    fn scale_references(&mut self, factor: f64) {
-        for reference in self.references.values_mut() {
-            reference.mean *= factor;
-        }
-    }
-
     /// Discards what is known about the present limit if the target has become slower or faster
     /// there, and lets trials start at once.
     fn check_shift(&mut self, now: LocalMoment) {
@@ -326,13 +303,10 @@
             return;
         }
 
-        eprintln!("SHIFT t={:.2} {shift:.2}", now.as_micros() as f64/1e6);
-        if std::env::var("DBG").is_ok() { eprintln!("SHIFT t={:.2} {shift:.2}", now.as_micros() as f64/1e6); }
-        self.scale_references(self.recent_slowness);
+        self.references.scale(self.recent_slowness);
         self.recent_slowness = 1.0;
         self.comparison.forget_base();
-        self.trial_start = None;
-        self.is_open = false;
+        self.stage = TrialStage::Idle;
         self.tries_half = true;
         self.tries_all_slots = true;
         self.raise_at = now;
@@ -363,9 +337,7 @@
         };
 
         self.comparison.begin_trial(level);
-        self.trial_start = Some(now);
-        self.has_reached = false;
-        self.is_open = false;
+        self.stage = TrialStage::Approaching(now);
     }
 
     /// Starts the time of a trial anew when its level is reached.
@@ -377,29 +349,30 @@
             level.running >= trial_level
         };
 
-        if is_there && !self.has_reached {
-            self.has_reached = true;
-            self.trial_start = Some(level.now);
+        if is_there && matches!(self.stage, TrialStage::Approaching(_)) {
+            self.stage = TrialStage::Reached(level.now);
         }
     }
 
     /// Ends the present trial if its result is clear or its time is over.
     fn judge_trial(&mut self) {
-        let elapsed = self.trial_start.map(|start| self.last.now.since(start));
-        let max_trial = if self.has_reached {
-            self.options.max_trial
-        } else {
-            self.options.max_drain
+        let now = self.last.now;
+        let is_over = match self.stage {
+            TrialStage::Approaching(start) => now.since(start) >= self.options.max_approach,
+            TrialStage::Reached(start) => now.since(start) >= self.options.max_trial,
+            TrialStage::Idle | TrialStage::Open => false,
         };
-        let is_over = elapsed.is_some_and(|elapsed| elapsed >= max_trial);
         let (base_level, level) = (self.limit, self.comparison.trial_level());
         let runs = self.comparison.trial.runs;
         let rates = self.comparison.rates();
         let Some(rates) = rates.filter(|_| runs >= self.options.clear_runs) else {
             if is_over {
-                if std::env::var("DBG").is_ok() { eprintln!("OVER t={:.2} {}->{} base {:.1} trial {:.1} running {}", self.last.now.as_micros() as f64/1e6, base_level, level, self.comparison.base.runs, self.comparison.trial.runs, self.last.running); }
-                self.is_open = true;
-                self.reject_trial(2);
+                if level < base_level {
+                    // The same level is tried again.
+                    self.tries_half = !self.tries_half;
+                }
+                self.reject_trial(1);
+                self.stage = TrialStage::Open;
             }
             return;
         };
@@ -424,11 +397,10 @@
             return;
         }
 
-        if std::env::var("DBG").is_ok() { eprintln!("JUDGE t={:.2} {}->{} base {:.1} trial {:.1} rates {:.2} {:.2} excess {:.2} dev {:.2} over {} after {:?}", self.last.now.as_micros() as f64/1e6, base_level, level, self.comparison.base.runs, self.comparison.trial.runs, rates.base, rates.trial, excess, self.comparison.deviation(), is_over, elapsed); }
         let is_shown = is_clear || level > base_level || runs >= self.options.trial_runs;
         if excess >= 0.0 && is_shown {
             self.accept_trial(before, after);
-        } else if self.trial_start.is_some() {
+        } else if self.stage.is_running() {
             self.reject_trial(if is_clear { CLEAR_BACKOFF } else { 2 });
         }
     }
@@ -436,11 +408,10 @@
     /// Makes the level of the trial the limit.
     fn accept_trial(&mut self, before: LevelThroughput, after: LevelThroughput) {
         let now = self.last.now;
-        self.trial_start = None;
-        self.is_open = false;
+        self.stage = TrialStage::Idle;
         self.limit = after.level;
         let slowness = self.comparison.adopt_trial();
-        self.scale_references(slowness);
+        self.references.scale(slowness);
         self.recent_slowness = 1.0;
         self.lower_interval = self.options.lower_intervals.0;
         self.raise_at = now + self.options.raise_interval;
@@ -461,7 +432,7 @@
     /// by the given factor.
     fn reject_trial(&mut self, backoff: u32) {
         let now = self.last.now;
-        self.trial_start = None;
+        self.stage = TrialStage::Idle;
 
         if self.comparison.trial_level() > self.limit {
             self.raise_at = now + self.options.raise_interval;
@@ -476,8 +447,7 @@
     fn restart(&mut self) {
         self.limit = self.slots;
         self.comparison.forget();
-        self.trial_start = None;
-        self.is_open = false;
+        self.stage = TrialStage::Idle;
         self.recent_slowness = 1.0;
         self.raise_at = self.last.now;
         self.lower_at = self.last.now;
--- a/crates/gate/src/estimate.rs
+++ b/crates/gate/src/estimate.rs
@@ -9,6 +9,13 @@
 /// The maximum number of classes with their own mean; further classes use the overall mean.
 const MAX_CLASSES: usize = 256;
 
+/// The lowest weight of a service time in [`ClassMeans`]: a mean that moves slowly compares requests of
+/// different classes over some seconds.
+const MIN_MEAN_WEIGHT: f64 = 0.02;
+
+/// The weight from which a mean in [`ClassMeans`] has settled: that of the third service time.
+const SETTLED_WEIGHT: f64 = 0.34;
+
 /// The time for which a stated pace is valid. The pace of a VM changes about this often.
 const PACE_VALIDITY: Duration = Duration::from_millis(400);
 
@@ -39,6 +46,13 @@
         self.stated = Some((pace.min(MAX_PACE), now));
     }
 
+    /// Discards the stated pace.
+    pub fn forget(&mut self, now: LocalMoment) {
+        self.worked = self.worked(now);
+        self.counted_at = now;
+        self.stated = None;
+    }
+
     /// Returns the pace in percent: the stated one while it is valid, otherwise the normal one.
     pub fn pace(&self, now: LocalMoment) -> u32 {
         self.stated
@@ -116,3 +130,47 @@
         self.overall
     }
 }
+
+/// `ClassMean` is the mean service time of a class, in seconds, and the weight of the next one.
+#[derive(Debug, Clone, Copy)]
+struct ClassMean {
+    mean: f64,
+    weight: f64,
+}
+
+/// `ClassMeans` keeps slowly moving means of the service time for each class.
+#[derive(Debug, Default)]
+pub struct ClassMeans {
+    means: HashMap<Arc<str>, ClassMean>,
+}
+
+impl ClassMeans {
+    /// Adds a service time in seconds. Further classes beyond [`MAX_CLASSES`] are left out.
+    pub fn add(&mut self, class: &Arc<str>, seconds: f64) {
+        if let Some(mean) = self.means.get_mut(class) {
+            mean.mean += (seconds - mean.mean) * mean.weight;
+            mean.weight = (mean.weight / (1.0 + mean.weight)).max(MIN_MEAN_WEIGHT);
+        } else if self.means.len() < MAX_CLASSES {
+            let mean = ClassMean {
+                mean: seconds,
+                weight: 0.5,
+            };
+            self.means.insert(Arc::clone(class), mean);
+        }
+    }
+
+    /// Returns the mean service time of a class in seconds, if it has settled.
+    pub fn settled(&self, class: &str) -> Option<f64> {
+        self.means
+            .get(class)
+            .filter(|mean| mean.weight <= SETTLED_WEIGHT && mean.mean > 0.0)
+            .map(|mean| mean.mean)
+    }
+
+    /// Multiplies all means by a factor.
+    pub fn scale(&mut self, factor: f64) {
+        for mean in self.means.values_mut() {
+            mean.mean *= factor;
+        }
+    }
+}
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -17,6 +17,7 @@
 //! - [`quarantine`]: which requests are refused because targets crash when they run them.
 //! - [`runs`]: which requests may have run when the target ended.
 //! - [`sizes`]: the expected sizes of responses.
+//! - [`slots`]: the slots, the pace and the service times of the target.
 //! - [`trial`]: compares the rates of work at two levels.
 //! - [`waits`]: how long callers waited on earlier, refused attempts.
 
@@ -31,6 +32,7 @@
 pub mod quarantine;
 pub mod runs;
 pub mod sizes;
+pub mod slots;
 pub mod trial;
 pub mod waits;
 
--- a/crates/gate/src/trial.rs
+++ b/crates/gate/src/trial.rs
@@ -155,7 +155,11 @@
         };
 
         let deviation = ((run.base + run.trial) / reference).ln()
-            - if group.runs > 0.0 { group.slowness().ln() } else { 0.0 };
+            - if group.runs > 0.0 {
+                group.slowness().ln()
+            } else {
+                0.0
+            };
         let deviation = deviation.clamp(-MAX_DEVIATION, MAX_DEVIATION);
         self.variance += (deviation * deviation - self.variance) * VARIANCE_WEIGHT;
         group.runs += 1.0;
--- a/crates/gate/tests/capacity/main.rs
+++ b/crates/gate/tests/capacity/main.rs
@@ -140,11 +140,28 @@
 
 #[test]
 fn debug() {
-    let s = Scenario { classes: TWO_CLASSES, is_noisy: true, ..Scenario::steady(Slowdown::NEVER, 6.9) };
-    println!("fixed {:.1} pace {:.1} est {:.1}", total(&s, Limiter::Fixed(6)), total(&s, Limiter::PaceOnly), total(&s, Limiter::Estimator));
+    let s = Scenario {
+        classes: TWO_CLASSES,
+        is_noisy: true,
+        ..Scenario::steady(Slowdown::NEVER, 6.9)
+    };
+    println!(
+        "fixed {:.1} pace {:.1} est {:.1}",
+        total(&s, Limiter::Fixed(6)),
+        total(&s, Limiter::PaceOnly),
+        total(&s, Limiter::Estimator)
+    );
     eprintln!("-----");
     run(&s, Limiter::Estimator, 1);
     eprintln!("-----");
-    let s = Scenario { classes: TWO_CLASSES, phases: vec![(0, Slowdown::NEVER), (20, Slowdown::from(2)), (40, Slowdown::NEVER)], ..Scenario::steady(Slowdown::NEVER, 6.9) };
+    let s = Scenario {
+        classes: TWO_CLASSES,
+        phases: vec![
+            (0, Slowdown::NEVER),
+            (20, Slowdown::from(2)),
+            (40, Slowdown::NEVER),
+        ],
+        ..Scenario::steady(Slowdown::NEVER, 6.9)
+    };
     run(&s, Limiter::Estimator, 1);
 }
--- a/crates/gate/tests/capacity/model.rs
+++ b/crates/gate/tests/capacity/model.rs
@@ -185,7 +185,9 @@
             if is_in_time {
                 *outcome.in_time.last_mut().unwrap() += request.work_ms / 1_000.0;
             }
-            if matches!(limiter, Limiter::Estimator | Limiter::PaceOnly) && second < scenario.states_until {
+            if matches!(limiter, Limiter::Estimator | Limiter::PaceOnly)
+                && second < scenario.states_until
+            {
                 let load = StatedLoad {
                     running: level,
                     waiting: 0,
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -23,6 +23,8 @@
 #[derive(Debug)]
 struct StateGauges {
     slots: StateGauge,
+    learned_slots: StateGauge,
+    pace: StateGauge,
     running: StateGauge,
     waiting: StateGauge,
     limit: StateGauge,
@@ -58,6 +60,14 @@
         let gauge = |name, help| recorder.metrics().gauge(name, help);
         let gauges = StateGauges {
             slots: gauge("slots", "Requests that the target runs at a time"),
+            learned_slots: gauge(
+                "learned_slots",
+                "Requests that the target handles well at a time",
+            ),
+            pace: gauge(
+                "stated_pace",
+                "Percent of its normal time that work takes on this VM now, 100 if none is stated",
+            ),
             running: gauge("running", "Requests that run at the target"),
             waiting: gauge("waiting", "Requests that wait for the target"),
             limit: gauge(
@@ -98,7 +108,11 @@
         let (load, versions) = (self.proxy.load(), self.view.versions());
         let gauges = &self.gauges;
 
-        gauges.slots.set(f64::from(load.slots));
+        gauges.slots.set(f64::from(self.proxy.slots()));
+        gauges
+            .learned_slots
+            .set(f64::from(self.proxy.learned_slots()));
+        gauges.pace.set(f64::from(self.proxy.stated_pace()));
         gauges.running.set(f64::from(load.running));
         gauges.waiting.set(f64::from(load.waiting));
         let limit = self.proxy.limit();
--- a/crates/sidecar/src/ports.rs
+++ b/crates/sidecar/src/ports.rs
@@ -6,7 +6,7 @@
 use thiserror::Error;
 use wagtail_core::{
     heartbeat::{HeartbeatReply, TargetHeartbeat},
-    notice::LimitStatement,
+    notice::{LimitStatement, LoadStatement},
     routing::RoutingConfig,
 };
 
@@ -70,6 +70,8 @@
     pub is_genuine: bool,
     /// The rate of requests that the target accepts from now on.
     pub limit: LimitStatement,
+    /// The load of the target and the pace of its VM.
+    pub load: LoadStatement,
     /// Whether the target states that it is leaving.
     pub is_leaving: bool,
 }
--- a/crates/sidecar/src/proxy/mod.rs
+++ b/crates/sidecar/src/proxy/mod.rs
@@ -61,6 +61,9 @@
 /// requests that are on their way to it.
 const SERVING_SHARE: f32 = 0.8;
 
+/// The pace in percent from which a target declines requests that another one may run.
+const SLOW_PACE: u32 = 200;
+
 /// The milliseconds that a kilobyte takes at one byte per second.
 const KILOBYTE_MS: f32 = 1_024.0 * 1_000.0;
 
@@ -190,6 +193,7 @@
             state.serving_until = None;
             state.failed_share = 0.0;
             state.notices = NoticeState::default();
+            state.gate.forget_load(now);
             let mut actions = state.gate.set_limit(None, now);
             actions.extend(state.gate.set_closed(has_departed));
             actions
@@ -318,6 +322,24 @@
         self.state.borrow().slots
     }
 
+    /// Returns the number of requests that the target handles well concurrently.
+    pub fn learned_slots(&self) -> u32 {
+        self.state.borrow().gate.slots()
+    }
+
+    /// Returns the stated pace of this VM in percent, 100 if none is valid.
+    pub fn stated_pace(&self) -> u32 {
+        self.state.borrow().gate.pace(clock::now())
+    }
+
+    /// Returns whether the target would run a request much later than another one might: a request
+    /// would wait for a slot, or the VM is slow at present.
+    fn is_busy(&self) -> bool {
+        let state = self.state.borrow();
+
+        state.gate.has_taken_slots() || state.gate.pace(clock::now()) >= SLOW_PACE
+    }
+
     /// Returns the priority of the last new work, other than calls, that arrived for the target.
     pub fn work_priority(&self) -> u32 {
         self.state.borrow().work_priority
--- a/crates/sidecar/src/proxy/notices.rs
+++ b/crates/sidecar/src/proxy/notices.rs
@@ -10,7 +10,7 @@
 use tracing::{info, warn};
 use wagtail_core::{
     heartbeat::{TargetDeparture, TargetIncarnation},
-    notice::{LimitStatement, RequestRate},
+    notice::{LimitStatement, LoadStatement, RequestRate},
     units::LocalMoment,
 };
 use wagtail_net::clock;
@@ -26,6 +26,8 @@
     has_responded: bool,
     limit_logged_at: LocalMoment,
     malformed_logged: bool,
+    malformed_load_logged: bool,
+    capacity_logged_at: LocalMoment,
 }
 
 impl TargetProxy {
@@ -59,11 +61,51 @@
         if fields.limit == LimitStatement::Malformed {
             self.log_malformed_limit(life, known);
         }
+        self.record_load(life, fields.load);
         if fields.is_leaving {
             self.record_stated_leave(life);
         }
     }
 
+    /// Records the load that a response states. A malformed one leaves the previous one in force and is
+    /// logged once for each incarnation.
+    fn record_load(&self, life: &TargetIncarnation, load: LoadStatement) {
+        let state = &mut *self.state.borrow_mut();
+
+        match load {
+            LoadStatement::Stated(load) => state.gate.set_load(load, clock::now()),
+            LoadStatement::Absent => {}
+            LoadStatement::Malformed => {
+                if !std::mem::replace(&mut state.notices.malformed_load_logged, true) {
+                    warn!(event = "target-load-malformed", life = %life);
+                }
+            }
+        }
+    }
+
+    /// Logs a change of the learned limit, at most every `MIN_LIMIT_LOG_INTERVAL`. The latest change
+    /// within that interval is logged when it has passed.
+    pub(super) fn log_capacity(&self) {
+        let state = &mut *self.state.borrow_mut();
+        let now = clock::now();
+        if now.since(state.notices.capacity_logged_at) < MIN_LIMIT_LOG_INTERVAL {
+            return;
+        }
+        let Some(change) = state.gate.take_capacity_change() else {
+            return;
+        };
+
+        state.notices.capacity_logged_at = now;
+        info!(
+            event = "capacity-learned",
+            limit = change.limit,
+            slots = change.slots,
+            before = change.before.level,
+            throughput = change.after.throughput,
+            throughput_before = change.before.throughput
+        );
+    }
+
     /// Records that an incarnation of the target states its leave, which is final: it gets no requests
     /// after its drain time, and heartbeats that it sent before do not bring it back into service.
     fn record_stated_leave(&self, life: &TargetIncarnation) {
--- a/crates/sidecar/src/proxy/serve.rs
+++ b/crates/sidecar/src/proxy/serve.rs
@@ -69,7 +69,7 @@
         if let Some(refusal) = self.check(dispatch_head) {
             return self.not_run(refusal);
         }
-        if dispatch_head.prefers_free_slot && self.state.borrow().gate.has_taken_slots() {
+        if dispatch_head.prefers_free_slot && self.is_busy() {
             let refusal = GateRefusal::SlotsTaken;
             return self.not_run(self.gate_refusal(dispatch_head, false, refusal, Duration::ZERO));
         }
--- a/crates/sidecar/src/proxy/slots.rs
+++ b/crates/sidecar/src/proxy/slots.rs
@@ -91,6 +91,7 @@
             }
             state.gate.finished(ticket, executed, clock::now())
         };
+        self.log_capacity();
         self.apply_actions(actions);
     }
 
