--- a/crates/gate/src/capacity.rs
+++ b/crates/gate/src/capacity.rs
@@ -56,6 +56,9 @@
     /// The shortest and the longest time between trials of a lower level. It doubles with each trial
     /// that fails, because a trial costs throughput at a target that does not slow down.
     pub lower_intervals: (Duration, Duration),
+    /// The shortest and the longest time between trials that start because service times have changed.
+    /// It doubles each time: a VM that does not state its pace changes all the time.
+    pub shift_intervals: (Duration, Duration),
     /// The time without waiting requests after which the limit returns to the slots.
     pub idle_time: Duration,
 }
@@ -74,6 +77,7 @@
             max_approach: Duration::from_secs(5),
             raise_interval: Duration::from_millis(1_500),
             lower_intervals: (Duration::from_secs(3), Duration::from_mins(1)),
+            shift_intervals: (Duration::from_secs(1), Duration::from_secs(16)),
             idle_time: Duration::from_secs(30),
         }
     }
@@ -148,6 +152,8 @@
     raise_at: LocalMoment,
     lower_at: LocalMoment,
     lower_interval: Duration,
+    shifted_at: LocalMoment,
+    shift_interval: Duration,
     /// Whether the next higher level to try is the number of slots, instead of the next one.
     tries_all_slots: bool,
     /// Whether the next lower level to try is half the limit, instead of the next one.
@@ -171,6 +177,8 @@
             raise_at: LocalMoment::ZERO,
             lower_at: LocalMoment::ZERO,
             lower_interval: options.lower_intervals.0,
+            shifted_at: LocalMoment::ZERO,
+            shift_interval: Duration::ZERO,
             tries_all_slots: true,
             tries_half: true,
             last: TargetLevel {
@@ -310,8 +318,18 @@
         self.tries_half = true;
         self.tries_all_slots = true;
         self.raise_at = now;
-        self.lower_at = now;
-        self.lower_interval = self.options.lower_intervals.0;
+
+        let (shortest, longest) = self.options.shift_intervals;
+        let since_shift = now.since(self.shifted_at);
+        if since_shift >= longest * 2 {
+            self.shift_interval = Duration::ZERO;
+        }
+        if since_shift >= self.shift_interval {
+            self.shifted_at = now;
+            self.shift_interval = (self.shift_interval * 2).clamp(shortest, longest);
+            self.lower_at = now;
+            self.lower_interval = self.options.lower_intervals.0;
+        }
     }
 
     /// Starts a trial of a higher or a lower level if one is due.
