--- a/crates/gate/src/capacity.rs
+++ b/crates/gate/src/capacity.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     estimate::ClassMeans,
-    trial::{LevelComparison, RunMark},
+    trial::{LevelComparison, RunGroup, RunMark},
 };
 use std::{sync::Arc, time::Duration};
 use wagtail_core::units::LocalMoment;
@@ -43,6 +43,8 @@
     pub half_life: Duration,
     /// The number of requests at the limit that a trial is compared with, at least.
     pub base_runs: f64,
+    /// The number of requests at the limit that have to confirm the result of a trial.
+    pub confirming_runs: f64,
     /// The number of requests in a trial from which it is judged even if its result is not clear.
     pub trial_runs: f64,
     /// The number of requests after which a trial ends early if its result is clear.
@@ -71,6 +73,7 @@
             min_slots: 2,
             half_life: Duration::from_secs(3),
             base_runs: 5.0,
+            confirming_runs: 4.0,
             trial_runs: 24.0,
             clear_runs: 4.0,
             max_trial: Duration::from_secs(2),
@@ -127,6 +130,9 @@
     Approaching(LocalMoment),
     /// The level of the trial was reached at this time.
     Reached(LocalMoment),
+    /// The trial of a lower level has won, and requests run at the limit again since this time, to
+    /// exclude that the whole target has become faster meanwhile.
+    Confirming(LocalMoment),
     /// The trial has ended without a result. Requests that ran in it may still yield one.
     Open,
 }
@@ -244,10 +250,8 @@
         if self.stage != TrialStage::Idle {
             self.judge_trial();
         }
-        if self.stage.is_running() {
-            return;
-        }
-        if is_pressed && self.comparison.base.runs >= self.options.base_runs {
+        let may_begin = matches!(self.stage, TrialStage::Idle | TrialStage::Open);
+        if may_begin && is_pressed && self.comparison.base.runs >= self.options.base_runs {
             self.plan_trial(level.now);
         }
     }
@@ -263,7 +267,7 @@
         self.advance(level.worked);
         let fade =
             level.now.since(self.last.now).as_secs_f64() / self.options.half_life.as_secs_f64();
-        self.comparison.base.fade(0.5_f64.powf(fade));
+        self.comparison.fade(0.5_f64.powf(fade));
         self.last.now = level.now;
 
         let Some(run) = self.comparison.run_since(mark) else {
@@ -377,7 +381,9 @@
         let now = self.last.now;
         let is_over = match self.stage {
             TrialStage::Approaching(start) => now.since(start) >= self.options.max_approach,
-            TrialStage::Reached(start) => now.since(start) >= self.options.max_trial,
+            TrialStage::Reached(start) | TrialStage::Confirming(start) => {
+                now.since(start) >= self.options.max_trial
+            }
             TrialStage::Idle | TrialStage::Open => false,
         };
         let (base_level, level) = (self.limit, self.comparison.trial_level());
@@ -385,12 +391,7 @@
         let rates = self.comparison.rates();
         let Some(rates) = rates.filter(|_| runs >= self.options.clear_runs) else {
             if is_over {
-                if level < base_level {
-                    // The same level is tried again.
-                    self.tries_half = !self.tries_half;
-                }
-                self.reject_trial(1);
-                self.stage = TrialStage::Open;
+                self.repeat_trial();
             }
             return;
         };
@@ -411,16 +412,42 @@
         };
         let excess = (after.throughput / before.throughput.max(f64::MIN_POSITIVE) / needed).ln();
         let is_clear = excess.abs() > CLEAR_DEVIATIONS * self.comparison.deviation();
-        if !(is_over || is_clear || runs >= self.options.trial_runs) {
+        if matches!(self.stage, TrialStage::Confirming(_)) {
+            if self.comparison.base.runs < self.options.confirming_runs {
+                if is_over {
+                    self.reject_trial(2);
+                }
+            } else if excess >= 0.0 {
+                self.accept_trial(before, after);
+            } else {
+                self.reject_trial(2);
+            }
+            return;
+        }
+        let is_known = is_clear || runs >= self.options.trial_runs;
+        if !(is_over || is_known) {
             return;
         }
 
-        let is_shown = is_clear || level > base_level || runs >= self.options.trial_runs;
-        if excess >= 0.0 && is_shown {
+        if excess >= 0.0 && level > base_level {
             self.accept_trial(before, after);
-        } else if self.stage.is_running() {
-            self.reject_trial(if is_clear { CLEAR_BACKOFF } else { 2 });
+        } else if excess >= 0.0 && is_known {
+            self.comparison.base = RunGroup::default();
+            self.stage = TrialStage::Confirming(now);
+        } else if is_known {
+            self.reject_trial(CLEAR_BACKOFF);
+        } else {
+            self.repeat_trial();
+        }
+    }
+
+    /// Ends a trial without a result. The same level is tried again.
+    fn repeat_trial(&mut self) {
+        if self.comparison.trial_level() < self.limit {
+            self.tries_half = !self.tries_half;
         }
+        self.reject_trial(1);
+        self.stage = TrialStage::Open;
     }
 
     /// Makes the level of the trial the limit.
--- a/crates/gate/src/trial.rs
+++ b/crates/gate/src/trial.rs
@@ -188,8 +188,18 @@
         })
     }
 
-    /// Begins the trial of a level. Time at another tried level is counted at the rate of the limit.
+    /// Multiplies the weight of all requests so far by a factor.
+    pub fn fade(&mut self, factor: f64) {
+        self.base.fade(factor);
+        self.trial.fade(factor);
+    }
+
+    /// Begins the trial of a level. What is known about it is kept if it is the level of the previous
+    /// trial; otherwise, time at the previous one is counted at the rate of the limit.
     pub fn begin_trial(&mut self, level: u32) {
+        if level == self.trial_level {
+            return;
+        }
         if let Some(rates) = self.rates()
             && rates.base > 0.0
         {
@@ -199,10 +209,7 @@
         }
         self.base.trial = 0.0;
         self.trial = RunGroup::default();
-
-        if level != self.trial_level {
-            self.trial_level = level;
-        }
+        self.trial_level = level;
     }
 
     /// Makes the level of the trial the one at the limit. Returns the slowness of requests there, by
