--- a/crates/gate/src/capacity.rs
+++ b/crates/gate/src/capacity.rs
@@ -26,6 +26,9 @@
 /// The number of standard deviations from the needed throughput at which a trial ends early.
 const CLEAR_DEVIATIONS: f64 = 1.7;
 
+/// One in this many trials of a higher level is of the next one; the others are of twice the limit.
+const NEAR_RAISES: u32 = 3;
+
 /// The factor by which a clear result against a lower level lengthens the interval to the next trial.
 /// A target that changes later is noticed by its service times.
 const CLEAR_BACKOFF: u32 = 8;
@@ -164,8 +167,8 @@
     lower_interval: Duration,
     shifted_at: LocalMoment,
     shift_interval: Duration,
-    /// Whether the next higher level to try is the number of slots, instead of the next one.
-    tries_all_slots: bool,
+    /// The trials of a higher level, up to [`NEAR_RAISES`].
+    raises: u32,
     /// Whether the next lower level to try is half the limit, instead of the next one.
     tries_half: bool,
     last: TargetLevel,
@@ -189,7 +192,7 @@
             lower_interval: options.lower_intervals.0,
             shifted_at: LocalMoment::ZERO,
             shift_interval: Duration::ZERO,
-            tries_all_slots: true,
+            raises: 0,
             tries_half: true,
             last: TargetLevel {
                 running: 0,
@@ -324,7 +327,7 @@
         self.comparison.forget_base();
         self.stage = TrialStage::Idle;
         self.tries_half = true;
-        self.tries_all_slots = true;
+        self.raises = 0;
         self.raise_at = now;
 
         let (shortest, longest) = self.options.shift_intervals;
@@ -343,12 +346,11 @@
     /// Starts a trial of a higher or a lower level if one is due.
     fn plan_trial(&mut self, now: LocalMoment) {
         let level = if self.limit < self.slots && now >= self.raise_at {
-            let tries_all_slots = self.tries_all_slots;
-            self.tries_all_slots = !tries_all_slots;
-            if tries_all_slots {
-                self.slots
-            } else {
+            self.raises = (self.raises + 1) % NEAR_RAISES;
+            if self.raises == 0 {
                 self.limit + 1
+            } else {
+                (self.limit * 2).min(self.slots)
             }
         } else if self.limit > self.min_limit() && now >= self.lower_at {
             let tries_half = self.tries_half;
@@ -470,11 +472,10 @@
         self.references.scale(slowness);
         self.recent_slowness = 1.0;
         self.lower_interval = self.options.lower_intervals.0;
-        self.raise_at = now + self.options.raise_interval;
-        self.lower_at = if after.level < before.level {
-            now
+        (self.raise_at, self.lower_at) = if after.level < before.level {
+            (now + self.options.raise_interval, now)
         } else {
-            now + self.lower_interval
+            (now, now + self.lower_interval)
         };
         self.change = Some(CapacityChange {
             limit: self.limit,
