--- a/crates/gate/src/capacity.rs
+++ b/crates/gate/src/capacity.rs
@@ -324,7 +324,7 @@
 
         self.references.scale(self.recent_slowness);
         self.recent_slowness = 1.0;
-        self.comparison.forget_base();
+        self.comparison.forget();
         self.stage = TrialStage::Idle;
         self.tries_half = true;
         self.raises = 0;
--- a/crates/gate/src/trial.rs
+++ b/crates/gate/src/trial.rs
@@ -234,15 +234,10 @@
         }
     }
 
-    /// Discards what is known about the limit.
-    pub fn forget_base(&mut self) {
-        self.base = RunGroup::default();
-        self.trial = RunGroup::default();
-    }
-
     /// Discards everything, also the runs that are in progress.
     pub fn forget(&mut self) {
-        self.forget_base();
+        self.base = RunGroup::default();
+        self.trial = RunGroup::default();
         self.trial_level = 0;
         self.epoch += 1;
     }
