--- a/crates/gate/src/capacity.rs
+++ b/crates/gate/src/capacity.rs
@@ -86,7 +86,7 @@
             max_trial: Duration::from_secs(2),
             max_approach: Duration::from_secs(5),
             raise_interval: Duration::from_millis(1_500),
-            lower_intervals: (Duration::from_millis(1_000), Duration::from_mins(1)),
+            lower_intervals: (Duration::from_secs(1), Duration::from_mins(1)),
             shift_intervals: (Duration::from_secs(1), Duration::from_secs(16)),
             idle_time: Duration::from_secs(30),
         }
