--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -18,7 +18,6 @@
 //! - [`runs`]: which requests may have run when the target ended.
 //! - [`sizes`]: the expected sizes of responses.
 //! - [`slots`]: the slots, the pace and the service times of the target.
-//! - [`trial`]: compares the rates of work at two levels.
 //! - [`waits`]: how long callers waited on earlier, refused attempts.
 
 pub mod admission;
@@ -33,7 +32,6 @@
 pub mod runs;
 pub mod sizes;
 pub mod slots;
-pub mod trial;
 pub mod waits;
 
 pub use admission::{AdmissionGate, GateAction, GateArrival, GateOptions, GateRefusal};
--- a/crates/gate/src/slots.rs
+++ b/crates/gate/src/slots.rs
@@ -1,9 +1,8 @@
 //! How many requests a target runs at a time, and how long it takes for them.
 
 use crate::{
-    capacity::{CapacityChange, CapacityEstimator, CapacityOptions, TargetLevel},
+    capacity::{CapacityChange, CapacityEstimator, CapacityOptions, TargetLevel, trial::RunMark},
     estimate::{PaceClock, ServiceTimes},
-    trial::RunMark,
 };
 use std::{sync::Arc, time::Duration};
 use wagtail_core::{notice::StatedLoad, units::LocalMoment};
