--- a/crates/gate/src/admission.rs
+++ b/crates/gate/src/admission.rs
@@ -4,13 +4,17 @@
 //! carry out.
 
 use crate::{
-    estimate::ServiceTimes,
+    capacity::{CapacityChange, CapacityOptions},
     limit::{LimitOptions, LimitedArrival},
+    slots::{SlotUse, TargetSlots},
     target_limits::TargetLimits,
     warmup::WarmupOptions,
 };
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
-use wagtail_core::{notice::RequestRate, units::LocalMoment};
+use wagtail_core::{
+    notice::{RequestRate, StatedLoad},
+    units::LocalMoment,
+};
 
 /// `GateOptions` limits how long and how many requests wait for a slot.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -33,6 +37,8 @@
     pub limit: LimitOptions,
     /// The terms on which the target counts as cold.
     pub warmup: WarmupOptions,
+    /// How the number of slots that the target handles well is learned.
+    pub capacity: CapacityOptions,
 }
 
 impl Default for GateOptions {
@@ -46,6 +52,7 @@
             max_retry_after: Duration::from_secs(1),
             limit: LimitOptions::default(),
             warmup: WarmupOptions::default(),
+            capacity: CapacityOptions::default(),
         }
     }
 }
@@ -140,17 +147,16 @@
 #[derive(Debug)]
 struct RunningRequest {
     class: Arc<str>,
-    started_at: LocalMoment,
+    slot_use: SlotUse,
 }
 
 /// `AdmissionGate` assigns the slots of one target to its requests.
 #[derive(Debug)]
 pub struct AdmissionGate {
     options: GateOptions,
-    slots: u32,
+    slots: TargetSlots,
     closed: bool,
     limits: TargetLimits,
-    service_times: ServiceTimes,
     waiting: BTreeMap<QueueKey, WaitingRequest>,
     running: BTreeMap<u64, RunningRequest>,
 }
@@ -160,10 +166,9 @@
     pub fn new(options: GateOptions) -> Self {
         Self {
             options,
-            slots: 0,
+            slots: TargetSlots::new(options.capacity, options.initial_service_time),
             closed: false,
             limits: TargetLimits::new(options.limit, options.warmup),
-            service_times: ServiceTimes::new(options.initial_service_time),
             waiting: BTreeMap::new(),
             running: BTreeMap::new(),
         }
@@ -172,11 +177,32 @@
     /// Sets how many requests the target runs concurrently. Starts queued requests if slots became
     /// free; running requests keep their slots when the number shrinks.
     pub fn set_slots(&mut self, slots: u32, now: LocalMoment) -> Vec<GateAction> {
-        self.slots = slots;
+        self.slots.set_stated(slots);
 
         self.start_queued(now)
     }
 
+    /// Records the load that the target states. From the first statement on, the gate learns how many
+    /// of the slots the target handles well.
+    pub fn set_load(&mut self, load: StatedLoad, now: LocalMoment) {
+        self.slots.set_load(load, now);
+    }
+
+    /// Discards what was learned of a previous incarnation of the target.
+    pub fn forget_load(&mut self, now: LocalMoment) {
+        self.slots.forget_load(now);
+    }
+
+    /// Returns the stated pace of the target's VM in percent, 100 if none is valid.
+    pub fn pace(&self, now: LocalMoment) -> u32 {
+        self.slots.pace().pace(now)
+    }
+
+    /// Takes the latest change of the learned limit, for the log.
+    pub fn take_capacity_change(&mut self) -> Option<CapacityChange> {
+        self.slots.take_change()
+    }
+
     /// Sets the limit that the target names. Queued requests that it does not admit are refused.
     pub fn set_limit(&mut self, limit: Option<RequestRate>, now: LocalMoment) -> Vec<GateAction> {
         if limit == self.limits.stated() {
@@ -266,7 +292,7 @@
 
     /// Starts, queues or refuses a request. The actions may also concern other queued requests.
     pub fn arrive(&mut self, arrival: GateArrival, now: LocalMoment) -> Vec<GateAction> {
-        if !self.closed && self.slots > 0 {
+        if !self.closed && self.slots.stated() > 0 {
             let limited = LimitedArrival {
                 is_call: arrival.is_call,
                 repeat_id: arrival.repeat_id,
@@ -303,8 +329,7 @@
         if let Some(request) = self.running.remove(&ticket)
             && executed
         {
-            self.service_times
-                .record(&request.class, now.since(request.started_at));
+            self.slots.end(&request.class, request.slot_use, now);
         }
 
         self.start_queued(now)
@@ -315,6 +340,11 @@
         self.waiting.retain(|queue_key, _| queue_key.2 != ticket);
     }
 
+    /// Returns the number of slots that the target states.
+    pub fn stated_slots(&self) -> u32 {
+        self.slots.stated()
+    }
+
     /// Returns the number of running requests.
     pub fn running(&self) -> u32 {
         u32::try_from(self.running.len()).unwrap_or(u32::MAX)
@@ -325,14 +355,15 @@
         u32::try_from(self.waiting.len()).unwrap_or(u32::MAX)
     }
 
-    /// Returns the number of requests that the target runs concurrently.
+    /// Returns the number of requests that the target handles well concurrently: its slots, or fewer
+    /// if it slows down before all of them are taken.
     pub fn slots(&self) -> u32 {
-        self.slots
+        self.slots.limit()
     }
 
-    /// Returns the mean service time over all classes, in seconds.
+    /// Returns the mean service time over all classes at normal pace, in seconds.
     pub fn service_seconds(&self) -> f32 {
-        self.service_times.overall()
+        self.slots.service_times().overall()
     }
 
     /// Returns the expected time from the arrival of new work until its response is ready: its wait for a
@@ -340,20 +371,20 @@
     pub fn expected_time(&self, class: &str, priority: u32, now: LocalMoment) -> Duration {
         let wait = self.expected_wait(false, priority, now);
 
-        Duration::from_secs_f32((wait + self.service_times.expected(class)).max(0.0))
+        Duration::from_secs_f32((wait + self.slots.expected(class, now)).max(0.0))
     }
 
     /// Returns the expected service time of a class.
     pub fn service_time(&self, class: &str) -> Duration {
-        Duration::from_secs_f32(self.service_times.expected(class).max(0.0))
+        Duration::from_secs_f32(self.slots.service_times().expected(class).max(0.0))
     }
 
     /// Returns the estimated throughput of the target, in requests per second; its limit if that is
     /// lower.
     #[expect(clippy::cast_possible_truncation, reason = "an estimate")]
     pub fn capacity(&self, now: LocalMoment) -> f32 {
-        let slots = f32::from(u16::try_from(self.slots).unwrap_or(u16::MAX));
-        let throughput = slots / self.service_times.overall().max(0.001);
+        let slots = f32::from(u16::try_from(self.slots()).unwrap_or(u16::MAX));
+        let throughput = slots / self.slots.service_times().overall().max(0.001);
         let limit = self.limits.in_force(now).map(RequestRate::per_second);
 
         limit.map_or(throughput, |limit| throughput.min(limit as f32))
@@ -361,7 +392,7 @@
 
     /// Returns whether the target accepts requests, but a request would have to wait for a slot.
     pub fn has_taken_slots(&self) -> bool {
-        !self.closed && self.slots > 0 && self.running.len() >= self.slots as usize
+        !self.closed && self.slots.stated() > 0 && !self.has_free_slot(false)
     }
 
     /// Returns how long a request of this kind and priority would wait for a slot, in seconds.
@@ -369,28 +400,30 @@
     /// The estimate is the work queued ahead of it plus the rest of the running work, divided by
     /// the number of slots. It leaves the limit of the target out, as requests do not wait for that.
     pub fn expected_wait(&self, is_call: bool, priority: u32, now: LocalMoment) -> f32 {
-        if self.running.len() < self.slots as usize && self.waiting.is_empty() {
+        if self.has_free_slot(is_call) && self.waiting.is_empty() {
             return 0.0;
         }
 
         let queued_ahead: f32 = self
             .waiting
             .range(..(!is_call, priority, u64::MAX))
-            .map(|(_, request)| self.service_times.expected(&request.class))
+            .map(|(_, request)| self.slots.service_times().expected(&request.class))
             .sum();
         let running: f32 = self
             .running
             .values()
-            .map(|request| self.remaining_time(request, now))
+            .map(|request| self.slots.work_left(&request.class, request.slot_use, now))
             .sum();
-        let slots = f32::from(u16::try_from(self.slots.max(1)).unwrap_or(u16::MAX));
+        let slots = f32::from(u16::try_from(self.slots().max(1)).unwrap_or(u16::MAX));
 
-        (queued_ahead + running) / slots
+        self.slots
+            .pace()
+            .time_for((queued_ahead + running) / slots, now)
     }
 
     /// Returns the reason to refuse a request, or `None` if it may wait or start.
     fn find_refusal(&self, arrival: &GateArrival, now: LocalMoment) -> Option<GateRefusal> {
-        if self.closed || self.slots == 0 {
+        if self.closed || self.slots.stated() == 0 {
             return Some(GateRefusal::Closed);
         }
         if self.waiting.len() >= self.options.max_waiting {
@@ -398,7 +431,7 @@
         }
 
         let wait = self.expected_wait(arrival.is_call, arrival.priority, now);
-        let service_time = self.service_times.expected(&arrival.class);
+        let service_time = self.slots.expected(&arrival.class, now);
         let time_left = arrival.deadline.since(now).as_secs_f32();
         if wait + service_time > time_left {
             return Some(GateRefusal::DeadlineTooNear);
@@ -437,8 +470,13 @@
     /// Starts queued requests while slots are free, and refuses those whose deadline has passed.
     fn start_queued(&mut self, now: LocalMoment) -> Vec<GateAction> {
         let mut actions = Vec::new();
+        self.observe(now);
 
-        while self.running.len() < self.slots as usize && !self.closed {
+        while !self.closed {
+            let is_call = self.waiting.keys().next().is_some_and(|key| !key.0);
+            if !self.has_free_slot(is_call) {
+                break;
+            }
             let Some((queue_key, request)) = self.waiting.pop_first() else {
                 break;
             };
@@ -461,25 +499,25 @@
                 ticket,
                 RunningRequest {
                     class: request.class,
-                    started_at: now,
+                    slot_use: self.slots.begin(now),
                 },
             );
             actions.push(GateAction::Start { ticket });
         }
+        self.observe(now);
 
         actions
     }
 
-    /// Returns the expected rest of the service time of a running request, in seconds.
-    fn remaining_time(&self, request: &RunningRequest, now: LocalMoment) -> f32 {
-        // A running request counts with at least this share of its expected service time, even if
-        // it has exceeded that time.
-        const MIN_REMAINING_SHARE: f32 = 0.25;
-
-        let expected = self.service_times.expected(&request.class);
-        let elapsed = now.since(request.started_at).as_secs_f32();
+    /// Returns whether a slot is free.
+    fn has_free_slot(&self, is_call: bool) -> bool {
+        self.slots.admits(self.running.len(), is_call)
+    }
 
-        (expected - elapsed).max(expected * MIN_REMAINING_SHARE)
+    /// Records what the target does from now on.
+    fn observe(&mut self, now: LocalMoment) {
+        let (running, has_waiting) = (self.running(), !self.waiting.is_empty());
+        self.slots.observe(running, has_waiting, now);
     }
 }
 
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -8,6 +8,7 @@
 //!
 //! - [`admission`]: the request queue and the slots.
 //! - [`calls`]: which calls the work on each route makes.
+//! - [`capacity`]: how many requests the target handles well at a time.
 //! - [`crash_report`]: what one node reports of the crashes of its target.
 //! - [`estimate`]: how long requests occupy a slot.
 //! - [`limit`]: the limit that a target names on the rate of its requests.
@@ -18,6 +19,7 @@
 //! - [`returns`]: refused callers that come back too early.
 //! - [`runs`]: which requests may have run when the target ended.
 //! - [`sizes`]: the expected sizes of responses.
+//! - [`slots`]: the slots, the pace and the service times of the target.
 //! - [`target_limits`]: the limits on the rate of requests to one target.
 //! - [`throttle`]: how much new work begins while called services are overloaded.
 //! - [`waits`]: how long callers waited on earlier, refused attempts.
@@ -25,6 +27,7 @@
 
 pub mod admission;
 pub mod calls;
+pub mod capacity;
 pub mod crash_report;
 pub mod estimate;
 pub mod limit;
@@ -35,6 +38,7 @@
 pub mod returns;
 pub mod runs;
 pub mod sizes;
+pub mod slots;
 pub mod target_limits;
 pub mod throttle;
 pub mod waits;
--- a/crates/sidecar/src/proxy/serve.rs
+++ b/crates/sidecar/src/proxy/serve.rs
@@ -1,7 +1,7 @@
 //! Decides whether and when a request may run at the target.
 
 use super::{
-    NODE_STOPPING, TargetProxy, replies,
+    NODE_STOPPING, SLOW_PACE, TargetProxy, replies,
     slots::{Admission, SlotGuard},
 };
 use crate::{
@@ -125,12 +125,15 @@
     }
 
     /// Returns whether a request is declined, as it would wait longer for a slot than its caller's node
-    /// accepts.
+    /// accepts, or the VM is slow at present.
     fn declines(&self, dispatch_head: &DispatchHead) -> bool {
         let Some(accepted_ms) = dispatch_head.accepted_wait_ms else {
             return false;
         };
         let state = self.state.borrow();
+        if state.gate.pace(clock::now()) >= SLOW_PACE {
+            return true;
+        }
         if !state.gate.has_taken_slots() {
             return false;
         }
