Budget of the memory for bodies

Cause: a process above its memory limit is ended with all its requests; nothing bounds what bodies take.

--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`estimate`]: how long requests occupy a slot.
 //! - [`limit`]: the limit that a target names on the rate of its requests.
 //! - [`link`]: the network link of the VM as a resource.
+//! - [`memory`]: the memory for bodies as a resource.
 //! - [`origins`]: which requests are calls from running work.
 //! - [`pressure`]: how much new work the callers of an overloaded service should start.
 //! - [`quarantine`]: which requests are refused because targets crash when they run them.
@@ -23,6 +24,7 @@
 pub mod estimate;
 pub mod limit;
 pub mod link;
+pub mod memory;
 pub mod origins;
 pub mod pressure;
 pub mod quarantine;
--- a/crates/gate/tests/gate/main.rs
+++ b/crates/gate/tests/gate/main.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod limits;
 mod link;
+mod memory;
 mod quarantine;
 mod quarantine_storm;
 mod runs;
