Connections of callers that read nothing are closed

Cause: a response that its caller does not read holds memory without end. Change: a write that takes nothing for a time limit resets its connection. Time in which nothing is written does not count. Off unless the source of limits states the time.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`clock`]: a monotonic clock that also runs while the machine is suspended.
 //! - [`client`]: an HTTP/1.1 client with a connection pool.
 //! - [`server`]: the accept loop of an HTTP/1.1 server.
+//! - [`stall`]: closes the connections of clients that do not read their responses.
 //! - [`stop`]: the one-shot signal that tells tasks to shut down.
 
 pub mod client;
@@ -11,4 +12,5 @@
 mod head_limit;
 pub mod server;
 pub mod signals;
+pub mod stall;
 pub mod stop;
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -1,8 +1,8 @@
 //! An HTTP/1.1 server: the accept loop and response bodies.
 
-use crate::stop::StopSignal;
+use crate::{stall::StallGuardedStream, stop::StopSignal};
 use bytes::Bytes;
-use compio::net::{TcpListener, TcpStream};
+use compio::net::TcpListener;
 use cyper_core::{CompioTimer, HyperStream};
 use futures_util::{
     FutureExt, StreamExt,
@@ -77,6 +77,12 @@
 pub trait LimitSource: Debug {
     /// Returns the limits that apply to a connection accepted now.
     fn limits(&self) -> ConnectionLimits;
+
+    /// Returns the longest time for which a client may read nothing of a response before its connection is
+    /// closed, or `None` without a limit.
+    fn write_stall(&self) -> Option<Duration> {
+        None
+    }
 }
 
 impl LimitSource for ConnectionLimits {
@@ -136,9 +142,14 @@
         };
 
         match accepted {
+            Ok((stream, _)) if stream.set_nodelay(true).is_err() => drop(stream),
             Ok((stream, _)) => {
-                let connection =
-                    serve_connection(stream, Rc::clone(&handler), limits.limits(), stop.clone());
+                let connection = serve_connection(
+                    StallGuardedStream::new(stream, limits.write_stall()),
+                    Rc::clone(&handler),
+                    limits.limits(),
+                    stop.clone(),
+                );
                 connections.push(compio::runtime::spawn(connection));
             }
             Err(_) => compio::time::sleep(ACCEPT_PAUSE).await,
@@ -160,15 +171,11 @@
 /// Serves one connection until it closes. After `stop` is triggered it finishes the request in
 /// flight and then closes.
 async fn serve_connection(
-    stream: TcpStream,
+    stream: StallGuardedStream,
     handler: Rc<dyn HttpHandler>,
     limits: ConnectionLimits,
     stop: StopSignal,
 ) {
-    if stream.set_nodelay(true).is_err() {
-        return;
-    }
-
     let keep_alive =
         HeaderValue::from_str(&format!("timeout={}", limits.advertised_seconds())).ok();
     let service = service_fn(move |request: Request<Incoming>| {
