Request bodies between nodes are sent in pieces and refused before they are read

Cause: a whole body was written into the connection at once, and a peer could not refuse it before it was collected. Change: the length is stated in a header field, the handler plans the buffer before the body is read, and a body may be a stream that is sent while the response is awaited.

--- a/crates/peer/src/control.rs
+++ b/crates/peer/src/control.rs
@@ -68,7 +68,7 @@
     first: Bytes,
     frames: &mut Receiver<Bytes>,
 ) -> Result<()> {
-    let connection = link::connect(address).await?;
+    let connection = link::connect(address, link::STREAM_WINDOW_BYTES).await?;
     let mut sender = connection
         .sender
         .ready()
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -1,9 +1,11 @@
 //! The client side of the protocol: requests to one peer.
 
 use crate::{
-    PROTOCOL_VERSION, REQUEST_PATH, VERSION_HEADER,
+    BODY_LENGTH_HEADER, PROTOCOL_VERSION, REQUEST_PATH, VERSION_HEADER,
     answer::PeerResponse,
+    body::RequestBody,
     frame,
+    sending::send_body,
     silence::{LastRead, ReadTrackingStream, SilenceDetector, StreamCounter},
     stream::FrameReader,
 };
@@ -12,16 +14,16 @@
 use cyper_core::HyperStream;
 use futures_util::future::{Either, select};
 use h2::{
-    Reason,
-    client::{Builder, SendRequest},
+    Reason, SendStream,
+    client::{Builder, ResponseFuture, SendRequest},
 };
-use http::{Method, Request, StatusCode};
+use http::{HeaderValue, Method, Request, StatusCode};
 use serde::{Serialize, de::DeserializeOwned};
 use std::{cell::RefCell, net::SocketAddr, pin::pin, time::Duration};
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 use wagtail_core::{
     CoreError, Result,
-    ports::TargetResponse,
+    ports::{BodyStream, TargetResponse},
     request::{RequestHead, ResponseHead},
     service::WorkClass,
     verdict::RunVerdict,
@@ -31,8 +33,8 @@
 /// The timeout for opening a connection to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// The HTTP/2 flow-control window of a stream in bytes.
-pub(crate) const STREAM_WINDOW_BYTES: u32 = 256 << 10;
+/// The default HTTP/2 flow-control window of a stream in bytes.
+pub const STREAM_WINDOW_BYTES: u32 = 256 << 10;
 
 /// The HTTP/2 flow-control window of a connection in bytes. It is 64 stream windows, so that
 /// many streams with slow readers do not block the others.
@@ -43,6 +45,7 @@
 #[derive(Debug)]
 pub struct PeerLink {
     address: SocketAddr,
+    window_bytes: u32,
     short: RefCell<Option<PeerConnection>>,
     long: RefCell<Option<PeerConnection>>,
 }
@@ -75,11 +78,21 @@
     pub fn new(address: SocketAddr) -> Self {
         Self {
             address,
+            window_bytes: STREAM_WINDOW_BYTES,
             short: RefCell::default(),
             long: RefCell::default(),
         }
     }
 
+    /// Sets the bytes of each response that the peer may send before they are read here. Unread ones take memory.
+    #[must_use]
+    pub fn with_window(self, window_bytes: u32) -> Self {
+        Self {
+            window_bytes,
+            ..self
+        }
+    }
+
     /// Returns the address of the peer.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -119,10 +132,16 @@
         head: &Q,
         class: WorkClass,
         policy: SilencePolicy,
-        body: Bytes,
+        body: impl Into<RequestBody>,
     ) -> Result<PeerResponse<A>> {
+        let body = body.into();
         let frame = frame::encode(head)?;
-        let request = stream_request(REQUEST_PATH)?;
+        let mut request = stream_request(REQUEST_PATH)?;
+        if body.length() > 0 {
+            request
+                .headers_mut()
+                .insert(BODY_LENGTH_HEADER, HeaderValue::from(body.length()));
+        }
 
         let PeerConnection {
             mut sender,
@@ -134,18 +153,25 @@
             .send_request(request, false)
             .map_err(|error| self.unsent_error(&error))?;
 
-        let body_follows = !body.is_empty();
+        let body_follows = body.length() > 0;
         stream
             .send_data(frame, !body_follows)
             .map_err(|error| self.stream_error(&error))?;
-        if body_follows {
-            stream
-                .send_data(body, true)
-                .map_err(|error| self.stream_error(&error))?;
-        }
+        let unsent = match body {
+            RequestBody::Whole(bytes) if body_follows => {
+                stream
+                    .send_data(bytes, true)
+                    .map_err(|error| self.stream_error(&error))?;
+                None
+            }
+            RequestBody::Streamed { stream: source, .. } if body_follows => Some((stream, source)),
+            _ => None,
+        };
 
         let answer = pin!(async {
-            let response = response.await.map_err(|error| self.stream_error(&error))?;
+            let response = response_while_sending(response, unsent)
+                .await
+                .map_err(|error| self.stream_error(&error))?;
             self.answer(response).await
         });
         let answer = match select(answer, pin!(suspected.wait())).await {
@@ -223,7 +249,7 @@
             return Ok(connection);
         }
 
-        let connection = connect(self.address).await?;
+        let connection = connect(self.address, self.window_bytes).await?;
         *current.borrow_mut() = Some(connection.clone());
 
         Ok(connection)
@@ -263,13 +289,39 @@
     }
 }
 
+/// Waits for the head of a response while the rest of the request is sent. The response may come before
+/// everything was sent; then the rest is not sent.
+///
+/// # Errors
+///
+/// Fails when the response does. A failure to send shows there as well.
+async fn response_while_sending(
+    response: ResponseFuture,
+    unsent: Option<(SendStream<Bytes>, Box<dyn BodyStream>)>,
+) -> std::result::Result<http::Response<h2::RecvStream>, h2::Error> {
+    let Some((mut stream, mut source)) = unsent else {
+        return response.await;
+    };
+    let sending = pin!(async {
+        if send_body(&mut stream, &mut *source).await.is_err() {
+            // Without an end of the stream, the peer would wait for the rest of the body.
+            stream.send_reset(Reason::CANCEL);
+        }
+    });
+
+    match select(response, sending).await {
+        Either::Left((response, _)) => response,
+        Either::Right(((), response)) => response.await,
+    }
+}
+
 /// Opens a connection to a peer within [`CONNECT_TIMEOUT`] and spawns the task that drives it.
 ///
 /// # Errors
 ///
 /// Fails with the verdict `NotRun` when connecting, the handshake or the time limit fails.
-pub(crate) async fn connect(address: SocketAddr) -> Result<PeerConnection> {
-    let opening = timeout(CONNECT_TIMEOUT, open(address)).await;
+pub(crate) async fn connect(address: SocketAddr, window_bytes: u32) -> Result<PeerConnection> {
+    let opening = timeout(CONNECT_TIMEOUT, open(address, window_bytes)).await;
 
     opening
         .unwrap_or_else(|_elapsed| Err("the connection timed out".to_owned()))
@@ -279,7 +331,10 @@
 }
 
 /// Opens a connection to a peer, without a timeout.
-async fn open(address: SocketAddr) -> std::result::Result<PeerConnection, String> {
+async fn open(
+    address: SocketAddr,
+    window_bytes: u32,
+) -> std::result::Result<PeerConnection, String> {
     let stream = TcpStream::connect(address)
         .await
         .map_err(|error| error.to_string())?;
@@ -290,7 +345,7 @@
     let last_read = LastRead::default();
     let tracked = ReadTrackingStream::new(HyperStream::new_plain(stream), last_read.clone());
     let (sender, mut connection) = Builder::new()
-        .initial_window_size(STREAM_WINDOW_BYTES)
+        .initial_window_size(window_bytes)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
         .handshake(tracked.compat())
         .await
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -1,10 +1,12 @@
 //! The server side of the protocol: accepts peers and dispatches their streams.
 
 use crate::{
-    CONTROL_PATH, PROTOCOL_VERSION, REQUEST_PATH, VERSION_HEADER,
+    BODY_LENGTH_HEADER, CONTROL_PATH, PROTOCOL_VERSION, REQUEST_PATH, VERSION_HEADER,
     answer::PeerResponse,
+    body::BodyPlan,
     frame,
     link::{CONNECTION_WINDOW_BYTES, STREAM_WINDOW_BYTES},
+    sending::{send_body, send_chunk},
     silence::{LastRead, ReadTrackingStream, StreamCounter},
     stream::FrameReader,
 };
@@ -12,7 +14,7 @@
 use compio::{
     io::AsyncRead,
     net::{TcpListener, TcpStream},
-    time::sleep,
+    time::{sleep, timeout},
 };
 use cyper_core::HyperStream;
 use futures_util::future::{Either, select};
@@ -24,8 +26,11 @@
 use serde::{Serialize, de::DeserializeOwned};
 use std::{fmt::Debug, future::poll_fn, pin::pin, rc::Rc, time::Duration};
 use tokio_util::compat::FuturesAsyncReadCompatExt;
-use wagtail_core::{CoreError, Result, ports::LocalFuture, verdict::RunVerdict};
-use wagtail_net::stop::StopSignal;
+use wagtail_core::{
+    Result,
+    ports::{BodyStream, LocalFuture},
+};
+use wagtail_net::{clock, stop::StopSignal};
 
 /// The maximum number of concurrent streams on one connection.
 const MAX_STREAMS: u32 = 4_096;
@@ -66,6 +71,33 @@
 
     /// Returns the maximum size of a request body in bytes.
     fn max_body_bytes(&self) -> usize;
+
+    /// Returns how the body of a request is collected. This is called before the body is read, with the
+    /// length that the peer states.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which the body is expected to fit if there is no room for it now.
+    fn plan_body(
+        &self,
+        _head: &Self::Request,
+        _length: Option<u64>,
+    ) -> std::result::Result<BodyPlan, Duration> {
+        Ok(BodyPlan::default())
+    }
+
+    /// Returns the response to a request whose body has no room, so that it does not run. With `None`, the
+    /// stream is refused with status 503.
+    fn refuse_body(
+        &self,
+        _head: &Self::Request,
+        _retry_after: Duration,
+    ) -> Option<PeerResponse<Self::Answer>> {
+        None
+    }
+
+    /// Adjusts the head of a request to the time that its body took to arrive.
+    fn body_arrived(&self, _head: &mut Self::Request, _took: Duration) {}
 }
 
 /// Serves peers until `stop` is triggered, then closes the listener and waits for the requests in
@@ -214,10 +246,11 @@
     }
 
     let path = request.uri().path().to_owned();
+    let length = body_length(&request);
     let reader = FrameReader::new(request.into_body());
 
     match path.as_str() {
-        REQUEST_PATH => serve_request(reader, responder, &*handler).await,
+        REQUEST_PATH => serve_request(reader, length, responder, &*handler).await,
         CONTROL_PATH => serve_control(reader, responder, &*handler, stop).await,
         _ => refuse(&mut responder, StatusCode::NOT_FOUND),
     }
@@ -234,6 +267,17 @@
     }
 }
 
+/// Returns the length of the body that the peer states, if it does.
+fn body_length(request: &Request<RecvStream>) -> Option<u64> {
+    request
+        .headers()
+        .get(BODY_LENGTH_HEADER)?
+        .to_str()
+        .ok()?
+        .parse()
+        .ok()
+}
+
 /// Refuses a stream with a status and no body.
 fn refuse(responder: &mut SendResponse<Bytes>, status: StatusCode) {
     let mut response = Response::new(());
@@ -243,26 +287,39 @@
     drop(responder.send_response(response, true));
 }
 
+/// `BodyFault` is the reason why the body of a request was not collected. The request does not run.
+#[derive(Debug, Clone, Copy)]
+enum BodyFault {
+    /// There is no room for it; it is expected to fit after this time.
+    NoRoom(Duration),
+    /// It is too large, too slow or broke off.
+    Broken,
+}
+
 /// Reads a request, passes it to the handler and streams the response.
 async fn serve_request<H: PeerHandler>(
     mut reader: FrameReader,
+    length: Option<u64>,
     mut responder: SendResponse<Bytes>,
     handler: &H,
 ) {
-    let request = async {
-        let head: H::Request = reader.message().await?;
-        let body = reader.read_body(handler.max_body_bytes()).await?;
-
-        Ok::<_, CoreError>((head, body))
+    let Ok(mut head) = reader.message::<H::Request>().await else {
+        refuse(&mut responder, StatusCode::BAD_REQUEST);
+        return;
     };
-
-    let (head, body) = match request.await {
-        Ok(request) => request,
-        Err(_malformed) => {
+    let began = clock::now();
+    let body = match collect_body(&mut reader, &head, length, handler).await {
+        Ok(body) => body,
+        Err(BodyFault::NoRoom(retry_after)) => {
+            refuse_body(&head, retry_after, responder, handler).await;
+            return;
+        }
+        Err(BodyFault::Broken) => {
             refuse(&mut responder, StatusCode::BAD_REQUEST);
             return;
         }
     };
+    handler.body_arrived(&mut head, clock::now().since(began));
 
     // When the peer resets the stream, dropping the handler's future cancels the request on
     // the target.
@@ -281,6 +338,68 @@
     }
 }
 
+/// Collects the body of a request within the limits of the handler.
+///
+/// # Errors
+///
+/// Returns the reason if the body is not collected. The rest of it is not read then, and the connection
+/// discards it.
+async fn collect_body<H: PeerHandler>(
+    reader: &mut FrameReader,
+    head: &H::Request,
+    length: Option<u64>,
+    handler: &H,
+) -> std::result::Result<Bytes, BodyFault> {
+    let limit = handler.max_body_bytes();
+    if length.is_some_and(|length| usize::try_from(length).map_or(true, |length| length > limit)) {
+        return Err(BodyFault::Broken);
+    }
+    let plan = |length| handler.plan_body(head, length).map_err(BodyFault::NoRoom);
+    let mut planned = length.map(|length| plan(Some(length))).transpose()?;
+    let time_limit = planned.as_ref().and_then(|planned| planned.time_limit);
+
+    let collect = async {
+        let mut collected = 0;
+        while let Some(chunk) = reader.next().await.map_err(|_broken| BodyFault::Broken)? {
+            collected += chunk.len();
+            if collected > limit {
+                return Err(BodyFault::Broken);
+            }
+            let planned = match &mut planned {
+                Some(planned) => planned,
+                None => planned.insert(plan(None)?),
+            };
+            planned.buffer.append(&chunk).map_err(BodyFault::NoRoom)?;
+        }
+        Ok(planned.map_or_else(Bytes::new, |planned| planned.buffer.finish()))
+    };
+
+    match time_limit {
+        Some(limit) => timeout(limit, collect)
+            .await
+            .unwrap_or(Err(BodyFault::Broken)),
+        None => collect.await,
+    }
+}
+
+/// Sends the refusal of a request whose body has no room. The stream is reset behind it, so that the peer sends
+/// no more of the body.
+async fn refuse_body<H: PeerHandler>(
+    head: &H::Request,
+    retry_after: Duration,
+    mut responder: SendResponse<Bytes>,
+    handler: &H,
+) {
+    let Some(answer) = handler.refuse_body(head, retry_after) else {
+        refuse(&mut responder, StatusCode::SERVICE_UNAVAILABLE);
+        return;
+    };
+
+    if let Ok(stream) = responder.send_response(Response::new(()), false) {
+        send_answer(stream, answer).await;
+    }
+}
+
 /// Sends a response. If the body fails, resets the stream, so that the peer does not mistake a
 /// truncated body for a complete one.
 async fn send_answer<A: Serialize>(mut stream: SendStream<Bytes>, answer: PeerResponse<A>) {
@@ -294,38 +413,9 @@
     stream: &mut SendStream<Bytes>,
     mut answer: PeerResponse<A>,
 ) -> Result<()> {
-    let mut next = Some(frame::encode(&answer.head)?);
-
-    while let Some(chunk) = next {
-        send_chunk(stream, chunk).await?;
-        next = answer.body.next().await?;
-    }
+    send_chunk(stream, frame::encode(&answer.head)?).await?;
 
-    stream
-        .send_data(Bytes::new(), true)
-        .map_err(|error| stream_error(&error))
-}
-
-/// Sends one chunk, split wherever the flow-control window is smaller than the rest of it.
-async fn send_chunk(stream: &mut SendStream<Bytes>, mut chunk: Bytes) -> Result<()> {
-    while !chunk.is_empty() {
-        stream.reserve_capacity(chunk.len());
-
-        while stream.capacity() == 0 {
-            match poll_fn(|context| stream.poll_capacity(context)).await {
-                Some(Ok(_)) => {}
-                Some(Err(error)) => return Err(stream_error(&error)),
-                None => return Err(closed_error()),
-            }
-        }
-
-        let piece = chunk.split_to(chunk.len().min(stream.capacity()));
-        stream
-            .send_data(piece, false)
-            .map_err(|error| stream_error(&error))?;
-    }
-
-    Ok(())
+    send_body(stream, &mut *answer.body).await
 }
 
 /// Passes the messages of a control stream to the handler until the stream ends or `stop` is
@@ -361,13 +451,3 @@
         }
     }
 }
-
-/// Converts an HTTP/2 error of the stream.
-fn stream_error(error: &h2::Error) -> CoreError {
-    CoreError::unavailable(error.to_string(), RunVerdict::Unknown)
-}
-
-/// Returns the error for a stream that the peer closed before the response was sent.
-fn closed_error() -> CoreError {
-    CoreError::unavailable("the peer closed the stream", RunVerdict::Unknown)
-}
--- a/crates/peer/src/stream.rs
+++ b/crates/peer/src/stream.rs
@@ -57,23 +57,6 @@
             .ok_or_else(|| CoreError::malformed("the stream ended before a frame"))
     }
 
-    /// Reads the rest of the stream as a body of at most `limit` bytes.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the stream fails or the body is larger than `limit`.
-    pub async fn read_body(&mut self, limit: usize) -> Result<Bytes> {
-        while self.receive().await? {
-            if self.buffer.len() > limit {
-                return Err(CoreError::invalid_request(format!(
-                    "the body exceeds {limit} bytes"
-                )));
-            }
-        }
-
-        Ok(self.buffer.split().freeze())
-    }
-
     /// Receives until the buffer holds at least `length` bytes. Returns `false` when the stream
     /// ended with an empty buffer, and fails when it ended inside a frame.
     async fn fill(&mut self, length: usize) -> Result<bool> {
