Bodies are read within the memory for bodies, and large ones are paced to other nodes

Cause: uploads and slow readers fill the memory of a small node, and a whole upload in the queue of a narrow link delays small messages.

--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -474,9 +474,10 @@
             SilencePolicy::Wait
         };
         let request = PeerRequest::Dispatch(Box::new(dispatch_head));
+        let body = self.proxy.link().paced_request(job.body.clone());
 
         self.links
-            .exchange(node, &request, class, policy, job.body.clone())
+            .exchange(node, &request, class, policy, body)
             .await
     }
 
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -1,8 +1,10 @@
 //! The HTTP handlers for callers and for readiness checks.
 
 use crate::{
+    bodies::{BodyFault, read_whole},
     deadline::DeadlineBody,
     forward::{ForwardJob, ForwardOutcome, RequestForwarder},
+    memory::{MEMORY_FULL, NodeMemory},
     messages::{CompletedFields, DispatchHead},
     outcomes::{RequestEnd, RequestRecorder},
     ports::WireDialect,
@@ -11,9 +13,8 @@
     settings::SidecarSettings,
     view::FleetView,
 };
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use compio::time::timeout;
-use http_body_util::BodyExt;
 use hyper::{
     Request, Response, StatusCode,
     body::{Body, Incoming},
@@ -46,6 +47,9 @@
 /// a load peak cost memory and file descriptors; responses state the timeout to callers.
 const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(6);
 
+/// The time for which a caller may read nothing of a response before its connection is closed.
+const MAX_READ_PAUSE: Duration = Duration::from_secs(5);
+
 /// The delay that a refused caller is asked for while no configuration is known.
 const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -110,6 +114,8 @@
     pause: Option<Duration>,
     /// The content of the request, if it is the reason.
     digest: Option<RequestDigest>,
+    /// Whether the response closes the connection, as the body is not read to its end.
+    closes: bool,
 }
 
 impl EarlyResponse {
@@ -120,6 +126,7 @@
             reason,
             pause: None,
             digest: None,
+            closes: false,
         }
     }
 }
@@ -164,14 +171,16 @@
                     early.reason,
                     early.digest,
                 );
-                plain_response(early.status, early.reason, early.pause)
+                let mut response = plain_response(early.status, early.reason, early.pause);
+                if early.closes {
+                    close_after(&mut response);
+                }
+                response
             }
         };
 
         if self.state.draining.get() {
-            response
-                .headers_mut()
-                .insert(CONNECTION, HeaderValue::from_static("close"));
+            close_after(&mut response);
         }
         response
     }
@@ -190,7 +199,7 @@
             });
         };
         let mut job = self.resolve(parts, &hosts, started_at)?;
-        job.body = read_body(body, hosts.limits(), started_at).await?;
+        job.body = read_body(body, hosts.limits(), started_at, self.proxy.memory()).await?;
         let content = job.dispatch_head.content(job.body.clone());
         if self.view.quarantine().standing(&content) == RequestStanding::Refused {
             return Err(EarlyResponse {
@@ -321,12 +330,17 @@
 #[derive(Debug)]
 pub struct CallerLimitSource {
     view: FleetView,
+    write_stall: Option<Duration>,
 }
 
 impl CallerLimitSource {
-    /// Creates a source that reads the configuration from a view.
-    pub fn new(view: FleetView) -> Self {
-        Self { view }
+    /// Creates a source that reads the configuration from a view. Callers that read slowly are limited where
+    /// the settings state a limit of the memory.
+    pub fn new(view: FleetView, settings: &SidecarSettings) -> Self {
+        Self {
+            view,
+            write_stall: settings.memory.map(|_| MAX_READ_PAUSE),
+        }
     }
 }
 
@@ -342,6 +356,10 @@
             idle_timeout: limits.idle_timeout.min(MAX_IDLE_TIMEOUT),
         }
     }
+
+    fn write_stall(&self) -> Option<Duration> {
+        self.write_stall
+    }
 }
 
 /// `ReadinessHandler` responds 200 while the node is ready for callers, and 503 otherwise.
@@ -372,42 +390,37 @@
     }
 }
 
-/// Reads the complete body of a request, within the size and time limits of callers.
-async fn read_body(
-    mut body: Incoming,
+/// Reads the complete body of a request, within the size and time limits of callers and the memory for bodies.
+async fn read_body<B: Body<Data = Bytes> + Unpin + 'static>(
+    body: B,
     limits: &CallerLimits,
     started_at: LocalMoment,
+    memory: &NodeMemory,
 ) -> Result<Bytes, EarlyResponse> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
+    let time_left = (started_at + limits.idle_timeout).since(clock::now());
+    let refused = match read_whole(body, limits.body_bytes, time_left, memory).await {
+        Ok(bytes) => return Ok(bytes),
+        Err(refused) => refused,
+    };
 
-    let reading = async {
-        let mut collected = BytesMut::new();
-        while let Some(frame) = body.frame().await {
-            let frame = frame
-                .map_err(|_broken| EarlyResponse::new(StatusCode::BAD_REQUEST, "body-cut-short"))?;
-            let Ok(chunk) = frame.into_data() else {
-                continue;
-            };
-            if collected.len() + chunk.len() > limits.body_bytes {
-                return Err(EarlyResponse::new(
-                    StatusCode::PAYLOAD_TOO_LARGE,
-                    "body-too-large",
-                ));
-            }
-            collected.extend_from_slice(&chunk);
-        }
-        Ok(collected.freeze())
+    let (status, reason, pause) = match refused.fault {
+        BodyFault::CutShort => (StatusCode::BAD_REQUEST, "body-cut-short", None),
+        BodyFault::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "body-too-large", None),
+        BodyFault::TooSlow => (StatusCode::REQUEST_TIMEOUT, "body-too-slow", None),
+        BodyFault::MemoryFull(pause) => (StatusCode::SERVICE_UNAVAILABLE, MEMORY_FULL, Some(pause)),
     };
+    Err(EarlyResponse {
+        pause,
+        closes: refused.discard(),
+        ..EarlyResponse::new(status, reason)
+    })
+}
 
-    let time_left = (started_at + limits.idle_timeout).since(clock::now());
-    timeout(time_left, reading)
-        .await
-        .unwrap_or(Err(EarlyResponse::new(
-            StatusCode::REQUEST_TIMEOUT,
-            "body-too-slow",
-        )))
+/// Makes a response close its connection.
+fn close_after(response: &mut Response<ServerBody>) {
+    response
+        .headers_mut()
+        .insert(CONNECTION, HeaderValue::from_static("close"));
 }
 
 /// Returns the host of a request, from its URI or its `host` header field.
--- a/crates/sidecar/src/inbound.rs
+++ b/crates/sidecar/src/inbound.rs
@@ -16,7 +16,8 @@
 use wagtail_core::ports::LocalFuture;
 use wagtail_net::clock;
 use wagtail_peer::{
-    answer::PeerResponse, packed::PackedValue, server::PeerHandler, stream::EmptyBody,
+    answer::PeerResponse, body::BodyPlan, packed::PackedValue, server::PeerHandler,
+    stream::EmptyBody,
 };
 
 /// The maximum size of a request body in bytes. The limits for callers are checked by the
@@ -136,4 +137,39 @@
     fn max_body_bytes(&self) -> usize {
         MAX_BODY_BYTES
     }
+
+    fn plan_body(&self, head: &PeerRequest, length: Option<u64>) -> Result<BodyPlan, Duration> {
+        let time_limit = match head {
+            PeerRequest::Dispatch(dispatch_head) => {
+                Some(Duration::from_millis(dispatch_head.time_left_ms.into()))
+            }
+            _ => None,
+        };
+
+        Ok(BodyPlan {
+            buffer: Box::new(self.proxy.memory().buffer(length)?),
+            time_limit,
+        })
+    }
+
+    fn refuse_body(
+        &self,
+        head: &PeerRequest,
+        retry_after: Duration,
+    ) -> Option<PeerResponse<PeerReply>> {
+        match head {
+            PeerRequest::Dispatch(dispatch_head) => {
+                Some(self.proxy.refuse_body(dispatch_head, retry_after))
+            }
+            _ => None,
+        }
+    }
+
+    fn body_arrived(&self, head: &mut PeerRequest, took: Duration) {
+        if let PeerRequest::Dispatch(dispatch_head) = head {
+            let took_ms = u32::try_from(took.as_millis()).unwrap_or(u32::MAX);
+            dispatch_head.time_left_ms = dispatch_head.time_left_ms.saturating_sub(took_ms);
+            dispatch_head.elapsed_ms = dispatch_head.elapsed_ms.saturating_add(took_ms);
+        }
+    }
 }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -12,6 +12,8 @@
 //! - [`directory`]: the task that follows changes in the store.
 //! - [`watching`]: relays changes in the store to other nodes.
 //! - [`relay`]: makes store calls, through a peer when the store refuses this node.
+//! - [`memory`]: reserves the memory for bodies before they are read.
+//! - `bodies`: reads the bodies of callers' requests.
 //! - [`pacing`]: sends large responses at the rate of this VM's link.
 //! - [`links`]: the connections to the other nodes.
 //! - [`proxy`]: admits requests and dispatches them to the target on this VM.
@@ -28,6 +30,7 @@
 //! - [`planning`]: the task that distributes the keys of a service over its targets.
 //! - [`run`]: starts a node, runs it and shuts it down.
 
+mod bodies;
 mod deadline;
 pub mod directory;
 pub mod forward;
@@ -36,6 +39,7 @@
 pub mod heartbeats;
 pub mod inbound;
 pub mod links;
+pub mod memory;
 pub mod messages;
 pub mod metrics;
 pub mod outcomes;
--- a/crates/sidecar/src/links.rs
+++ b/crates/sidecar/src/links.rs
@@ -10,21 +10,33 @@
 use wagtail_net::clock;
 use wagtail_peer::{
     answer::PeerResponse,
-    link::{PeerLink, SilencePolicy},
+    body::RequestBody,
+    link::{PeerLink, STREAM_WINDOW_BYTES, SilencePolicy},
 };
 
+/// The number of full windows that fit into the memory of the process. It bounds those of 200 slow callers to a
+/// tenth of the memory.
+const WINDOWS_IN_MEMORY: u64 = 2_048;
+
+/// The smallest window in bytes. At a round trip of 10 ms it still carries 50 Mbit/s.
+const MIN_WINDOW_BYTES: u32 = 64 << 10;
+
 /// `NodeLinks` holds one link for each peer address. Clones share the links.
 #[derive(Debug, Clone)]
 pub struct NodeLinks {
     view: FleetView,
+    /// The bytes of each response that a peer may send before they are read here.
+    window_bytes: u32,
     links: Rc<RefCell<HashMap<SocketAddr, Rc<PeerLink>>>>,
 }
 
 impl NodeLinks {
-    /// Creates an empty set; links are added and connect on first use.
-    pub fn new(view: FleetView) -> Self {
+    /// Creates an empty set; links are added and connect on first use. `memory` is the limit of the memory of
+    /// this process in bytes, if there is one: slow callers keep the windows of their responses full.
+    pub fn new(view: FleetView, memory: Option<u64>) -> Self {
         Self {
             view,
+            window_bytes: memory.map_or(STREAM_WINDOW_BYTES, window_for),
             links: Rc::default(),
         }
     }
@@ -60,7 +72,7 @@
         request: &PeerRequest,
         class: WorkClass,
         policy: SilencePolicy,
-        body: Bytes,
+        body: impl Into<RequestBody>,
     ) -> Result<PeerResponse<PeerReply>> {
         let record = self.view.node(node).ok_or_else(|| {
             CoreError::unavailable(format!("{node} has no record"), RunVerdict::NotRun)
@@ -81,8 +93,15 @@
         let mut links = self.links.borrow_mut();
         let link = links
             .entry(address)
-            .or_insert_with(|| Rc::new(PeerLink::new(address)));
+            .or_insert_with(|| Rc::new(PeerLink::new(address).with_window(self.window_bytes)));
 
         Rc::clone(link)
     }
 }
+
+/// Returns the window of responses for a limit of the memory in bytes.
+fn window_for(memory: u64) -> u32 {
+    u32::try_from(memory / WINDOWS_IN_MEMORY)
+        .unwrap_or(u32::MAX)
+        .clamp(MIN_WINDOW_BYTES, STREAM_WINDOW_BYTES)
+}
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -33,6 +33,8 @@
     store_silence: StateGauge,
     skipped_lines: StateGauge,
     dropped_lines: StateGauge,
+    body_bytes: StateGauge,
+    memory_refusals: StateGauge,
 }
 
 /// `MetricsHandler` serves the metrics of requests and the state of the node as text.
@@ -77,6 +79,11 @@
             ),
             skipped_lines: gauge("log_lines_skipped", "Lines of failures beyond their rate"),
             dropped_lines: gauge("log_lines_dropped", "Lines lost to a slow reader"),
+            body_bytes: gauge("body_bytes", "Bytes of memory that are reserved for bodies"),
+            memory_refusals: gauge(
+                "memory_refusals",
+                "Bodies that found no room in memory since the start",
+            ),
         };
 
         Self {
@@ -116,6 +123,10 @@
         gauges.skipped_lines.set(skipped as f64);
         gauges.dropped_lines.set(self.lines.dropped_lines() as f64);
 
+        let memory = self.proxy.memory();
+        gauges.body_bytes.set(memory.held() as f64);
+        gauges.memory_refusals.set(memory.refusals() as f64);
+
         self.recorder.metrics().text()
     }
 }
--- a/crates/sidecar/src/pacing.rs
+++ b/crates/sidecar/src/pacing.rs
@@ -1,8 +1,8 @@
-//! Sends large responses at the rate of this VM's link, and promises the link to those that will come.
+//! Sends large bodies at the rate of this VM's link, and promises the link to responses that will come.
 
 use bytes::Bytes;
 use compio::time::sleep;
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::RefCell, future::ready, rc::Rc, time::Duration};
 use wagtail_core::{
     Result,
     ports::{BodyStream, LocalFuture},
@@ -10,10 +10,15 @@
 };
 use wagtail_gate::link::{BULK_BYTES, BulkArrival, LinkOptions, LinkPacer};
 use wagtail_net::clock;
+use wagtail_peer::body::RequestBody;
 
 /// The size of the pieces in which a large response is sent, in bytes. Small messages wait at most for one.
 const PIECE_BYTES: usize = 16 << 10;
 
+/// The size of the parts of a large request body for which the link is given one after the other, in bytes: the
+/// mean size of an upload.
+const PART_BYTES: usize = 64 << 10;
+
 /// `NodeLink` is the network link of this VM. Clones share it.
 #[derive(Debug, Clone)]
 pub struct NodeLink {
@@ -56,6 +61,19 @@
         self.pacer.borrow().bulk_rate()
     }
 
+    /// Returns the body of a request to another node, which is sent at the rate of the link if it is large.
+    pub fn paced_request(&self, bytes: Bytes) -> RequestBody {
+        let length = u64::try_from(bytes.len()).unwrap_or(u64::MAX);
+        if length < BULK_BYTES {
+            return RequestBody::Whole(bytes);
+        }
+
+        RequestBody::Streamed {
+            length,
+            stream: self.paced(Box::new(PartedBody(bytes))),
+        }
+    }
+
     /// Returns a body that is sent at the rate of the link if it is large.
     pub fn paced(&self, body: Box<dyn BodyStream>) -> Box<dyn BodyStream> {
         Box::new(PacedBody {
@@ -69,6 +87,19 @@
     }
 }
 
+/// `PartedBody` yields a body in memory in parts, each of which gets its own turn on the link. So bodies that
+/// are sent at a time share the link, and one that is given up leaves only a part of it unused.
+#[derive(Debug)]
+struct PartedBody(Bytes);
+
+impl BodyStream for PartedBody {
+    fn next(&mut self) -> LocalFuture<'_, Result<Option<Bytes>>> {
+        let part = self.0.split_to(self.0.len().min(PART_BYTES));
+
+        Box::pin(ready(Ok(Some(part).filter(|part| !part.is_empty()))))
+    }
+}
+
 /// `LinkPromise` keeps the link promised to a response until it is dropped.
 #[derive(Debug)]
 pub struct LinkPromise {
--- a/crates/sidecar/src/proxy/dispatch.rs
+++ b/crates/sidecar/src/proxy/dispatch.rs
@@ -7,10 +7,11 @@
 };
 use crate::{
     deadline::DeadlineBody,
+    memory::ReservedBuffer,
     messages::{DispatchHead, NotRunFields, PeerReply},
     ports::{RequestFields, ResponseFields},
 };
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use compio::time::{sleep, timeout};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri};
 use http_body_util::Full;
@@ -22,7 +23,7 @@
 };
 use wagtail_gate::runs::RunEnd;
 use wagtail_net::{client::PooledResponse, clock};
-use wagtail_peer::{answer::PeerResponse, stream::WholeBody};
+use wagtail_peer::{answer::PeerResponse, body::BodyBuffer, stream::WholeBody};
 
 /// The largest response body that is buffered before it is passed on, in bytes. A buffered response
 /// that breaks off can still be reported as a failure, so that the request can be retried, and its slot is
@@ -127,13 +128,14 @@
         self.record_result(status.is_server_error());
         let headers = headers::end_to_end(&parts.headers);
         let length = headers::content_length(&parts.headers);
-        let buffer_bytes = match length {
-            Some(length) if length > MAX_BUFFERED_RESPONSE_BYTES as u64 => 0,
-            _ => MAX_BUFFERED_RESPONSE_BYTES,
+        let buffer = match length {
+            Some(length) if length > MAX_BUFFERED_RESPONSE_BYTES as u64 => None,
+            // Without memory for it, the response is streamed.
+            _ => self.memory.buffer(length).ok(),
         };
 
         let time_left = deadline.since(clock::now());
-        match timeout(time_left, read_up_to(&mut response, buffer_bytes)).await {
+        match timeout(time_left, read_into(&mut response, buffer)).await {
             Ok(Ok(BufferedBody { bytes, is_whole })) if is_whole => {
                 guard.run_end.set(whole_end);
                 drop(guard);
@@ -277,25 +279,32 @@
     is_whole: bool,
 }
 
-/// Reads the body of a response until it ends or more than `limit` bytes were read. With a limit of zero,
-/// nothing is read.
-async fn read_up_to(
+/// Reads the body of a response into a buffer until it ends, more than [`MAX_BUFFERED_RESPONSE_BYTES`] were read
+/// or there is no memory for more. Without a buffer, nothing is read.
+async fn read_into(
     response: &mut PooledResponse,
-    limit: usize,
+    buffer: Option<ReservedBuffer>,
 ) -> Result<BufferedBody, CoreError> {
-    let mut bytes = BytesMut::new();
-    while limit > 0 && bytes.len() <= limit {
+    let Some(mut buffer) = buffer else {
+        return Ok(BufferedBody {
+            bytes: Bytes::new(),
+            is_whole: false,
+        });
+    };
+    let mut is_whole = false;
+    while buffer.len() <= MAX_BUFFERED_RESPONSE_BYTES {
         let Some(chunk) = response.next().await? else {
-            return Ok(BufferedBody {
-                bytes: bytes.freeze(),
-                is_whole: true,
-            });
+            is_whole = true;
+            break;
         };
-        bytes.extend_from_slice(&chunk);
+        if buffer.append(&chunk).is_err() {
+            buffer.append_unreserved(&chunk);
+            break;
+        }
     }
 
     Ok(BufferedBody {
-        bytes: bytes.freeze(),
-        is_whole: false,
+        bytes: buffer.into_bytes(),
+        is_whole,
     })
 }
--- a/crates/sidecar/src/proxy/mod.rs
+++ b/crates/sidecar/src/proxy/mod.rs
@@ -17,8 +17,8 @@
 mod slots;
 
 use crate::{
-    outcomes::RequestRecorder, pacing::NodeLink, ports::WireDialect, settings::SidecarSettings,
-    view::FleetView,
+    memory::NodeMemory, outcomes::RequestRecorder, pacing::NodeLink, ports::WireDialect,
+    settings::SidecarSettings, view::FleetView,
 };
 use compio::time::sleep;
 use event_listener::Event;
@@ -77,6 +77,7 @@
     view: FleetView,
     recorder: Rc<RequestRecorder>,
     link: NodeLink,
+    memory: NodeMemory,
     state: Rc<RefCell<ProxyState>>,
     /// Notified when the target states its leave in a response.
     departed: Rc<Event>,
@@ -158,6 +159,7 @@
         Self {
             pool: HttpPool::with_options(settings.target, pool_options),
             link: NodeLink::new(settings.link_mbps),
+            memory: NodeMemory::new(settings.memory),
             settings,
             dialect,
             view,
@@ -378,6 +380,11 @@
         &self.link
     }
 
+    /// Returns the memory of this process for bodies.
+    pub fn memory(&self) -> &NodeMemory {
+        &self.memory
+    }
+
     /// Returns whether the process of the target has ended.
     pub fn has_ended(&self) -> bool {
         self.state.borrow().ended
--- a/crates/sidecar/src/proxy/replies.rs
+++ b/crates/sidecar/src/proxy/replies.rs
@@ -1,12 +1,14 @@
 //! Builds the replies to other nodes.
 
 use super::TargetProxy;
-use crate::messages::{
-    CompletedFields, DispatchHead, NotRunFields, PauseKind, PeerReply, ReplyBody,
+use crate::{
+    memory::MEMORY_FULL,
+    messages::{CompletedFields, DispatchHead, NotRunFields, PauseKind, PeerReply, ReplyBody},
 };
 use http::StatusCode;
 use std::{sync::Arc, time::Duration};
 use wagtail_core::{ports::BodyStream, request::HeaderField};
+use wagtail_net::clock;
 use wagtail_peer::{answer::PeerResponse, stream::EmptyBody};
 use wagtail_route::pick::LoadReport;
 
@@ -49,6 +51,23 @@
         PeerResponse::new(self.reply(ReplyBody::NotRun(fields)), Box::new(EmptyBody))
     }
 
+    /// Creates the reply for a request whose body does not fit into the memory of this node, and records it.
+    pub fn refuse_body(
+        &self,
+        dispatch_head: &DispatchHead,
+        retry_after: Duration,
+    ) -> PeerResponse<PeerReply> {
+        let response = self.not_run(NotRunFields {
+            pause_ms: millis_up(retry_after),
+            elsewhere: dispatch_head.key.is_none(),
+            load: Some(self.load()),
+            ..elsewhere(MEMORY_FULL)
+        });
+
+        self.record(dispatch_head, &response.head.body, clock::now(), None);
+        response
+    }
+
     /// Creates the reply for a request that may have run and logs the failure.
     pub(super) fn failed(
         &self,
--- a/crates/sidecar/src/proxy/serve.rs
+++ b/crates/sidecar/src/proxy/serve.rs
@@ -170,7 +170,7 @@
     }
 
     /// Records the outcome and the timing of a request.
-    fn record(
+    pub(super) fn record(
         &self,
         dispatch_head: &DispatchHead,
         reply: &ReplyBody,
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -195,7 +195,7 @@
     ) -> Self {
         let view = FleetView::default();
         let watching = WatchRelay::new(view.clone());
-        let links = NodeLinks::new(view.clone());
+        let links = NodeLinks::new(view.clone(), settings.memory);
         let relay = StoreRelay::new(
             Arc::clone(&settings.node),
             Rc::clone(&store),
@@ -352,12 +352,14 @@
     let listeners = NodeListeners::bind(&context.settings).await?;
     context.spawn_tasks();
 
-    let callers_stop = StopSignal::new();
-    let peers_stop = StopSignal::new();
+    let (callers_stop, peers_stop) = (StopSignal::new(), StopSignal::new());
     let callers = compio::runtime::spawn(server::serve(
         listeners.callers,
         context.front_handler(),
-        Rc::new(CallerLimitSource::new(context.view.clone())),
+        Rc::new(CallerLimitSource::new(
+            context.view.clone(),
+            &context.settings,
+        )),
         callers_stop.clone(),
     ));
     let peers = compio::runtime::spawn(wagtail_peer::server::serve(
