--- a/crates/peer/tests/bodies.rs
+++ b/crates/peer/tests/bodies.rs
@@ -252,7 +252,7 @@
 #[test]
 fn a_body_that_does_not_arrive_in_time_is_refused_as_not_run() {
     with_server(|link, handler| async move {
-        let (body, _) = slow_body(1_000, MANY_PARTS, Duration::from_secs(3_600));
+        let (body, _) = slow_body(1_000, MANY_PARTS, Duration::from_hours(1));
 
         let error = send(&link, body).await.unwrap_err();
         assert_eq!(error.verdict(), RunVerdict::NotRun, "{error}");
--- a/crates/sidecar/tests/uploads.rs
+++ b/crates/sidecar/tests/uploads.rs
@@ -158,12 +158,12 @@
 fn run(body_of: impl Fn(&NodeLink, Bytes) -> RequestBody) -> (u64, u32) {
     Runtime::new().unwrap().block_on(async {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let server = listener.local_addr().unwrap();
+        let address = listener.local_addr().unwrap();
         let handler = Rc::new(CountingHandler::default());
-        let served = serve(listener, Rc::clone(&handler), StopSignal::new());
-        compio::runtime::spawn(served).detach();
+        let serving = serve(listener, Rc::clone(&handler), StopSignal::new());
+        compio::runtime::spawn(serving).detach();
         let narrow = Rc::new(NarrowLink::default());
-        let peer = PeerLink::new(narrow.start(server).await);
+        let peer = PeerLink::new(narrow.start(address).await);
         let node_link = NodeLink::new(LINK_MBPS);
 
         let is_sending = Cell::new(true);
