--- a/crates/gate/tests/gate/main.rs
+++ b/crates/gate/tests/gate/main.rs
@@ -8,6 +8,7 @@
 mod cold;
 mod limits;
 mod link;
+mod memory;
 mod quarantine;
 mod quarantine_storm;
 mod returns;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`pipeline`]: an HTTP/1.1 server that reads further requests before it responds.
 //! - [`request_body`]: the body of a request that a handler reads.
 //! - [`server`]: the accept loop of an HTTP/1.1 server.
+//! - [`stall`]: closes the connections of clients that do not read their responses.
 //! - [`stop`]: the one-shot signal that tells tasks to shut down.
 //! - [`traffic`]: counts the bytes that are sent.
 
@@ -16,5 +17,6 @@
 pub mod request_body;
 pub mod server;
 pub mod signals;
+pub mod stall;
 pub mod stop;
 pub mod traffic;
--- a/crates/peer/src/control.rs
+++ b/crates/peer/src/control.rs
@@ -69,7 +69,8 @@
     first: Bytes,
     frames: &mut Receiver<Bytes>,
 ) -> Result<()> {
-    let connection = link::connect(address, TrafficMeter::default()).await?;
+    let connection =
+        link::connect(address, link::STREAM_WINDOW_BYTES, TrafficMeter::default()).await?;
     let mut sender = connection
         .sender
         .ready()
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -41,6 +41,8 @@
     dropped_lines: StateGauge,
     pipelined_requests: StateGauge,
     pipeline_depth: StateGauge,
+    body_bytes: StateGauge,
+    memory_refusals: StateGauge,
 }
 
 /// `MetricsHandler` serves the metrics of requests and the state of the node as text.
@@ -108,6 +110,11 @@
                 "pipeline_depth_max",
                 "Most requests in flight on one connection since the last collection",
             ),
+            body_bytes: gauge("body_bytes", "Bytes of memory that are reserved for bodies"),
+            memory_refusals: gauge(
+                "memory_refusals",
+                "Bodies that found no room in memory since the start",
+            ),
         };
 
         Self {
@@ -166,6 +173,9 @@
             let metrics = self.recorder.metrics();
             metrics.set_begin_share(&service, share);
         }
+        let memory = self.proxy.memory();
+        gauges.body_bytes.set(memory.held() as f64);
+        gauges.memory_refusals.set(memory.refusals() as f64);
 
         self.recorder.metrics().text()
     }
--- a/crates/sidecar/src/pacing.rs
+++ b/crates/sidecar/src/pacing.rs
@@ -1,4 +1,4 @@
-//! Sends large responses at the rate of this VM's link, and promises the link to those that will come.
+//! Sends large bodies at the rate of this VM's link, and promises the link to responses that will come.
 
 use bytes::Bytes;
 use compio::time::sleep;
@@ -14,6 +14,7 @@
 };
 use wagtail_gate::link::{BULK_BYTES, BulkArrival, LinkOptions, LinkPacer};
 use wagtail_net::{clock, traffic::TrafficMeter};
+use wagtail_peer::{body::RequestBody, stream::WholeBody};
 
 /// The size of the pieces in which a large response is sent, in bytes. Small messages wait at most for one.
 const PIECE_BYTES: usize = 16 << 10;
@@ -93,6 +94,19 @@
         Box::new(PacedBody::new(self, body, length, TrafficMeter::default()))
     }
 
+    /// Returns the body of a request to another node, which is sent at the rate of the link if it is large.
+    pub fn paced_request(&self, bytes: Bytes) -> RequestBody {
+        let length = byte_count(&bytes);
+        if length < BULK_BYTES {
+            return RequestBody::Whole(bytes);
+        }
+
+        RequestBody::Streamed {
+            length,
+            stream: self.paced_for_peer(Box::new(WholeBody::new(bytes)), Some(length)),
+        }
+    }
+
     /// Returns a body for another node that is sent at the rate of the link if it is large.
     pub fn paced_for_peer(
         &self,
--- a/crates/sidecar/src/proxy/mod.rs
+++ b/crates/sidecar/src/proxy/mod.rs
@@ -23,8 +23,8 @@
 mod warmth;
 
 use crate::{
-    outcomes::RequestRecorder, pacing::NodeLink, ports::WireDialect, settings::SidecarSettings,
-    view::FleetView,
+    memory::NodeMemory, outcomes::RequestRecorder, pacing::NodeLink, ports::WireDialect,
+    settings::SidecarSettings, view::FleetView,
 };
 use callees::CallRoutes;
 use compio::time::sleep;
@@ -86,6 +86,7 @@
     view: FleetView,
     recorder: Rc<RequestRecorder>,
     link: NodeLink,
+    memory: NodeMemory,
     state: Rc<RefCell<ProxyState>>,
     /// Notified when the target states its leave in a response.
     departed: Rc<Event>,
@@ -178,6 +179,7 @@
         Self {
             pool: HttpPool::with_options(settings.target, pool_options),
             link: NodeLink::new(settings.link_mbps),
+            memory: NodeMemory::new(settings.memory),
             settings,
             dialect,
             view,
@@ -417,6 +419,11 @@
         &self.link
     }
 
+    /// Returns the memory of this process for bodies.
+    pub fn memory(&self) -> &NodeMemory {
+        &self.memory
+    }
+
     /// Returns whether the process of the target has ended.
     pub fn has_ended(&self) -> bool {
         self.state.borrow().ended
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -172,7 +172,7 @@
     ) -> Self {
         let view = FleetView::default();
         let watching = WatchRelay::new(view.clone());
-        let links = NodeLinks::new(view.clone());
+        let links = NodeLinks::new(view.clone(), settings.memory);
         let relay = StoreRelay::new(
             Arc::clone(&settings.node),
             Rc::clone(&store),
@@ -332,12 +332,14 @@
     let listeners = NodeListeners::bind(&context.settings).await?;
     context.spawn_tasks();
 
-    let callers_stop = StopSignal::new();
-    let peers_stop = StopSignal::new();
+    let (callers_stop, peers_stop) = (StopSignal::new(), StopSignal::new());
     let callers = spawn_caller_server(
         listeners.callers,
         context.front_handler(),
-        Rc::new(CallerLimitSource::new(context.view.clone())),
+        Rc::new(CallerLimitSource::new(
+            context.view.clone(),
+            &context.settings,
+        )),
         (context.settings.pipelining).then(|| context.pipeline.clone()),
         callers_stop.clone(),
     );
