A node that stood still reads the evacuated zones again before it serves

Cause: a VM that is suspended for longer than an evacuation takes goes on with requests from its own VM before it hears of the change.

Change: EvacuationFollower notices that the process stood still for half of evacS, and reads the list of a ready peer or of the store; until then the node refuses (zones-unknown).

--- a/crates/route/tests/hosts_and_picks.rs
+++ b/crates/route/tests/hosts_and_picks.rs
@@ -280,3 +280,22 @@
     assert!(next.find("shop.example", "/book/x").is_some());
     assert!(next.find("shop.example", "/list/x").is_none());
 }
+
+/// Guards against a target that counts as cold, or as warm, whatever its node has reported.
+#[test]
+fn a_target_is_cold_for_as_long_as_its_last_report_tells() {
+    let mut picker = TargetPicker::new(PickOptions::default(), 1);
+    let node: Arc<str> = Arc::from("a");
+    assert!(!picker.is_cold(&node, at(1_000)));
+
+    let cold = LoadReport {
+        cold_ms: 500,
+        ..report(0, 0, 50.0)
+    };
+    picker.reported(&node, cold, at(1_000));
+    assert!(picker.is_cold(&node, at(1_499)));
+    assert!(!picker.is_cold(&node, at(1_500)));
+
+    picker.reported(&node, report(0, 0, 50.0), at(1_100));
+    assert!(!picker.is_cold(&node, at(1_200)));
+}
--- a/crates/sidecar/src/directory.rs
+++ b/crates/sidecar/src/directory.rs
@@ -2,7 +2,7 @@
 //! it.
 
 use crate::{
-    evacuations,
+    evacuations::{EvacuationFollower, EvacuationOptions},
     links::NodeLinks,
     messages::{FollowedChanges, PeerRequest, ReplyBody},
     ports::WireDialect,
@@ -85,8 +85,8 @@
     pub links: NodeLinks,
     /// The relay that passes changes on to the nodes that follow this one.
     pub watching: WatchRelay,
-    /// Whether the evacuated zones are followed.
-    pub follows_evacuations: bool,
+    /// The options of the evacuated zones, `None` if zones are not evacuated.
+    pub evacuations: Option<EvacuationOptions>,
     /// The seed for random delays and for the choice of the nodes that are asked.
     pub seed: u64,
 }
@@ -133,12 +133,19 @@
         (FollowedKind::Config, config_kind),
         (FollowedKind::Fleet, FLEET_KIND),
     ];
-    if options.follows_evacuations {
+    if let Some(evacuations) = options.evacuations {
         let kind = options.dialect.evacuation_kind();
         options.view.evacuations().set_kind(kind);
         kinds.push((FollowedKind::Evacuations, kind));
-        let task = evacuations::catch_up(options.view.clone(), options.links.clone(), kind);
-        compio::runtime::spawn(task).detach();
+        let follower = EvacuationFollower {
+            view: options.view.clone(),
+            links: options.links.clone(),
+            store: Rc::clone(&options.store),
+            node: Arc::clone(&options.node),
+            kind,
+            options: evacuations,
+        };
+        compio::runtime::spawn(follower.run()).detach();
     }
 
     for (followed, kind) in kinds {
--- a/crates/sidecar/src/evacuations.rs
+++ b/crates/sidecar/src/evacuations.rs
@@ -7,6 +7,7 @@
 };
 use bytes::Bytes;
 use compio::time::{sleep, timeout};
+use futures_util::future::join;
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
@@ -15,7 +16,7 @@
 };
 use tracing::{info, warn};
 use wagtail_core::{
-    objects::{ObjectChange, StoreRevision, StoredObject},
+    objects::{ObjectChange, ObjectStore, StoreRevision, StoredObject},
     service::WorkClass,
     units::LocalMoment,
 };
@@ -29,12 +30,6 @@
 /// in milliseconds.
 pub const ALL_EVACUATED_RETRY_AFTER_MS: u32 = 1_000;
 
-/// The interval of the checks whether other nodes know a later change.
-const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
-/// The timeout of a request to another node for its list.
-const PEER_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// `PeerEvacuations` is the latest change that another node has reported.
 #[derive(Debug, Clone)]
 struct PeerEvacuations {
@@ -51,6 +46,16 @@
     list: Rc<RefCell<EvacuationList>>,
     kind: Rc<Cell<Option<&'static str>>>,
     peers: Rc<RefCell<Option<PeerEvacuations>>>,
+    check: Rc<Cell<StandstillCheck>>,
+}
+
+/// `StandstillCheck` tells whether the process stood still, so that the list may be outdated.
+#[derive(Debug, Clone, Copy, Default)]
+struct StandstillCheck {
+    /// When the process last checked, with the longest time until the next check.
+    checked_at: Option<(LocalMoment, Duration)>,
+    /// Whether the list has to be read again.
+    is_unconfirmed: bool,
 }
 
 impl FleetEvacuations {
@@ -69,6 +74,47 @@
         self.list.borrow().is_known()
     }
 
+    /// Returns whether the list is known, and the process has not stood still since it was up to date.
+    pub fn is_current(&self, now: LocalMoment) -> bool {
+        let check = self.check.get();
+        let stands_still = check
+            .checked_at
+            .is_some_and(|(at, longest)| now.since(at) > longest);
+
+        self.is_known() && !check.is_unconfirmed && !stands_still
+    }
+
+    /// Records that the process goes on. The list has to be read again if it stood still for longer than
+    /// `max_standstill`.
+    pub fn record_check(&self, now: LocalMoment, max_standstill: Duration) {
+        let mut check = self.check.get();
+        let stood_still = check
+            .checked_at
+            .is_some_and(|(at, longest)| now.since(at) > longest);
+        if stood_still {
+            check.is_unconfirmed = true;
+            warn!(
+                event = "evacuations-unconfirmed",
+                reason = "the process stood still"
+            );
+        }
+
+        check.checked_at = Some((now, max_standstill));
+        self.check.set(check);
+    }
+
+    /// Returns whether the list needs not be read again.
+    pub fn is_confirmed(&self) -> bool {
+        !self.check.get().is_unconfirmed
+    }
+
+    /// Records that the list was read again.
+    pub fn confirm(&self) {
+        let mut check = self.check.get();
+        check.is_unconfirmed = false;
+        self.check.set(check);
+    }
+
     /// Returns since when this node has known that a zone is evacuated, or `None` if it is not.
     pub fn since(&self, zone: &str) -> Option<LocalMoment> {
         self.list.borrow().since(zone)
@@ -195,28 +241,129 @@
     }
 }
 
-/// Takes the list over from another node whenever that one knows a later change, as the store may reject
-/// or delay the requests of this node. Runs until it is dropped.
-pub async fn catch_up(view: FleetView, links: NodeLinks, kind: &'static str) {
-    loop {
-        sleep(CHECK_INTERVAL).await;
-        let Some(node) = view.evacuations().newest_node() else {
-            continue;
-        };
+/// `EvacuationOptions` holds how a node keeps its list up to date beside the watch of the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EvacuationOptions {
+    /// The interval of the checks whether other nodes know a later change.
+    pub check_interval: Duration,
+    /// The timeout of a request to another node, or to the store, for the list.
+    pub timeout: Duration,
+    /// The longest time for which the process may stand still without reading the list again.
+    pub max_standstill: Duration,
+}
 
+impl Default for EvacuationOptions {
+    fn default() -> Self {
+        Self {
+            check_interval: Duration::from_millis(100),
+            timeout: Duration::from_millis(400),
+            max_standstill: Duration::from_millis(2_500),
+        }
+    }
+}
+
+impl EvacuationOptions {
+    /// Creates options for zones that get no requests `limit` after their evacuation.
+    #[must_use]
+    pub fn with_limit(limit: Duration) -> Self {
+        Self {
+            max_standstill: limit / 2,
+            ..Self::default()
+        }
+    }
+}
+
+/// `EvacuationFollower` takes the list over from other nodes, as the store may reject or delay the
+/// requests of this one.
+#[derive(Debug)]
+pub struct EvacuationFollower {
+    /// The view that is kept up to date.
+    pub view: FleetView,
+    /// The connections to the other nodes.
+    pub links: NodeLinks,
+    /// The store, which is asked as well after the process stood still.
+    pub store: Rc<dyn ObjectStore>,
+    /// The name of this node.
+    pub node: Arc<str>,
+    /// The kind of the objects that name evacuated zones.
+    pub kind: &'static str,
+    /// The intervals and limits of time.
+    pub options: EvacuationOptions,
+}
+
+impl EvacuationFollower {
+    /// Reads the list of another node whenever that one knows a later change, and of any after the process
+    /// stood still. Runs until it is dropped.
+    pub async fn run(self) {
+        let mut turn = 0;
+        loop {
+            let evacuations = self.view.evacuations();
+            sleep(self.options.check_interval).await;
+            evacuations.record_check(clock::now(), self.options.max_standstill);
+
+            if let Some(node) = evacuations.newest_node() {
+                self.read_peer(&node).await;
+            }
+            if !evacuations.is_confirmed() {
+                turn += 1;
+                let is_read = match self.other_node(turn) {
+                    Some(node) => join(self.read_peer(&node), self.read_store()).await,
+                    None => (false, self.read_store().await),
+                };
+                if is_read.0 || is_read.1 {
+                    evacuations.confirm();
+                }
+            }
+        }
+    }
+
+    /// Returns another node that is ready, a different one each turn.
+    fn other_node(&self, turn: usize) -> Option<Arc<str>> {
+        let nodes = self.view.nodes();
+        let others: Vec<&Arc<str>> = nodes
+            .iter()
+            .filter(|record| record.ready && record.node != self.node)
+            .map(|record| &record.node)
+            .collect();
+
+        (!others.is_empty()).then(|| Arc::clone(others[turn % others.len()]))
+    }
+
+    /// Applies the list of another node. Returns whether that has one.
+    async fn read_peer(&self, node: &Arc<str>) -> bool {
         let request = PeerRequest::Snapshot {
-            kind: Arc::from(kind),
+            kind: Arc::from(self.kind),
         };
-        let asked = links.ask(&node, &request, WorkClass::Short, Bytes::new());
-        if let Ok(Ok(response)) = timeout(PEER_TIMEOUT, asked).await
-            && let ReplyBody::Snapshot { revision, objects } = response.head.body
-        {
-            match objects.unpack() {
-                Ok(objects) => view.apply_evacuations(objects, revision),
-                Err(error) => {
-                    warn!(event = "snapshot-ignored", kind, node = %node, reason = %error);
-                }
+        let asked = self
+            .links
+            .ask(node, &request, WorkClass::Short, Bytes::new());
+        let Ok(Ok(response)) = timeout(self.options.timeout, asked).await else {
+            return false;
+        };
+        let ReplyBody::Snapshot { revision, objects } = response.head.body else {
+            return false;
+        };
+
+        match objects.unpack() {
+            Ok(objects) => {
+                self.view.apply_evacuations(objects, revision);
+                revision > StoreRevision::ZERO
+            }
+            Err(error) => {
+                let kind = self.kind;
+                warn!(event = "snapshot-ignored", kind, node = %node, reason = %error);
+                false
             }
         }
     }
+
+    /// Applies the list of the store. Returns whether that has responded.
+    async fn read_store(&self) -> bool {
+        let Ok(Ok(list)) = timeout(self.options.timeout, self.store.list(self.kind)).await else {
+            return false;
+        };
+        self.view.apply_evacuations(list.objects, list.revision);
+
+        true
+    }
 }
--- a/crates/sidecar/src/proxy/evacuation.rs
+++ b/crates/sidecar/src/proxy/evacuation.rs
@@ -7,7 +7,7 @@
 };
 use wagtail_net::clock;
 
-/// The reason code of a refusal by a node that does not know yet which zones are evacuated.
+/// The reason code of a refusal by a node that does not know which zones are evacuated: it was started, or stood still.
 const ZONES_UNKNOWN: &str = "zones-unknown";
 
 /// The part of the time for an evacuation after which the target gets no requests with a key any more.
@@ -25,7 +25,7 @@
     /// for half of the time for an evacuation.
     pub(super) fn check_zone(&self, dispatch_head: &DispatchHead) -> Option<NotRunFields> {
         let limit = self.settings.evacuation?;
-        if !self.view.evacuations().is_known() {
+        if !self.view.evacuations().is_current(clock::now()) {
             return Some(replies::elsewhere(ZONES_UNKNOWN));
         }
         let since = self.view.evacuated_since(&self.settings.zone)?;
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     directory::{self, DirectoryOptions},
+    evacuations::EvacuationOptions,
     forward::RequestForwarder,
     front::{CallerLimitSource, FrontHandler, FrontState, ReadinessHandler},
     heartbeats::HeartbeatHandler,
@@ -252,7 +253,7 @@
             view: self.view.clone(),
             links: self.links.clone(),
             watching: self.watching.clone(),
-            follows_evacuations: self.settings.evacuation.is_some(),
+            evacuations: self.settings.evacuation.map(EvacuationOptions::with_limit),
             seed: self.seed,
         });
 
--- a/crates/sidecar/tests/proxy/evacuations.rs
+++ b/crates/sidecar/tests/proxy/evacuations.rs
@@ -5,6 +5,7 @@
 use compio::{net::TcpListener, runtime::Runtime, time::sleep};
 use std::{sync::Arc, time::Duration};
 use wagtail_core::objects::{StoreRevision, StoredObject};
+use wagtail_net::clock;
 use wagtail_sidecar::{messages::DispatchHead, settings::SidecarSettings, view::FleetView};
 
 /// Returns a view in which a zone is evacuated, known since a moment after the first list.
@@ -74,6 +75,30 @@
     });
 }
 
+/// Guards against requests from before a suspension of the VM, or right after it, that reach a zone which
+/// was evacuated meanwhile.
+#[test]
+fn a_node_that_stood_still_serves_nothing_before_it_has_read_the_zones_again() {
+    Runtime::new().unwrap().block_on(async {
+        let view = evacuated_view("b");
+        let proxy = proxy_with(evacuation_settings(), view.clone());
+        let work = request_head("agenda", None);
+        let max_standstill = Duration::from_millis(50);
+        view.evacuations()
+            .record_check(clock::now(), max_standstill);
+        assert_eq!(refusal_reason(&proxy, &work).await, "target-unreachable");
+
+        // Blocks the thread, so that no timer of the runtime fires.
+        std::thread::sleep(max_standstill * 2);
+        assert_eq!(refusal_reason(&proxy, &work).await, "zones-unknown");
+        view.evacuations()
+            .record_check(clock::now(), max_standstill);
+        assert_eq!(refusal_reason(&proxy, &work).await, "zones-unknown");
+        view.evacuations().confirm();
+        assert_eq!(refusal_reason(&proxy, &work).await, "target-unreachable");
+    });
+}
+
 /// Guards against requests that waited for a slot while the evacuation became known, and are sent to the
 /// target long after it.
 #[test]
