--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -3,6 +3,7 @@
 use crate::{
     callers::spawn_caller_server,
     directory::{self, DirectoryOptions},
+    evacuations::EvacuationOptions,
     forward::RequestForwarder,
     front::{CallerLimitSource, FrontHandler, FrontState, ReadinessHandler},
     heartbeats::HeartbeatHandler,
@@ -231,7 +232,7 @@
             view: self.view.clone(),
             links: self.links.clone(),
             watching: self.watching.clone(),
-            follows_evacuations: self.settings.evacuation.is_some(),
+            evacuations: self.settings.evacuation.map(EvacuationOptions::with_limit),
             seed: self.seed,
         });
 
