--- a/crates/gate/src/admission.rs
+++ b/crates/gate/src/admission.rs
@@ -374,11 +374,6 @@
         Duration::from_secs_f32((wait + self.slots.expected(class, now)).max(0.0))
     }
 
-    /// Returns the expected service time of a class.
-    pub fn service_time(&self, class: &str) -> Duration {
-        Duration::from_secs_f32(self.slots.service_times().expected(class).max(0.0))
-    }
-
     /// Returns the estimated throughput of the target, in requests per second; its limit if that is
     /// lower.
     #[expect(clippy::cast_possible_truncation, reason = "an estimate")]
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -7,7 +7,6 @@
 //! wasted, so calls have precedence. All other requests are new work.
 //!
 //! - [`admission`]: the request queue and the slots.
-//! - [`calls`]: which calls the work on each route makes.
 //! - [`capacity`]: how many requests the target handles well at a time.
 //! - [`crash_report`]: what one node reports of the crashes of its target.
 //! - [`estimate`]: how long requests occupy a slot.
@@ -17,17 +16,14 @@
 //! - [`origins`]: which requests are calls from running work.
 //! - [`pressure`]: how much new work the callers of an overloaded service should start.
 //! - [`quarantine`]: which requests are refused because targets crash when they run them.
-//! - [`returns`]: refused callers that come back too early.
 //! - [`runs`]: which requests may have run when the target ended.
 //! - [`sizes`]: the expected sizes of responses.
 //! - [`slots`]: the slots, the pace and the service times of the target.
 //! - [`target_limits`]: the limits on the rate of requests to one target.
-//! - [`throttle`]: how much new work begins while called services are overloaded.
 //! - [`waits`]: how long callers waited on earlier, refused attempts.
 //! - [`warmup`]: whether a target is cold.
 
 pub mod admission;
-pub mod calls;
 pub mod capacity;
 pub mod crash_report;
 pub mod estimate;
@@ -37,12 +33,10 @@
 pub mod origins;
 pub mod pressure;
 pub mod quarantine;
-pub mod returns;
 pub mod runs;
 pub mod sizes;
 pub mod slots;
 pub mod target_limits;
-pub mod throttle;
 pub mod waits;
 pub mod warmup;
 
--- a/crates/gate/src/pressure.rs
+++ b/crates/gate/src/pressure.rs
@@ -1,53 +1,41 @@
 //! Backpressure: how much new work the callers of an overloaded service should start.
 //!
 //! Work whose calls fail is wasted. A service therefore asks its callers to start less new work if
-//! its slots do not suffice for the calls and its own new work. All work of the same urgency gets the
-//! same share: the slots divided by the work that would arrive if callers started everything. Callers
-//! state the share that they admit with each call, so the work that they hold back is known, and a
-//! report may be old without the share oscillating.
+//! the calls to it wait too long, or if its own new work does that is at least as urgent as the
+//! work that calls it.
 
 use std::time::Duration;
 use wagtail_core::units::LocalMoment;
 
-/// The share of the slots that is planned for. Arrivals are random, and a call is of use only if it
-/// hardly waits.
-const PLANNED_USE: f32 = 0.95;
+/// The weight of the latest wait of a call in the moving average.
+const CALL_AVERAGE_WEIGHT: f32 = 0.06;
 
-/// The time constant in seconds over which work is averaged. With 1 s, the share follows a wave of
-/// arrivals so late that the calls queue up at its rise (`tests/gate/call_tree.rs`).
-const WORK_SECONDS: f32 = 0.3;
+/// The weight of the latest wait of new work in the moving average; higher than
+/// [`CALL_AVERAGE_WEIGHT`] because there is less new work than calls.
+const WORK_AVERAGE_WEIGHT: f32 = 0.12;
 
-/// The part of less urgent own work for which slots are planned, relative to that of other work. It is
-/// above a quarter, so that such work does not starve behind calls.
-const LESS_URGENT_PART: f32 = 0.3;
+/// The share of its objective that new work may wait; a call may wait its full objective.
+const WORK_WAIT_SHARE: f32 = 0.4;
+
+/// The mean wait up to which callers start all new work, relative to the allowed wait.
+const UNTHROTTLED_WAIT: f32 = 0.6;
+
+/// The mean wait from which callers start only [`MIN_SHARE`] of their new work, relative to the
+/// allowed wait.
+const FULLY_THROTTLED_WAIT: f32 = 2.0;
 
 /// The lowest share of new work. It is not zero because callers learn of the service's state only
 /// through the calls that they still make.
-const MIN_SHARE: f32 = 0.05;
-
-/// `WorkArrival` describes a request that arrives at the service.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct WorkArrival {
-    /// Whether running work of another service sends it.
-    pub is_call: bool,
-    /// The priority; 0 is the most urgent.
-    pub priority: u32,
-    /// The expected service time.
-    pub service_time: Duration,
-    /// The share of the work that would make such calls that the caller's target admits, from 0 to 1.
-    pub begun_share: f32,
-}
+const MIN_SHARE: f32 = 0.1;
 
 /// `CallPressure` computes the share of new work that the callers of this service should start.
 #[derive(Debug)]
 pub struct CallPressure {
-    /// The slots that calls would take if callers started all of their work.
-    calls: f32,
-    /// The slots that own new work takes which is at least as urgent as the work that calls.
-    urgent_work: f32,
-    /// The slots that less urgent own work takes.
-    other_work: f32,
-    counted_to: LocalMoment,
+    /// The mean expected wait of calls, as a share of their objective.
+    call_wait: f32,
+    /// The mean expected wait of new work that is at least as urgent as the callers' work, as a
+    /// share of the wait that [`WORK_WAIT_SHARE`] allows.
+    work_wait: f32,
     /// The priority of the work that called last; `u32::MAX`, the least urgent, before any call.
     caller_priority: u32,
 }
@@ -55,10 +43,8 @@
 impl Default for CallPressure {
     fn default() -> Self {
         Self {
-            calls: 0.0,
-            urgent_work: 0.0,
-            other_work: 0.0,
-            counted_to: LocalMoment::ZERO,
+            call_wait: 0.0,
+            work_wait: 0.0,
             caller_priority: u32::MAX,
         }
     }
@@ -70,36 +56,85 @@
         self.caller_priority = caller_priority;
     }
 
-    /// Records an arrival, also one that is then refused.
-    pub fn arrived(&mut self, arrival: &WorkArrival, now: LocalMoment) {
-        let decay = self.decay(now);
-        for work in [&mut self.calls, &mut self.urgent_work, &mut self.other_work] {
-            *work *= decay;
+    /// Records an arrival and its expected wait in seconds. New work that is less urgent than the
+    /// work that calls this service is ignored.
+    pub fn arrived(&mut self, is_call: bool, priority: u32, wait: f32, objective: Duration) {
+        if !is_call && priority > self.caller_priority {
+            return;
         }
-        self.counted_to = now;
 
-        let slots = arrival.service_time.as_secs_f32() / WORK_SECONDS;
-        if arrival.is_call {
-            self.calls += slots / arrival.begun_share.clamp(MIN_SHARE, 1.0);
-        } else if arrival.priority <= self.caller_priority {
-            self.urgent_work += slots;
+        let objective = objective.as_secs_f32().max(0.001);
+        let (mean, allowed_wait, weight) = if is_call {
+            (&mut self.call_wait, objective, CALL_AVERAGE_WEIGHT)
         } else {
-            self.other_work += slots;
-        }
+            (
+                &mut self.work_wait,
+                objective * WORK_WAIT_SHARE,
+                WORK_AVERAGE_WEIGHT,
+            )
+        };
+        let relative = (wait / allowed_wait).min(FULLY_THROTTLED_WAIT * 2.0);
+        *mean += (relative - *mean) * weight;
     }
 
     /// Returns the share of new work that callers should start, from `MIN_SHARE` to 1.
-    pub fn share(&self, slots: u32, now: LocalMoment) -> f32 {
-        let slots = f32::from(u16::try_from(slots).unwrap_or(u16::MAX));
-        let decay = self.decay(now);
-        let other_work = (self.other_work * decay).min(slots) * LESS_URGENT_PART;
-        let work = (self.calls + self.urgent_work) * decay + other_work;
+    pub fn share(&self) -> f32 {
+        let wait = self.call_wait.max(self.work_wait);
+        let excess = (wait - UNTHROTTLED_WAIT) / (FULLY_THROTTLED_WAIT - UNTHROTTLED_WAIT);
+
+        (1.0 - excess).clamp(MIN_SHARE, 1.0)
+    }
+}
+
+/// The weight of the latest report in the moving average.
+const REPORT_AVERAGE_WEIGHT: f32 = 0.25;
+
+/// The time without reports after which all new work may start again.
+const MAX_REPORT_AGE: Duration = Duration::from_millis(500);
+
+/// `WorkThrottle` admits the share of new work that the called services report.
+#[derive(Debug)]
+pub struct WorkThrottle {
+    share: f32,
+    reported_at: LocalMoment,
+    credit: f32,
+}
+
+impl Default for WorkThrottle {
+    fn default() -> Self {
+        Self {
+            share: 1.0,
+            reported_at: LocalMoment::ZERO,
+            credit: 1.0,
+        }
+    }
+}
+
+impl WorkThrottle {
+    /// Records the share of new work that a called service asks for, from 0 to 1.
+    pub fn report(&mut self, share: f32, now: LocalMoment) {
+        self.share += (share - self.share) * REPORT_AVERAGE_WEIGHT;
+        self.reported_at = now;
+    }
+
+    /// Returns whether the next request of new work may start. Each request adds the share to a
+    /// credit of at most 2, and an admitted one takes 1 from it.
+    pub fn admit(&mut self, now: LocalMoment) -> bool {
+        if now.since(self.reported_at) > MAX_REPORT_AGE {
+            self.share = 1.0;
+        }
+
+        self.credit = (self.credit + self.share).min(2.0);
+        let is_admitted = self.credit >= 1.0;
+        if is_admitted {
+            self.credit -= 1.0;
+        }
 
-        (slots * PLANNED_USE / work.max(f32::MIN_POSITIVE)).clamp(MIN_SHARE, 1.0)
+        is_admitted
     }
 
-    /// Returns the factor by which the work has decayed since the last arrival.
-    fn decay(&self, now: LocalMoment) -> f32 {
-        (-now.since(self.counted_to).as_secs_f32() / WORK_SECONDS).exp()
+    /// Returns the share of new work that is admitted at present, from 0 to 1.
+    pub fn share(&self) -> f32 {
+        self.share
     }
 }
--- a/crates/gate/tests/gate/main.rs
+++ b/crates/gate/tests/gate/main.rs
@@ -1,9 +1,5 @@
 //! Tests of admission control and of backpressure between services.
 
-mod call_profiles;
-mod call_tree;
-mod call_tree_model;
-mod call_tree_rules;
 mod calls;
 mod cold;
 mod limits;
@@ -11,6 +7,5 @@
 mod memory;
 mod quarantine;
 mod quarantine_storm;
-mod returns;
 mod runs;
 mod slots;
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -116,8 +116,6 @@
     pub caller_deadline: LocalMoment,
     /// The estimated time that the caller waited for earlier attempts of its own.
     pub waited: Duration,
-    /// Whether the target on this VM sent the request.
-    pub is_call: bool,
     /// The nodes that the request was sent to, in order.
     pub asked: RefCell<Vec<Arc<str>>>,
 }
@@ -362,7 +360,7 @@
         self.record_notice(node, response.head.notice);
         match response.head.body {
             ReplyBody::Completed(fields) => {
-                self.record_load(job, node, fields.load);
+                self.record_load(node, fields.load);
                 self.record_response_size(job, &fields);
                 Some(ForwardOutcome::Completed {
                     fields,
@@ -371,7 +369,7 @@
             }
             ReplyBody::NotRun(fields) => {
                 if let Some(load) = fields.load {
-                    self.record_load(job, node, load);
+                    self.record_load(node, load);
                 }
                 if &*fields.reason == GateRefusal::SlotsTaken.as_str() {
                     self.decline_times.borrow_mut().record(ended.took);
@@ -396,7 +394,7 @@
                 None
             }
             ReplyBody::Failed { reason, load } => {
-                self.record_load(job, node, load);
+                self.record_load(node, load);
                 attempts.target_attempts += 1;
                 attempts.may_have_run = Some(reason);
                 None
@@ -454,12 +452,11 @@
         }
     }
 
-    /// Records the load that came with the reply to a request.
-    fn record_load(&self, job: &ForwardJob, node: &Arc<str>, load: LoadReport) {
+    /// Records the load that came with a reply.
+    fn record_load(&self, node: &Arc<str>, load: LoadReport) {
         self.picker.borrow_mut().reported(node, load, clock::now());
         if let Some(share) = load.begin_share {
-            let DispatchHead { route, service, .. } = &job.dispatch_head;
-            self.proxy.record_begin_share(route, service, share);
+            self.proxy.record_begin_share(share);
         }
     }
 
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -8,7 +8,7 @@
     messages::{CompletedFields, DispatchHead},
     outcomes::{RequestEnd, RequestRecorder},
     ports::WireDialect,
-    proxy::{TargetProxy, headers::end_to_end, repeat_id},
+    proxy::{TargetProxy, headers::end_to_end},
     quarantine::QUARANTINED,
     settings::SidecarSettings,
     view::FleetView,
@@ -33,7 +33,7 @@
     routing::CallerLimits,
     units::LocalMoment,
 };
-use wagtail_gate::{quarantine::RequestStanding, returns::EarlyReturns, waits::CallerWaits};
+use wagtail_gate::{quarantine::RequestStanding, waits::CallerWaits};
 use wagtail_net::{
     clock,
     request_body::RequestBody,
@@ -105,7 +105,6 @@
     recorder: Rc<RequestRecorder>,
     state: FrontState,
     waits: RefCell<CallerWaits>,
-    returns: RefCell<EarlyReturns>,
 }
 
 /// `EarlyResponse` refuses a request before it is sent to any target.
@@ -153,7 +152,6 @@
             recorder,
             state,
             waits: RefCell::default(),
-            returns: RefCell::default(),
         }
     }
 
@@ -210,46 +208,10 @@
                 ..EarlyResponse::new(StatusCode::SERVICE_UNAVAILABLE, QUARANTINED)
             });
         }
-        self.check_return(&mut job)?;
 
         Ok(job)
     }
 
-    /// Counts a request as a call of the target, or refuses it if its caller returns early.
-    ///
-    /// A call is never an early return: runs that send the same call are not one caller.
-    fn check_return(&self, job: &mut ForwardJob) -> Result<(), EarlyResponse> {
-        let head = &mut job.dispatch_head;
-        if let Some(share) = self.proxy.count_call(&head.route, &head.service) {
-            head.begun_share = share;
-            job.is_call = true;
-            return Ok(());
-        }
-
-        let mut returns = self.returns.borrow_mut();
-        match returns.check(repeat_id(head), clock::now()) {
-            Some(rest) => Err(EarlyResponse {
-                pause: Some(rest),
-                ..EarlyResponse::new(StatusCode::SERVICE_UNAVAILABLE, "returned-early")
-            }),
-            None => Ok(()),
-        }
-    }
-
-    /// Records the outcome of a request: the time of a call, or the delay of a refused caller.
-    fn record_outcome(&self, job: &ForwardJob, pause: Option<Duration>, is_served: bool) {
-        let now = clock::now();
-        let head = &job.dispatch_head;
-        if job.is_call {
-            let objective = job.route.objective.max(Duration::from_millis(1));
-            let took = now.since(job.started_at).div_duration_f32(objective);
-            self.proxy.record_call_time(&head.service, took, is_served);
-        } else if let Some(pause) = pause {
-            let mut returns = self.returns.borrow_mut();
-            returns.refused(repeat_id(head), pause, now);
-        }
-    }
-
     /// Finds the route and the service of a request from its head.
     fn resolve(
         &self,
@@ -300,7 +262,6 @@
             headers: end_to_end(&parts.headers),
             notice: None,
             accepted_wait_ms: None,
-            begun_share: 1.0,
         };
 
         Ok(ForwardJob {
@@ -313,7 +274,6 @@
             caller_deadline: started_at + caller_wait,
             asked: RefCell::default(),
             waited,
-            is_call: false,
         })
     }
 
@@ -322,13 +282,6 @@
         let time_left = job.deadline.since(clock::now());
         let outcome = timeout(time_left, self.forwarder.forward(&job)).await;
 
-        let pause = match &outcome {
-            Ok(ForwardOutcome::NotRun { pause, .. }) => Some(*pause),
-            _ => None,
-        };
-        let is_served = matches!(outcome, Ok(ForwardOutcome::Completed { .. }));
-        self.record_outcome(&job, pause, is_served);
-
         let (response, reason): (_, Option<Arc<str>>) = match outcome {
             Ok(ForwardOutcome::Completed { fields, body }) => {
                 let id = Arc::clone(&job.dispatch_head.id);
--- a/crates/sidecar/src/messages.rs
+++ b/crates/sidecar/src/messages.rs
@@ -53,9 +53,6 @@
     /// The wait for a slot, in milliseconds, above which the target's node declines the request, as another
     /// target may have a free slot. `None` if the request waits in any case.
     pub accepted_wait_ms: Option<u32>,
-    /// For a call, the share of the work that makes such calls which the caller's node admits, from 0
-    /// to 1; the called service derives from it how much is held back.
-    pub begun_share: f32,
 }
 
 impl DispatchHead {
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -169,10 +169,6 @@
         gauges.pipelined_requests.set(pipelined as f64);
         let depth = self.pipeline.take_max_depth();
         gauges.pipeline_depth.set(depth as f64);
-        for (service, share) in self.proxy.begin_shares() {
-            let metrics = self.recorder.metrics();
-            metrics.set_begin_share(&service, share);
-        }
         let memory = self.proxy.memory();
         gauges.body_bytes.set(memory.held() as f64);
         gauges.memory_refusals.set(memory.refusals() as f64);
--- a/crates/sidecar/src/outcomes.rs
+++ b/crates/sidecar/src/outcomes.rs
@@ -134,25 +134,6 @@
         }
     }
 
-    /// Records new work that does not begin because a service that it calls has no room. `share` is the
-    /// share of such work that begins, `calls_per_run` the calls of a run, if they are known.
-    pub fn callee_busy(
-        &self,
-        dispatch_head: &DispatchHead,
-        callee: &str,
-        share: f32,
-        calls_per_run: Option<f32>,
-    ) {
-        self.metrics.count_callee_busy(callee);
-
-        if let Some(skipped) = self.sampled_line(&dispatch_head.id, true) {
-            info!(
-                event = "callee-busy", request_id = %dispatch_head.id,
-                route = %dispatch_head.route, callee, begin_share = share, calls_per_run, skipped
-            );
-        }
-    }
-
     /// Records a dispatched request that may have run and has no response.
     pub fn dispatch_failed(&self, dispatch_head: &DispatchHead, reason: &str, cause: &str) {
         if let Some(skipped) = self.sampled_line(&dispatch_head.id, true) {
--- a/crates/sidecar/src/proxy/mod.rs
+++ b/crates/sidecar/src/proxy/mod.rs
@@ -2,7 +2,6 @@
 //!
 //! - [`serve`](TargetProxy::serve): decides whether and when a request may run here.
 //! - `dispatch`: sends the request to the target and classifies its response.
-//! - `callees`: the services that the target calls, and how much new work begins for them.
 //! - `crashes`: what ran at the target when its process ended.
 //! - `slots`: guards that free a slot or a queue position when they are dropped.
 //! - `evacuation`: refuses requests while the zone of the target is evacuated.
@@ -11,7 +10,6 @@
 //! - `replies`: builds the replies to other nodes.
 //! - [`headers`]: selects the end-to-end header fields.
 
-mod callees;
 mod crashes;
 mod dispatch;
 mod evacuation;
@@ -26,13 +24,11 @@
     memory::NodeMemory, outcomes::RequestRecorder, pacing::NodeLink, ports::WireDialect,
     settings::SidecarSettings, view::FleetView,
 };
-use callees::CallRoutes;
 use compio::time::sleep;
 use event_listener::Event;
 use futures_channel::oneshot;
 use notices::NoticeState;
 use replies::millis_up;
-pub use serve::repeat_id;
 use slots::Admission;
 use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc, time::Duration};
 use tracing::info;
@@ -41,8 +37,12 @@
     units::LocalMoment,
 };
 use wagtail_gate::{
-    AdmissionGate, GateOptions, calls::CallProfiles, limit::LimitOptions, origins::RouteOrigins,
-    pressure::CallPressure, runs::RunTracker, sizes::ResponseSizes, throttle::CalleeThrottles,
+    AdmissionGate, GateOptions,
+    limit::LimitOptions,
+    origins::RouteOrigins,
+    pressure::{CallPressure, WorkThrottle},
+    runs::RunTracker,
+    sizes::ResponseSizes,
     warmup::TargetWarmth,
 };
 use wagtail_net::{
@@ -103,9 +103,7 @@
     keys: KeyCounter,
     origins: RouteOrigins,
     pressure: CallPressure,
-    throttles: CalleeThrottles,
-    profiles: CallProfiles,
-    call_routes: CallRoutes,
+    throttle: WorkThrottle,
     work_priority: u32,
     waiters: HashMap<u64, oneshot::Sender<Admission>>,
     next_ticket: u64,
@@ -154,9 +152,7 @@
             keys: KeyCounter::default(),
             origins: RouteOrigins::default(),
             pressure: CallPressure::default(),
-            throttles: CalleeThrottles::default(),
-            profiles: CallProfiles::default(),
-            call_routes: CallRoutes::default(),
+            throttle: WorkThrottle::default(),
             work_priority: u32::MAX,
             waiters: HashMap::new(),
             next_ticket: 0,
@@ -362,12 +358,17 @@
         self.state.borrow().gate.pace(clock::now())
     }
 
-    /// Returns the priority of the last new work, other than calls, that arrived for the target and may
-    /// make calls.
+    /// Returns the priority of the last new work, other than calls, that arrived for the target.
     pub fn work_priority(&self) -> u32 {
         self.state.borrow().work_priority
     }
 
+    /// Records the share of new work that this target should begin, as requested by a service that
+    /// it calls.
+    pub fn record_begin_share(&self, share: f32) {
+        self.state.borrow_mut().throttle.report(share, clock::now());
+    }
+
     /// Returns the load of the target that is reported with each response.
     #[expect(clippy::cast_possible_truncation, reason = "a rate needs few digits")]
     pub fn load(&self) -> LoadReport {
--- a/crates/sidecar/src/proxy/replies.rs
+++ b/crates/sidecar/src/proxy/replies.rs
@@ -19,10 +19,7 @@
     /// Returns the load that is reported to the caller of a request. For a call it includes the
     /// share of new work that the caller should begin.
     pub(super) fn load_for(&self, is_call: bool) -> LoadReport {
-        let begin_share = is_call.then(|| {
-            let state = self.state.borrow();
-            state.pressure.share(state.gate.slots(), clock::now())
-        });
+        let begin_share = is_call.then(|| self.state.borrow().pressure.share());
 
         LoadReport {
             begin_share,
--- a/crates/sidecar/src/proxy/serve.rs
+++ b/crates/sidecar/src/proxy/serve.rs
@@ -20,9 +20,8 @@
 };
 use wagtail_core::units::LocalMoment;
 use wagtail_gate::{
-    GateArrival, GateRefusal,
+    GateArrival, GateOptions, GateRefusal,
     link::{BULK_BYTES, BulkArrival},
-    pressure::WorkArrival,
     runs::RunEnd,
 };
 use wagtail_net::clock;
@@ -244,17 +243,17 @@
 
         if is_call {
             state.pressure.called(dispatch_head.caller_priority);
-        } else if state.profiles.may_make_calls(&dispatch_head.route) {
+        } else {
             state.work_priority = dispatch_head.priority;
         }
 
-        let arrival = WorkArrival {
-            is_call,
-            priority: dispatch_head.priority,
-            service_time: state.gate.service_time(&dispatch_head.route),
-            begun_share: dispatch_head.begun_share,
-        };
-        state.pressure.arrived(&arrival, clock::now());
+        let wait = state
+            .gate
+            .expected_wait(is_call, dispatch_head.priority, clock::now());
+        let objective = Duration::from_millis(u64::from(dispatch_head.objective_ms));
+        state
+            .pressure
+            .arrived(is_call, dispatch_head.priority, wait, objective);
         is_call
     }
 
@@ -370,11 +369,14 @@
         let now = clock::now();
         self.update_cold_rate(now);
         self.log_warmth(now);
-        if !is_call && let Some(refusal) = self.hold_back(dispatch_head, now) {
-            return Err(NotRunFields {
-                load: Some(self.load()),
-                ..refusal
-            });
+        if !is_call && !self.state.borrow_mut().throttle.admit(now) {
+            let retry_after = GateOptions::default().min_retry_after;
+            return Err(self.gate_refusal(
+                dispatch_head,
+                is_call,
+                GateRefusal::CalleeBusy,
+                retry_after,
+            ));
         }
 
         let (sender, receiver) = oneshot::channel();
@@ -404,7 +406,6 @@
         let guard = SlotGuard {
             proxy: self.clone(),
             ticket,
-            route: Arc::clone(&dispatch_head.route),
             started: Cell::new(false),
             executed: Cell::new(false),
             run_end: Cell::new(RunEnd::Unresolved),
@@ -414,7 +415,6 @@
         match receiver.await {
             Ok(Admission::Started) => {
                 guard.started.set(true);
-                self.run_began(&dispatch_head.route);
                 Ok(guard)
             }
             Ok(Admission::Refused {
@@ -453,7 +453,7 @@
 }
 
 /// Returns a number that a request and its repetitions by the same caller have in common.
-pub fn repeat_id(dispatch_head: &DispatchHead) -> u64 {
+fn repeat_id(dispatch_head: &DispatchHead) -> u64 {
     let mut hasher = DefaultHasher::new();
     dispatch_head.method.hash(&mut hasher);
     dispatch_head.path.hash(&mut hasher);
--- a/crates/sidecar/src/proxy/slots.rs
+++ b/crates/sidecar/src/proxy/slots.rs
@@ -2,7 +2,7 @@
 
 use super::TargetProxy;
 use bytes::Bytes;
-use std::{cell::Cell, sync::Arc, time::Duration};
+use std::{cell::Cell, time::Duration};
 use wagtail_core::{
     Result,
     ports::{BodyStream, LocalFuture},
@@ -25,7 +25,6 @@
 pub(super) struct SlotGuard {
     pub(super) proxy: TargetProxy,
     pub(super) ticket: u64,
-    pub(super) route: Arc<str>,
     pub(super) started: Cell<bool>,
     pub(super) executed: Cell<bool>,
     /// How the request ended, if it was sent to the target.
@@ -35,9 +34,6 @@
 impl Drop for SlotGuard {
     fn drop(&mut self) {
         self.proxy.finish_run(self.ticket, self.run_end.get());
-        if self.started.get() {
-            self.proxy.run_ended(&self.route);
-        }
         self.proxy
             .release(self.ticket, self.started.get(), self.executed.get());
     }
--- a/crates/sidecar/tests/proxy.rs
+++ b/crates/sidecar/tests/proxy.rs
@@ -168,7 +168,6 @@
         headers: Vec::new(),
         notice: None,
         accepted_wait_ms: None,
-        begun_share: 1.0,
     }
 }
 
--- a/crates/telemetry/src/requests.rs
+++ b/crates/telemetry/src/requests.rs
@@ -57,13 +57,6 @@
     reason: String,
 }
 
-/// `CalleeLabel` is the label of a service that the target calls.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-#[derive(EncodeLabelSet)]
-struct CalleeLabel {
-    callee: String,
-}
-
 /// `RequestMetrics` holds the request counters and histograms of one process.
 #[derive(Debug)]
 pub struct RequestMetrics {
@@ -73,10 +66,6 @@
     ended: Family<ClassOutcome, Counter>,
     latency: Family<RequestClass, Histogram>,
     reasons: Family<ReasonLabel, Counter>,
-    /// The requests that did not begin because of a service that they call.
-    callee_busy: Family<CalleeLabel, Counter>,
-    /// The share of the work that calls a service which begins.
-    begin_shares: Family<CalleeLabel, Gauge<f64, AtomicU64>>,
     /// The requests that were sent to the target.
     sent: Counter,
     /// The times that requests waited for a slot of the target.
@@ -98,8 +87,6 @@
         let ended = Family::default();
         let latency = Family::new_with_constructor(seconds_histogram as fn() -> Histogram);
         let reasons = Family::default();
-        let callee_busy = Family::default();
-        let begin_shares = Family::default();
         let sent = Counter::default();
         let (slot_waits, slot_uses) = (seconds_histogram(), seconds_histogram());
 
@@ -119,16 +106,6 @@
             "Refusals and failures by their reason, where they were decided",
             reasons.clone(),
         );
-        registry.register(
-            "callee_busy",
-            "Requests that did not begin because of a service that they call",
-            callee_busy.clone(),
-        );
-        registry.register(
-            "begin_share",
-            "Share of the work that calls a service which begins",
-            begin_shares.clone(),
-        );
         registry.register(
             "target_requests",
             "Requests that were sent to the target",
@@ -153,8 +130,6 @@
             ended,
             latency,
             reasons,
-            callee_busy,
-            begin_shares,
             sent,
             slot_waits,
             slot_uses,
@@ -201,26 +176,6 @@
         self.reasons.get_or_create(&label).inc();
     }
 
-    /// Counts a request that did not begin because of a service that it calls.
-    pub fn count_callee_busy(&self, callee: &str) {
-        let label = CalleeLabel {
-            callee: callee.to_owned(),
-        };
-
-        self.callee_busy.get_or_create(&label).inc();
-    }
-
-    /// Sets the share of the work that calls a service which begins, from 0 to 1.
-    pub fn set_begin_share(&self, callee: &str, share: f32) {
-        let label = CalleeLabel {
-            callee: callee.to_owned(),
-        };
-
-        self.begin_shares
-            .get_or_create(&label)
-            .set(f64::from(share));
-    }
-
     /// Records how long a request that got a response waited for a slot, and how long the target
     /// then took until the response head.
     pub fn count_run(&self, waited: Duration, ran: Duration) {
