A large request is declined before its body is sent

Cause: an upload of 60 KB asked up to five targets, and its body went to each before the full target declined: the links of six VMs of 10 Mbit/s carried it five times. A target's node decides on what the head says as soon as the head has arrived. Test over loopback in wagtail-peer.

--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -101,6 +101,16 @@
         None
     }
 
+    /// Returns the response to a request with a body of the stated length that is refused for what its head
+    /// says, before the body is read.
+    fn refuse_head(
+        &self,
+        _head: &Self::Request,
+        _length: u64,
+    ) -> Option<PeerResponse<Self::Answer>> {
+        None
+    }
+
     /// Adjusts the head of a request to the time that its body took to arrive.
     fn body_arrived(&self, _head: &mut Self::Request, _took: Duration) {}
 }
@@ -316,6 +326,12 @@
         refuse(&mut responder, StatusCode::BAD_REQUEST);
         return;
     };
+    if let Some(length) = length
+        && let Some(answer) = handler.refuse_head(&head, length)
+    {
+        respond(responder, answer).await;
+        return;
+    }
     let began = clock::now();
     let body = match collect_body(&mut reader, &head, length, handler).await {
         Ok(body) => body,
@@ -404,6 +420,11 @@
         return;
     };
 
+    respond(responder, answer).await;
+}
+
+/// Opens the response to a stream and sends it.
+async fn respond<A: Serialize>(mut responder: SendResponse<Bytes>, answer: PeerResponse<A>) {
     if let Ok(stream) = responder.send_response(Response::new(()), false) {
         send_answer(stream, answer).await;
     }
--- a/crates/peer/tests/bodies.rs
+++ b/crates/peer/tests/bodies.rs
@@ -29,6 +29,9 @@
 /// The number of parts of a body that is not sent to its end.
 const MANY_PARTS: u32 = 5_000;
 
+/// The head of a request that is refused whatever its body is.
+const REFUSED_HEAD: u64 = 404;
+
 /// The time within which a body has to arrive.
 const BODY_TIME: Duration = Duration::from_millis(300);
 
@@ -89,6 +92,10 @@
         })
     }
 
+    fn refuse_head(&self, head: &u64, _length: u64) -> Option<PeerResponse<u64>> {
+        (*head == REFUSED_HEAD).then(|| PeerResponse::new(0, Box::new(EmptyBody) as _))
+    }
+
     fn refuse_body(&self, _head: &u64, retry_after: Duration) -> Option<PeerResponse<u64>> {
         let refusal = u64::try_from(retry_after.as_millis()).unwrap();
 
@@ -260,3 +267,23 @@
         assert_eq!(handler.runs.get(), 0);
     });
 }
+
+/// Guards against bodies that are sent to targets which refuse the request for what its head says: an upload
+/// that asked five full targets was sent five times.
+#[test]
+fn a_request_that_its_head_rules_out_is_refused_before_its_body_was_sent() {
+    with_server(|link, handler| async move {
+        handler.room.set(u64::MAX);
+        let (body, dropped) = slow_body(10_000, MANY_PARTS, Duration::from_millis(20));
+
+        let answer: PeerResponse<u64> = link
+            .exchange(&REFUSED_HEAD, WorkClass::Long, SilencePolicy::Wait, body)
+            .await
+            .unwrap();
+
+        assert_eq!(answer.head, 0);
+        assert!(dropped.get(), "the rest of the body is still being sent");
+        assert!(handler.planned.borrow().is_empty());
+        assert_eq!(handler.runs.get(), 0);
+    });
+}
--- a/crates/sidecar/src/inbound.rs
+++ b/crates/sidecar/src/inbound.rs
@@ -164,6 +164,13 @@
         })
     }
 
+    fn refuse_head(&self, head: &PeerRequest, length: u64) -> Option<PeerResponse<PeerReply>> {
+        match head {
+            PeerRequest::Dispatch(dispatch_head) => self.proxy.refuse_early(dispatch_head, length),
+            _ => None,
+        }
+    }
+
     fn refuse_body(
         &self,
         head: &PeerRequest,
--- a/crates/sidecar/src/proxy/serve.rs
+++ b/crates/sidecar/src/proxy/serve.rs
@@ -66,16 +66,9 @@
         if let Some(notice) = &dispatch_head.notice {
             self.apply_notice(notice);
         }
-        if let Some(refusal) = self.check(dispatch_head) {
-            return self.not_run(refusal);
-        }
-        if let Some(refusal) = self.check_zone(dispatch_head) {
+        if let Some(refusal) = self.refuse_head(dispatch_head) {
             return self.not_run(refusal);
         }
-        if self.declines(dispatch_head) {
-            let refusal = GateRefusal::SlotsTaken;
-            return self.not_run(self.gate_refusal(dispatch_head, false, refusal, Duration::ZERO));
-        }
         let is_call = self.observe(dispatch_head);
         if let Some(key) = dispatch_head.key
             && let Some(refusal) = self.wait_for_key(key, deadline).await
@@ -123,6 +116,38 @@
         response
     }
 
+    /// Returns the reply to a request with a large body that is refused for what its head says, before the
+    /// body is sent. Uploads that ask several full targets would otherwise take the links of all of them.
+    pub fn refuse_early(
+        &self,
+        dispatch_head: &DispatchHead,
+        length: u64,
+    ) -> Option<PeerResponse<PeerReply>> {
+        if length < BULK_BYTES {
+            return None;
+        }
+        let refusal = self.refuse_head(dispatch_head)?;
+
+        let response = self.not_run(refusal);
+        self.record(dispatch_head, &response.head.body, clock::now(), None);
+        Some(response)
+    }
+
+    /// Returns the refusal of a request that this target cannot run, or that is better sent to another one.
+    fn refuse_head(&self, dispatch_head: &DispatchHead) -> Option<NotRunFields> {
+        if let Some(refusal) = self.check(dispatch_head) {
+            return Some(refusal);
+        }
+        if let Some(refusal) = self.check_zone(dispatch_head) {
+            return Some(refusal);
+        }
+
+        self.declines(dispatch_head).then(|| {
+            let refusal = GateRefusal::SlotsTaken;
+            self.gate_refusal(dispatch_head, false, refusal, Duration::ZERO)
+        })
+    }
+
     /// Returns whether a request is declined, as it would wait longer for a slot than its caller's node
     /// accepts, or the VM is slow at present.
     fn declines(&self, dispatch_head: &DispatchHead) -> bool {
