--- a/crates/gate/src/capacity/options.rs
+++ b/crates/gate/src/capacity/options.rs
@@ -5,6 +5,8 @@
 /// `CapacityOptions` sets how the limit of a target is learned.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct CapacityOptions {
+    /// Whether a limit is learned; otherwise all slots are used.
+    pub is_enabled: bool,
     /// The share by which the throughput of a lower level may be below that of a higher one.
     pub tolerance: f64,
     /// The lowest limit, as a share of the slots.
@@ -43,6 +45,7 @@
 impl Default for CapacityOptions {
     fn default() -> Self {
         Self {
+            is_enabled: true,
             tolerance: 0.03,
             min_share: 1.0 / 3.0,
             min_slots: 2,
--- a/crates/gate/src/slots.rs
+++ b/crates/gate/src/slots.rs
@@ -23,7 +23,9 @@
     pace: PaceClock,
     service_times: ServiceTimes,
     capacity: CapacityEstimator,
-    /// Whether the target has stated its load; only then the limit is learned.
+    /// Whether the limit is learned once the target has stated its load.
+    learns: bool,
+    /// Whether the target has stated its load, and its limit is learned.
     states_load: bool,
 }
 
@@ -35,6 +37,7 @@
             pace: PaceClock::default(),
             service_times: ServiceTimes::new(initial_service_time),
             capacity: CapacityEstimator::new(options),
+            learns: options.is_enabled,
             states_load: false,
         }
     }
@@ -55,7 +58,7 @@
         if let Some(pace) = load.pace {
             self.pace.state(pace, now);
         }
-        self.states_load = true;
+        self.states_load = self.learns;
     }
 
     /// Discards what was learned of a previous incarnation of the target.
--- a/crates/net/tests/stall.rs
+++ b/crates/net/tests/stall.rs
@@ -7,7 +7,7 @@
     runtime::Runtime,
     time::sleep,
 };
-use hyper::{Request, Response, body::Incoming};
+use hyper::{Request, Response};
 use std::{
     cell::Cell,
     rc::Rc,
@@ -18,6 +18,7 @@
     ports::{BodyStream, LocalFuture},
 };
 use wagtail_net::{
+    request_body::RequestBody,
     server::{ConnectionLimits, HttpHandler, LimitSource, ServerBody, serve, streamed_body},
     stop::StopSignal,
 };
@@ -80,7 +81,7 @@
 }
 
 impl HttpHandler for LargeHandler {
-    fn handle(&self, request: Request<Incoming>) -> LocalFuture<'_, Response<ServerBody>> {
+    fn handle(&self, request: Request<RequestBody>) -> LocalFuture<'_, Response<ServerBody>> {
         let number = |text: Option<&str>| text.and_then(|text| text.parse().ok()).unwrap_or(0);
         self.open.set(self.open.get() + 1);
         let body = LargeBody {
--- a/crates/sidecar/src/proxy/mod.rs
+++ b/crates/sidecar/src/proxy/mod.rs
@@ -38,6 +38,7 @@
 };
 use wagtail_gate::{
     AdmissionGate, GateOptions,
+    capacity::CapacityOptions,
     limit::LimitOptions,
     origins::RouteOrigins,
     pressure::{CallPressure, WorkThrottle},
@@ -144,6 +145,10 @@
         let gate_options = GateOptions {
             limit: LimitOptions::with_grace(settings.limit_grace),
             warmup: warmth::warmup_options(&settings),
+            capacity: CapacityOptions {
+                is_enabled: settings.learns_capacity,
+                ..CapacityOptions::default()
+            },
             ..GateOptions::default()
         };
         let state = ProxyState {
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -33,6 +33,8 @@
     pub link_mbps: f64,
     /// The memory that the process may use, in bytes; `None` if no limit is stated.
     pub memory: Option<u64>,
+    /// Whether the node learns how many requests its target handles well, below the slots that it states.
+    pub learns_capacity: bool,
     /// Whether callers send further requests on a connection before the first is answered.
     pub pipelining: bool,
     /// The time after which a zone that is to be evacuated gets no requests; `None` if zones are not
--- a/crates/sidecar/tests/proxy.rs
+++ b/crates/sidecar/tests/proxy.rs
@@ -99,6 +99,7 @@
         metrics: None,
         link_mbps: 10_000.0,
         memory: None,
+        learns_capacity: false,
         pipelining: false,
         evacuation: None,
         cold_factor: 1.0,
