Large request bodies are received in turns

Cause: dozens of nodes send uploads of 60 KB to a few nodes with links of 10 Mbit/s, each at the rate of its own link. A node receives two bodies of more than 16 KB at a time; the others wait in the flow-control window. A silent peer loses its turn after 400 ms.

--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`frame`]: encoding and decoding of length-prefixed bincode frames.
 //! - [`packed`]: values that are sent compressed.
 //! - [`stream`]: reading frames and bodies from an HTTP/2 stream.
+//! - [`turns`]: turns in which the bodies of requests are received.
 //! - [`link`]: the client side: requests to one peer.
 //! - [`control`]: the task that sends control messages to one peer.
 //! - [`silence`]: detection of connections that stopped responding.
@@ -27,6 +28,7 @@
 pub mod server;
 pub mod silence;
 pub mod stream;
+pub mod turns;
 
 /// The protocol version; streams of any other version are refused.
 pub const PROTOCOL_VERSION: &str = "3";
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -5,10 +5,11 @@
     answer::PeerResponse,
     body::BodyPlan,
     frame,
-    link::{CONNECTION_WINDOW_BYTES, STREAM_WINDOW_BYTES},
+    link::CONNECTION_WINDOW_BYTES,
     sending::{send_body, send_chunk},
     silence::{LastRead, StreamCounter, TrackedStream},
     stream::FrameReader,
+    turns::{BodyTurn, BodyTurns},
 };
 use bytes::Bytes;
 use compio::{
@@ -35,6 +36,12 @@
 /// The maximum number of concurrent streams on one connection.
 const MAX_STREAMS: u32 = 4_096;
 
+/// The HTTP/2 flow-control window of a request in bytes. What exceeds it is sent when its turn has come.
+const REQUEST_WINDOW_BYTES: u32 = 16 << 10;
+
+/// The silence of a peer after which its body loses its turn.
+const MAX_TURN_SILENCE: Duration = Duration::from_millis(400);
+
 /// The delay after a failed `accept`, for instance when no file descriptors are left. Without it
 /// the loop would spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -111,6 +118,11 @@
         None
     }
 
+    /// Returns the turns in which bodies that exceed the window of a request are received, if they take turns.
+    fn body_turns(&self) -> Option<&BodyTurns> {
+        None
+    }
+
     /// Adjusts the head of a request to the time that its body took to arrive.
     fn body_arrived(&self, _head: &mut Self::Request, _took: Duration) {}
 }
@@ -174,7 +186,7 @@
         handler.sent_meter(),
     );
     let handshake = Builder::new()
-        .initial_window_size(STREAM_WINDOW_BYTES)
+        .initial_window_size(REQUEST_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
         .max_concurrent_streams(MAX_STREAMS)
         .handshake(tracked.compat())
@@ -383,9 +395,16 @@
     let mut planned = length.map(|length| plan(Some(length))).transpose()?;
     let time_limit = planned.as_ref().and_then(|planned| planned.time_limit);
 
+    let is_large = length.is_none_or(|length| length > u64::from(REQUEST_WINDOW_BYTES));
+    let turns = handler.body_turns().filter(|_| is_large);
+
     let collect = async {
+        let mut turn = match turns {
+            Some(turns) => Some(turns.take().await),
+            None => None,
+        };
         let mut collected = 0;
-        while let Some(chunk) = reader.next().await.map_err(|_broken| BodyFault::Broken)? {
+        while let Some(chunk) = next_chunk(reader, &mut turn).await? {
             collected += chunk.len();
             if collected > limit {
                 return Err(BodyFault::Broken);
@@ -407,6 +426,22 @@
     }
 }
 
+/// Returns the next part of a body. A turn ends when nothing arrives for a while: a peer that was cut off would
+/// keep it from the others.
+async fn next_chunk(
+    reader: &mut FrameReader,
+    turn: &mut Option<BodyTurn>,
+) -> std::result::Result<Option<Bytes>, BodyFault> {
+    if turn.is_some() {
+        match timeout(MAX_TURN_SILENCE, reader.next()).await {
+            Ok(next) => return next.map_err(|_broken| BodyFault::Broken),
+            Err(_elapsed) => drop(turn.take()),
+        }
+    }
+
+    reader.next().await.map_err(|_broken| BodyFault::Broken)
+}
+
 /// Sends the refusal of a request whose body has no room. The stream is reset behind it, so that the peer sends
 /// no more of the body.
 async fn refuse_body<H: PeerHandler>(
--- a/crates/sidecar/src/inbound.rs
+++ b/crates/sidecar/src/inbound.rs
@@ -17,13 +17,17 @@
 use wagtail_net::{clock, traffic::TrafficMeter};
 use wagtail_peer::{
     answer::PeerResponse, body::BodyPlan, packed::PackedValue, server::PeerHandler,
-    stream::EmptyBody,
+    stream::EmptyBody, turns::BodyTurns,
 };
 
 /// The maximum size of a request body in bytes. The limits for callers are checked by the
 /// node at which a request arrives first.
 const MAX_BODY_BYTES: usize = 128 << 20;
 
+/// The number of large bodies that are received at a time: one that uses the link, and the next one, whose
+/// sender may be slow.
+const MAX_BODIES_RECEIVED: usize = 2;
+
 /// `InboundHandler` runs the requests of other nodes at the target and replies to what nodes ask
 /// each other.
 #[derive(Debug)]
@@ -35,6 +39,7 @@
     planners: PlannerActivity,
     watching: WatchRelay,
     tables: TableReader,
+    body_turns: BodyTurns,
 }
 
 impl InboundHandler {
@@ -56,6 +61,7 @@
             planners,
             watching,
             tables,
+            body_turns: BodyTurns::new(MAX_BODIES_RECEIVED),
         }
     }
 
@@ -164,6 +170,10 @@
         })
     }
 
+    fn body_turns(&self) -> Option<&BodyTurns> {
+        Some(&self.body_turns)
+    }
+
     fn refuse_head(&self, head: &PeerRequest, length: u64) -> Option<PeerResponse<PeerReply>> {
         match head {
             PeerRequest::Dispatch(dispatch_head) => self.proxy.refuse_early(dispatch_head, length),
