Requests in flight are answered before the process ends

From 0.86 of the grace period on, past the five sixths in which a target may be at work, requests in flight get 502 node-stopping. The test was seen failing without the signal (target-too-late).

--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -8,13 +8,14 @@
     messages::{CompletedFields, DispatchHead},
     outcomes::{RequestEnd, RequestRecorder},
     ports::WireDialect,
-    proxy::{TargetProxy, headers::end_to_end},
+    proxy::{NODE_STOPPING, TargetProxy, headers::end_to_end},
     quarantine::QUARANTINED,
     settings::SidecarSettings,
     view::FleetView,
 };
 use bytes::Bytes;
 use compio::time::timeout;
+use futures_util::future::{Either, select};
 use hyper::{
     Request, Response, StatusCode,
     body::Body,
@@ -23,6 +24,7 @@
 };
 use std::{
     cell::{Cell, RefCell},
+    pin::pin,
     rc::Rc,
     sync::Arc,
     time::Duration,
@@ -38,6 +40,7 @@
     clock,
     request_body::RequestBody,
     server::{ConnectionLimits, HttpHandler, LimitSource, ServerBody, streamed_body, whole_body},
+    stop::StopSignal,
 };
 use wagtail_route::hosts::{HostTable, choose_service};
 
@@ -60,6 +63,7 @@
 pub struct FrontState {
     in_flight: Rc<Cell<usize>>,
     draining: Rc<Cell<bool>>,
+    expired: StopSignal,
 }
 
 impl FrontState {
@@ -73,6 +77,12 @@
     pub fn start_drain(&self) {
         self.draining.set(true);
     }
+
+    /// Answers the requests that are still in flight, as the process is about to end. Their connections would
+    /// close without an answer otherwise.
+    pub fn expire(&self) {
+        self.expired.trigger();
+    }
 }
 
 /// `InFlightGuard` counts a request as in flight until it is dropped.
@@ -280,7 +290,15 @@
     /// Forwards a request until its deadline and records how it ended.
     async fn run(&self, job: ForwardJob) -> Response<ServerBody> {
         let time_left = job.deadline.since(clock::now());
-        let outcome = timeout(time_left, self.forwarder.forward(&job)).await;
+        let outcome = {
+            let forwarded = pin!(timeout(time_left, self.forwarder.forward(&job)));
+            match select(forwarded, pin!(self.state.expired.wait())).await {
+                Either::Left((outcome, _)) => outcome,
+                Either::Right(_) => Ok(ForwardOutcome::Failed {
+                    reason: Arc::from(NODE_STOPPING),
+                }),
+            }
+        };
 
         let (response, reason): (_, Option<Arc<str>>) = match outcome {
             Ok(ForwardOutcome::Completed { fields, body }) => {
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -52,6 +52,10 @@
 /// The time that the shutdown leaves unused before the forced end.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(500);
 
+/// The share of the grace period after which callers' requests that are still in flight are answered. A target
+/// may be at work on a request until five sixths of it.
+const EXPIRY_SHARE: f32 = 0.86;
+
 /// The interval between two checks whether the target still has requests in flight.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -444,6 +448,13 @@
     context.front.start_drain();
 
     let drain_timeout = context.settings.grace.saturating_sub(SHUTDOWN_MARGIN);
+    let front = context.front.clone();
+    let expiry = context.settings.grace.mul_f32(EXPIRY_SHARE);
+    compio::runtime::spawn(async move {
+        sleep(expiry).await;
+        front.expire();
+    })
+    .detach();
     let drained = timeout(drain_timeout, async {
         sleep(CALLER_DRAIN_TIME.min(drain_timeout / 2)).await;
         // Requests of other nodes stop with those of callers: while the last callers are served, too
--- a/crates/sidecar/tests/proxy.rs
+++ b/crates/sidecar/tests/proxy.rs
@@ -35,6 +35,8 @@
 
 #[path = "proxy/evacuations.rs"]
 mod evacuations;
+#[path = "proxy/shutdown.rs"]
+mod shutdown;
 
 /// `SilentDialect` neither reads nor writes header fields. Each response counts as genuine, and as that to
 /// the request of [`request_head`].
@@ -43,7 +45,10 @@
 
 impl WireDialect for SilentDialect {
     fn read_caller(&self, _headers: &HeaderMap) -> CallerFields {
-        CallerFields::default()
+        CallerFields {
+            id: Some(Arc::from("r1")),
+            ..CallerFields::default()
+        }
     }
 
     fn write_request(&self, _headers: &mut HeaderMap, _fields: &RequestFields<'_>) {}
