--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -52,9 +52,9 @@
 /// The time that the shutdown leaves unused before the forced end.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(500);
 
-/// The share of the grace period after which callers' requests that are still in flight are answered. A target
-/// may be at work on a request until five sixths of it.
-const EXPIRY_SHARE: f32 = 0.86;
+/// How long before the end of the shutdown callers' requests that are still in flight are answered. With more, a
+/// target that is about to respond is cut off on a busy VM.
+const EXPIRY_MARGIN: Duration = Duration::from_millis(150);
 
 /// The interval between two checks whether the target still has requests in flight.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -449,7 +449,7 @@
 
     let drain_timeout = context.settings.grace.saturating_sub(SHUTDOWN_MARGIN);
     let front = context.front.clone();
-    let expiry = context.settings.grace.mul_f32(EXPIRY_SHARE);
+    let expiry = drain_timeout.saturating_sub(EXPIRY_MARGIN);
     compio::runtime::spawn(async move {
         sleep(expiry).await;
         front.expire();
