--- a/review/common/upstream.rs
+++ b/review/common/upstream.rs
@@ -98,6 +98,11 @@
             }
         });
 
+        self.start_heartbeats();
+    }
+
+    /// Sends heartbeats until the upstream has ended.
+    pub fn start_heartbeats(&self) {
         let upstream = self.clone();
         thread::spawn(move || {
             while !upstream.state.ended.load(Ordering::SeqCst) {
