--- a/review/2/main.rs
+++ b/review/2/main.rs
@@ -122,8 +122,8 @@
             &[("Host", "node"), ("Content-Type", "application/json")],
             body.as_bytes(),
         );
-        let status =
-            call(fleet.nodes[0].admin, &bytes, Duration::from_secs(1)).map(|answer| answer.status());
+        let status = call(fleet.nodes[0].admin, &bytes, Duration::from_secs(1))
+            .map(|answer| answer.status());
         record.line(&format!(
             "another writer sends {body} to the node of i-0, which answers {status:?}"
         ));
--- a/review/common/fleet.rs
+++ b/review/common/fleet.rs
@@ -9,6 +9,7 @@
     fs::{self, File},
     io::Write,
     net::{IpAddr, SocketAddr, TcpListener},
+    os::unix::process::CommandExt,
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::Mutex,
@@ -17,8 +18,12 @@
 
 unsafe extern "C" {
     fn kill(process: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64, ...) -> i32;
 }
 
+/// Sends a process a signal when its parent ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 pub const SIGTERM: i32 = 15;
 pub const SIGKILL: i32 = 9;
 pub const SIGSTOP: i32 = 19;
@@ -35,18 +40,34 @@
 /// The longest time that a script takes.
 const MAX_TIME: Duration = Duration::from_secs(112);
 
-/// Ends the script, with its processes, when it takes too long.
+/// Ends the script, with its processes, when it takes too long or its main thread fails.
 fn watch_time() {
+    let main_thread = std::thread::current().id();
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |info| {
+        report(info);
+        if std::thread::current().id() == main_thread {
+            end_script();
+        }
+    }));
+
     std::thread::spawn(|| {
         std::thread::sleep(MAX_TIME);
         println!("the script takes too long");
-        for process in PROCESSES.lock().unwrap().iter() {
+        end_script();
+    });
+}
+
+/// Ends the processes and then the script, which counts as one that could not run.
+fn end_script() -> ! {
+    if let Ok(processes) = PROCESSES.lock() {
+        for process in processes.iter() {
             unsafe {
                 kill(*process as i32, SIGKILL);
             }
         }
-        std::process::exit(NOT_RUN);
-    });
+    }
+    std::process::exit(NOT_RUN);
 }
 
 /// Returns whether the case plays its disruption.
@@ -227,16 +248,26 @@
     /// Starts a node with the command of the deploy file.
     pub fn start(&mut self, index: usize) {
         let node = &mut self.nodes[index];
-        let log = self.folder.join(format!("{}-{}.log", node.name, node.starts));
+        let log = self
+            .folder
+            .join(format!("{}-{}.log", node.name, node.starts));
         node.starts += 1;
         let log = File::create(log).unwrap();
-        let child = Command::new(&self.program)
+        let mut command = Command::new(&self.program);
+        command
             .args(["--metrics-port", "9464"])
             .env("WAGTAILPULLEY_CONFIG", &node.settings)
             .stdin(Stdio::null())
             .stderr(log.try_clone().unwrap())
-            .stdout(log)
-            .spawn();
+            .stdout(log);
+        // The node ends with the script, however that ends.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                Ok(())
+            });
+        }
+        let child = command.spawn();
         match child {
             Ok(child) => {
                 PROCESSES.lock().unwrap().push(child.id());
--- a/review/common/store.rs
+++ b/review/common/store.rs
@@ -166,7 +166,14 @@
             }
             ("POST", ["objects", kind]) => {
                 let name = body.get("metadata").get("name").text().unwrap_or("");
-                self.write((*kind).to_owned(), name.to_owned(), &body, &query, false, true)
+                self.write(
+                    (*kind).to_owned(),
+                    name.to_owned(),
+                    &body,
+                    &query,
+                    false,
+                    true,
+                )
             }
             ("PUT", ["objects", kind, name]) => self.write(
                 (*kind).to_owned(),
--- a/review/common/upstream.rs
+++ b/review/common/upstream.rs
@@ -162,7 +162,13 @@
             .rows
             .iter()
             .filter(|_| is_valid)
-            .map(|row| Json::List(vec![num(row.0 as f64), num(row.1 as f64), num(row.2 as f64)]))
+            .map(|row| {
+                Json::List(vec![
+                    num(row.0 as f64),
+                    num(row.1 as f64),
+                    num(row.2 as f64),
+                ])
+            })
             .collect();
         let released = grants
             .released
@@ -294,7 +300,10 @@
 pub fn good_answer(id: &str, body: &[u8]) -> Vec<u8> {
     response(
         200,
-        &[("Wagtailpulley-Request-Id", id), (SEAL, "3e1b.07.5a2.600.0")],
+        &[
+            ("Wagtailpulley-Request-Id", id),
+            (SEAL, "3e1b.07.5a2.600.0"),
+        ],
         body,
     )
 }
