Log responses of the target that name another request

Cause of this change: the log could not tell apart a refusal of the request itself, a refusal of an earlier request that arrived on its connection, and a target that runs what it refuses. All three were `order-ended outcome=target-refused`. Change: `response-unmatched` gives the identifier that a response names, its status and whether it refuses.

--- a/crates/sidecar/src/outcomes.rs
+++ b/crates/sidecar/src/outcomes.rs
@@ -1,6 +1,6 @@
 //! Log lines and metrics of how requests ended.
 
-use crate::messages::DispatchHead;
+use crate::{messages::DispatchHead, ports::ResponseFields};
 use std::{cell::RefCell, time::Duration};
 use tracing::info;
 use wagtail_core::{
@@ -144,6 +144,21 @@
         }
     }
 
+    /// Records a response of the target that does not name the request that it arrived for.
+    pub fn response_unmatched(
+        &self,
+        dispatch_head: &DispatchHead,
+        fields: &ResponseFields,
+        status: u16,
+    ) {
+        if let Some(skipped) = self.sampled_line(&dispatch_head.id, true) {
+            info!(
+                event = "response-unmatched", request_id = %dispatch_head.id,
+                response_id = fields.id.as_deref(), status, refuses = fields.not_run, skipped
+            );
+        }
+    }
+
     /// Records the end of a dispatched request at the node of the target.
     pub fn dispatch_ended(&self, end: &DispatchEnd<'_>, failed: bool) {
         let dispatch_head = end.dispatch_head;
--- a/crates/sidecar/src/proxy/dispatch.rs
+++ b/crates/sidecar/src/proxy/dispatch.rs
@@ -77,6 +77,11 @@
         };
         let parts = response.parts();
         let fields = self.dialect.read_response(parts.status, &parts.headers);
+        if fields.id.as_ref() != Some(&dispatch_head.id) {
+            let status = parts.status.as_u16();
+            self.recorder
+                .response_unmatched(dispatch_head, &fields, status);
+        }
         if let Some(life) = life {
             let is_latest = fields.id.as_ref().is_none_or(|id| *id == dispatch_head.id);
             self.record_notice(&life, &fields, is_latest);
