A response that names another request says nothing about this one

A target refused part of its requests and wrote some of these refusals once more, late, on the kept connection. Cause: the mark of a refusal was looked at before the identifier of the response was compared, so the copy of an earlier refusal counted as the refusal of the next request on the connection. The caller was told that it had not run, or it was sent to a second target. Change: gate::response classifies a response, with the identifier first. One that names another request leaves open whether this one ran (`other-answer`). A refusal that names no request counts, as nothing else on that connection can have been without a name, and its connection then carries no further request: a copy of it could not be told apart.

--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -17,6 +17,7 @@
 //! - [`memory`]: the memory for bodies as a resource.
 //! - [`origins`]: which requests are calls from running work.
 //! - [`quarantine`]: which requests are refused because targets crash when they run them.
+//! - [`response`]: what a response of the target says about its request.
 //! - [`runs`]: which requests may have run when the target ended.
 //! - [`sizes`]: the expected sizes of responses.
 //! - [`slots`]: the slots, the pace and the service times of the target.
@@ -35,6 +36,7 @@
 pub mod memory;
 pub mod origins;
 pub mod quarantine;
+pub mod response;
 pub mod runs;
 pub mod sizes;
 pub mod slots;
--- a/crates/gate/tests/gate/main.rs
+++ b/crates/gate/tests/gate/main.rs
@@ -8,6 +8,7 @@
 mod memory;
 mod quarantine;
 mod quarantine_storm;
+mod responses;
 mod runs;
 mod slots;
 mod uploads;
--- a/crates/sidecar/src/ports.rs
+++ b/crates/sidecar/src/ports.rs
@@ -9,6 +9,7 @@
     notice::{LimitStatement, LoadStatement},
     routing::RoutingConfig,
 };
+use wagtail_gate::response::ResponseClaim;
 
 /// `Result` is the result of parsing external input.
 pub type Result<T, E = FormatError> = std::result::Result<T, E>;
@@ -76,6 +77,18 @@
     pub is_leaving: bool,
 }
 
+impl ResponseFields {
+    /// Returns what the response with this status states about itself.
+    pub fn claim(&self, status: StatusCode) -> ResponseClaim<'_> {
+        ResponseClaim {
+            request_id: self.id.as_deref(),
+            is_refusal: self.not_run,
+            is_success: status.is_success(),
+            is_genuine: self.is_genuine,
+        }
+    }
+}
+
 /// `LocalRequest` is a request that a target or a local collector of metrics sends to the node.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum LocalRequest {
--- a/crates/sidecar/src/proxy/dispatch.rs
+++ b/crates/sidecar/src/proxy/dispatch.rs
@@ -21,7 +21,7 @@
     CoreError, Result, heartbeat::TargetIncarnation, ports::BodyStream, units::LocalMoment,
     verdict::RunVerdict,
 };
-use wagtail_gate::runs::RunEnd;
+use wagtail_gate::{response::ResponseKind, runs::RunEnd};
 use wagtail_net::{client::PooledResponse, clock};
 use wagtail_peer::{answer::PeerResponse, body::BodyBuffer, stream::WholeBody};
 
@@ -105,24 +105,28 @@
         let parts = response.parts();
         let status = parts.status;
 
-        if fields.not_run {
-            response.recycle();
-            guard.run_end.set(RunEnd::Settled);
-            self.record_result(status != StatusCode::MISDIRECTED_REQUEST);
-            let refusal = NotRunFields {
-                reached_target: true,
-                load: Some(self.load_for(&dispatch_head.route)),
-                ..elsewhere("target-refused")
-            };
-            return self.not_run(refusal);
-        }
-        if fields.id.as_ref() != Some(&dispatch_head.id) {
-            self.record_result(true);
-            return self.failed(dispatch_head, "other-answer", "");
-        }
-        if status.is_success() && !fields.is_genuine {
-            self.record_result(true);
-            return self.failed(dispatch_head, "answer-not-genuine", "");
+        match fields.claim(status).classify(&dispatch_head.id) {
+            ResponseKind::Answer => {}
+            ResponseKind::Refusal { keeps_connection } => {
+                if keeps_connection {
+                    response.recycle();
+                }
+                guard.run_end.set(RunEnd::Settled);
+                self.record_result(status != StatusCode::MISDIRECTED_REQUEST);
+                return self.not_run(NotRunFields {
+                    reached_target: true,
+                    load: Some(self.load_for(&dispatch_head.route)),
+                    ..elsewhere("target-refused")
+                });
+            }
+            ResponseKind::Foreign => {
+                self.record_result(true);
+                return self.failed(dispatch_head, "other-answer", "");
+            }
+            ResponseKind::NotGenuine => {
+                self.record_result(true);
+                return self.failed(dispatch_head, "answer-not-genuine", "");
+            }
         }
 
         guard.executed.set(true);
