wagtaild: a response of the target that names another request is unknown

Cause: the client of the target compared no identifiers, though each answer carries that of its request (docs/PROTOCOLS.md). A refusal that a target wrote once more on a kept connection would have counted as `not-run` for the next request, and an answer as its answer. Change: a response that names another request has the verdict `Unknown`. One that names none counts as before; a refusal's connection was closed already, as its body is not read. Test, seen failing before (left: NotRun, right: Unknown): a_response_to_another_request_is_unknown.

--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -97,14 +97,23 @@
     ///
     /// # Errors
     ///
-    /// Fails when the response refuses the request before its start.
+    /// Fails when the response refuses the request before its start. Fails with the verdict `Unknown` when it
+    /// names another request: a target may write an earlier response once more on a kept connection.
     fn response(
         &self,
         target_request: &TargetRequest,
         response: PooledResponse,
     ) -> Result<TargetResponse> {
         let parts = response.parts();
-
+        let request_id = target_request.head.id.as_str();
+        let answered = parts.headers.get(headers::REQUEST_ID);
+
+        if answered.is_some_and(|id| id.as_bytes() != request_id.as_bytes()) {
+            return Err(CoreError::unavailable(
+                format!("{}: the response names another request", self.host),
+                RunVerdict::Unknown,
+            ));
+        }
         if let Some(reason) = parts.headers.get(headers::REFUSED) {
             return Err(refusal(reason.to_str().unwrap_or("")));
         }
--- a/crates/target/tests/verdicts.rs
+++ b/crates/target/tests/verdicts.rs
@@ -120,6 +120,30 @@
     }
 }
 
+/// Guards against a late copy of an earlier response that counts as the answer to the next request.
+#[test]
+fn a_response_to_another_request_is_unknown() {
+    for field in ["wagtail-refused: shed\r\n", ""] {
+        let response: &'static str = Box::leak(
+            format!(
+                "HTTP/1.1 503 Busy\r\ncontent-length: 0\r\nwagtail-request-id: b\r\n{field}\r\n"
+            )
+            .into_boxed_str(),
+        );
+        let (outcome, _, _) = dispatch(response);
+
+        assert_eq!(
+            outcome.unwrap_err().verdict(),
+            RunVerdict::Unknown,
+            "{field}"
+        );
+    }
+
+    let (outcome, _, _) =
+        dispatch("HTTP/1.1 200 OK\r\ncontent-length: 2\r\nwagtail-request-id: a\r\n\r\nok");
+    assert_matches!(outcome, Ok(_));
+}
+
 #[test]
 fn a_connection_that_breaks_after_the_request_is_unknown() {
     let (outcome, _, _) = dispatch("");
