A heartbeat counts only if it is whole and comes from the target of the node

Cause: of a heartbeat, only the fields that the node uses were read; address, zone and version could be missing or of any type, and so could the time to warm up and the lists of ranges. Such a message with a later start time was a new run of the target: the run before it counted as ended, and its keys were freed at once while it held them. Under the identifier of the target itself, its sequence number made the true heartbeats outdated. Evidence: the log of the node has `target-started life=i-other@...` and `keys-freed ended=...` at that moment. What fails is answered 400 and logged as `heartbeat-ignored` with the reason. So is a heartbeat of another service, which was answered 200 before: a success acknowledges what it says, its leave too. Tests, seen failing before: a_heartbeat_of_another_writer_frees_no_keys and a_heartbeat_of_another_writer_with_the_identifier_of_the_target_frees_no_keys ("a key lost its holder"); both send 32 odd messages. a_malformed_heartbeat_is_rejected has the fields that were not read.

--- a/crates/core/src/heartbeat.rs
+++ b/crates/core/src/heartbeat.rs
@@ -97,6 +97,10 @@
     pub life: TargetIncarnation,
     /// The service that the target serves.
     pub service: Arc<str>,
+    /// The address at which the target accepts requests, as `ADDRESS:PORT`.
+    pub address: Arc<str>,
+    /// The version of the target's software.
+    pub version: Arc<str>,
     /// The number of requests that the target can run concurrently.
     pub slots: u32,
     /// Whether the target is about to stop.
@@ -105,6 +109,8 @@
     pub sequence: u64,
     /// The time until the target has warmed up after its start; it is slow until then.
     pub warm_up_left: Duration,
+    /// Whether the heartbeat has the two lists of ranges, which may be empty.
+    pub reports_ranges: bool,
     /// The ranges that the target holds, or for which it still runs requests.
     pub holds: Vec<HeldRange>,
     /// The ranges released since the last acknowledged heartbeat.
--- a/crates/shard/src/lib.rs
+++ b/crates/shard/src/lib.rs
@@ -7,6 +7,7 @@
 //! released it, after the target's incarnation has ended, or after the last grant has lapsed that
 //! any recent enough read of the old row allows.
 //!
+//! - [`sender`]: which heartbeats come from the target of a node.
 //! - [`table`]: the assignment table and the operations that change it.
 //! - [`departures`]: the targets that have announced their leave.
 //! - [`keeper`]: the node's grants to its target in reply to heartbeats.
@@ -21,4 +22,5 @@
 pub mod load;
 pub mod planner;
 pub mod reads;
+pub mod sender;
 pub mod table;
--- a/crates/shard/tests/shard/main.rs
+++ b/crates/shard/tests/shard/main.rs
@@ -7,6 +7,7 @@
 mod node_calls;
 mod random_faults;
 mod recovery;
+mod senders;
 mod simulation;
 mod store_returns;
 mod storm;
--- a/crates/shard/tests/shard/support.rs
+++ b/crates/shard/tests/shard/support.rs
@@ -39,10 +39,13 @@
     TargetHeartbeat {
         life: life(name, started_ms),
         service: Arc::from("agenda"),
+        address: Arc::from("10.1.0.8:8301"),
+        version: Arc::from("v1"),
         slots: 6,
         draining: false,
         sequence,
         warm_up_left: Duration::ZERO,
+        reports_ranges: true,
         holds,
         released,
     }
--- a/crates/sidecar/src/heartbeats/mod.rs
+++ b/crates/sidecar/src/heartbeats/mod.rs
@@ -33,6 +33,7 @@
 };
 use wagtail_shard::{
     keeper::{GrantKeeper, HeartbeatVerdict},
+    sender::ExpectedTarget,
     table::RangeTable,
 };
 
@@ -74,6 +75,7 @@
 #[derive(Debug)]
 pub struct HeartbeatHandler {
     settings: Rc<SidecarSettings>,
+    expected: ExpectedTarget,
     dialect: Rc<dyn WireDialect>,
     view: FleetView,
     relay: StoreRelay,
@@ -94,8 +96,12 @@
         proxy: TargetProxy,
         record: RecordPublisher,
     ) -> Self {
+        let address = Arc::from(settings.target.to_string());
+        let expected = ExpectedTarget::new(Arc::clone(&settings.service), address);
+
         Self {
             settings,
+            expected,
             dialect,
             view,
             relay,
@@ -142,15 +148,12 @@
         heartbeat: TargetHeartbeat,
         arrived: LocalMoment,
     ) -> Response<ServerBody> {
-        if heartbeat.service != self.settings.service {
-            warn!(
-                event = "heartbeat-ignored", target = %heartbeat.life, service = %heartbeat.service,
-                reason = "another service"
-            );
-            return self.reply(&HeartbeatReply::default());
+        self.await_directory().await;
+        if let Err(mismatch) = self.expected.check(&heartbeat, self.proxy.is_keyed()) {
+            warn!(event = "heartbeat-ignored", target = %heartbeat.life, reason = %mismatch);
+            return bad_request(&mismatch.to_string());
         }
 
-        self.await_directory().await;
         self.merge_departures();
         let (has_departed, verdict) = self.proxy.with_keeper(|keeper| {
             let has_departed = keeper.has_departed(&heartbeat.life);
--- a/crates/sidecar/src/proxy/mod.rs
+++ b/crates/sidecar/src/proxy/mod.rs
@@ -218,7 +218,8 @@
         self.apply_actions(actions);
 
         info!(
-            event = "target-started", life = %target_heartbeat.life, slots = target_heartbeat.slots,
+            event = "target-started", life = %target_heartbeat.life,
+            version = %target_heartbeat.version, slots = target_heartbeat.slots,
             sequence = target_heartbeat.sequence, draining = target_heartbeat.draining,
             has_departed,
             warm_up_ms = target_heartbeat.warm_up_left.as_millis()
--- a/crates/sidecar/tests/proxy.rs
+++ b/crates/sidecar/tests/proxy.rs
@@ -140,10 +140,13 @@
             id: Arc::from("i-1"),
         },
         service: Arc::from("agenda"),
+        address: Arc::from("10.1.0.8:8301"),
+        version: Arc::from("v1"),
         slots: 2,
         draining: false,
         sequence: 1,
         warm_up_left: Duration::ZERO,
+        reports_ranges: true,
         holds: Vec::new(),
         released: Vec::new(),
     };
