What cannot be read takes no place in the view, and an overwritten record is written again

What other operators reported: machines stopped following a list with an odd entry. Cause: objects were kept and passed on whether or not they could be read, and a record counted for the node that it names, whatever the name of the object. Change: fleet_entry reads an object before the view keeps it. One that cannot be read is ignored (`fleet-entry-ignored`, once for each revision), and what was known under its name stays in force and is what followers are told. A node whose record was overwritten writes it again, as after a return of the store. NodeRecord has a file of its own.

--- a/crates/sidecar/src/heartbeats/mod.rs
+++ b/crates/sidecar/src/heartbeats/mod.rs
@@ -5,6 +5,7 @@
 use crate::{
     grant_log::log_grant_changes,
     messages::{StoreCall, StoreOutcome},
+    node_record::NodeRecord,
     ports::{LocalRequest, WireDialect},
     proxy::TargetProxy,
     record::{RecordPublisher, own_record},
@@ -12,7 +13,7 @@
     settings::SidecarSettings,
     tables::TableReader,
     versioned_table::{read_table, table_name},
-    view::{FleetView, NodeRecord},
+    view::FleetView,
 };
 use bytes::Bytes;
 use compio::time::{sleep, timeout};
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -8,6 +8,8 @@
 //! - [`ports`]: the traits that the platform's adapter implements.
 //! - [`settings`]: the settings that a node gets at its start.
 //! - [`messages`]: the messages between nodes.
+//! - [`node_record`]: what each node publishes of itself.
+//! - `fleet_entry`: reads the stored objects of the fleet.
 //! - [`view`]: the configuration, the nodes and the key tables that this node knows.
 //! - [`directory`]: the task that follows changes in the store.
 //! - [`watching`]: relays changes in the store to other nodes.
@@ -35,6 +37,7 @@
 mod deadline;
 pub mod directory;
 pub mod evacuations;
+mod fleet_entry;
 pub mod forward;
 pub mod front;
 pub mod front_state;
@@ -46,6 +49,7 @@
 pub mod messages;
 pub mod metrics;
 mod node_index;
+pub mod node_record;
 pub mod outcomes;
 pub mod pacing;
 pub mod planning;
--- a/crates/sidecar/src/node_index.rs
+++ b/crates/sidecar/src/node_index.rs
@@ -1,6 +1,6 @@
 //! The records of the nodes, by name and by the service of their targets.
 
-use crate::view::NodeRecord;
+use crate::node_record::NodeRecord;
 use std::{
     collections::{BTreeMap, HashMap},
     rc::Rc,
--- a/crates/sidecar/src/record.rs
+++ b/crates/sidecar/src/record.rs
@@ -2,17 +2,18 @@
 
 use crate::{
     messages::{StoreCall, StoreOutcome},
+    node_record::{NodeRecord, record_name},
     proxy::TargetProxy,
     relay::StoreRelay,
     settings::SidecarSettings,
-    view::{FLEET_KIND, FleetView, NodeRecord, record_name},
+    view::{FLEET_KIND, FleetView},
 };
 use compio::time::sleep;
 use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
 use futures_util::StreamExt;
 use std::{rc::Rc, sync::Arc, time::Duration};
 use tracing::{info, warn};
-use wagtail_core::objects::{ObjectStore, StoreError, StoredObject};
+use wagtail_core::objects::{ObjectStore, StoreError, StoreRevision, StoredObject};
 use wagtail_net::clock;
 
 /// The delay between two attempts to publish the record.
@@ -47,30 +48,47 @@
     }
 }
 
-/// Publishes the record of this node whenever the store has returned from a copy, which may lack it.
-/// Runs until it is dropped.
-pub async fn publish_after_returns(
+/// Publishes the record of this node whenever the store may have lost it: it has returned from a copy, or another
+/// writer has put something else in its place. Runs until it is dropped.
+pub async fn publish_after_losses(
     settings: Rc<SidecarSettings>,
     proxy: TargetProxy,
     publisher: RecordPublisher,
     view: FleetView,
 ) {
+    let name = record_name(&settings.node);
+    let losses = || RecordLosses::new(&view, &name);
     // The era in which this process started is not a return.
     while !view.until(ERA_CHECK_INTERVAL, || view.knows_fleet()).await {}
-    let mut era = view.newest_era();
+    let mut known = losses();
 
     loop {
         // Nothing wakes the wait when another node tells of the era, so it is limited.
-        if view
-            .until(ERA_CHECK_INTERVAL, || view.newest_era() > era)
-            .await
-        {
-            era = view.newest_era();
+        if view.until(ERA_CHECK_INTERVAL, || losses() > known).await {
+            known = losses();
             publisher.publish(own_record(&settings, &proxy));
         }
     }
 }
 
+/// `RecordLosses` tells how often the store may have lost the record of this node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd)]
+struct RecordLosses {
+    era: u64,
+    /// The revision at which another writer last put something unreadable in the place of the record.
+    overwritten: StoreRevision,
+}
+
+impl RecordLosses {
+    /// Returns the losses of an object that a view knows of.
+    fn new(view: &FleetView, name: &str) -> Self {
+        Self {
+            era: view.newest_era(),
+            overwritten: view.unreadable_revision(name),
+        }
+    }
+}
+
 /// `RecordPublisher` passes this node's record to the task that writes it to the store.
 #[derive(Debug, Clone)]
 pub struct RecordPublisher {
@@ -128,9 +146,9 @@
             while let Ok(newer) = records.try_recv() {
                 newest = newer;
             }
-            // Written again in a new era even if it has not changed.
-            let era = self.view.newest_era();
-            if written.as_ref() == Some(&(newest.clone(), era)) {
+            // Written again after a loss even if it has not changed.
+            let losses = RecordLosses::new(&self.view, &self.name);
+            if written.as_ref() == Some(&(newest.clone(), losses)) {
                 continue;
             }
 
@@ -140,7 +158,7 @@
                     newest = newer;
                 }
             }
-            written = Some((newest, era));
+            written = Some((newest, losses));
         }
     }
 
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -16,7 +16,7 @@
     planning::{PlannerActivity, PlannerTask},
     ports::WireDialect,
     proxy::TargetProxy,
-    record::{RecordPublisher, publish_after_returns, publish_crashes},
+    record::{RecordPublisher, publish_after_losses, publish_crashes},
     relay::StoreRelay,
     settings::SidecarSettings,
     signal::handle_stop_signal,
@@ -266,7 +266,7 @@
             self.relay.clone(),
             Rc::clone(&self.store),
         );
-        compio::runtime::spawn(publish_after_returns(
+        compio::runtime::spawn(publish_after_losses(
             Rc::clone(&self.settings),
             self.proxy.clone(),
             record.clone(),
--- a/crates/sidecar/src/view.rs
+++ b/crates/sidecar/src/view.rs
@@ -2,19 +2,19 @@
 
 use crate::{
     evacuations::FleetEvacuations,
+    fleet_entry::FleetEntry,
     messages::{FollowedChanges, KnownVersions},
     node_index::NodeIndex,
+    node_record::{NodeRecord, recorded_node},
     quarantine::FleetQuarantine,
-    versioned_table::{TABLE_PREFIX, VersionedTable, read_table},
+    versioned_table::{TABLE_PREFIX, VersionedTable},
 };
 use compio::time::sleep;
 use event_listener::Event;
 use futures_util::future::{Either, select};
-use serde::{Deserialize, Serialize};
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
     pin::pin,
     rc::Rc,
     sync::Arc,
@@ -26,51 +26,19 @@
     routing::RoutingConfig,
     units::LocalMoment,
 };
-use wagtail_gate::crash_report::CrashReport;
 use wagtail_route::hosts::HostTable;
-use wagtail_shard::departures::DepartureList;
 
 /// The kind of the stored objects that the nodes share: node records and assignment tables.
 pub const FLEET_KIND: &str = "fleet";
 
-/// The prefix of the names of objects that hold a node record.
-const NODE_PREFIX: &str = "node.";
-
-/// `NodeRecord` is the entry that a node publishes about itself and its target.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub struct NodeRecord {
-    /// The name of the node.
-    pub node: Arc<str>,
-    /// The availability zone of the node.
-    pub zone: Arc<str>,
-    /// The address at which the node serves other nodes.
-    pub peers: SocketAddr,
-    /// The service of the target of the node.
-    pub service: Arc<str>,
-    /// The number of requests that the target runs concurrently.
-    pub slots: u32,
-    /// Whether the target accepts new requests.
-    pub ready: bool,
-    /// The targets of the node that announced their leave, so that a restarted node knows of them.
-    #[serde(default)]
-    pub departures: DepartureList,
-    /// The crashes of the targets of the node, with the requests that ran.
-    #[serde(default)]
-    pub crashes: CrashReport,
-}
-
-/// Returns the name of the object that holds the record of a node.
-pub fn record_name(node: &str) -> String {
-    format!("{NODE_PREFIX}{node}")
-}
-
 /// `FleetView` holds the newest known state of the configuration and the fleet. Clones share it.
 #[derive(Debug, Clone, Default)]
 pub struct FleetView {
     config: Rc<RefCell<Rc<HostTable>>>,
     config_object: Rc<RefCell<Option<StoredObject>>>,
     objects: Rc<RefCell<BTreeMap<Arc<str>, StoredObject>>>,
+    /// The revisions of the objects that cannot be read, by name.
+    unreadable: Rc<RefCell<BTreeMap<Arc<str>, StoreRevision>>>,
     nodes: Rc<RefCell<NodeIndex>>,
     tables: Rc<RefCell<BTreeMap<Arc<str>, Rc<VersionedTable>>>>,
     fleet_revision: Rc<Cell<StoreRevision>>,
@@ -388,11 +356,12 @@
             return;
         }
 
-        if object.name.starts_with(NODE_PREFIX) {
-            self.apply_record(&object);
-        } else if let Some(service) = object.name.strip_prefix(TABLE_PREFIX) {
-            self.apply_table(service, &object);
+        match FleetEntry::read(&object) {
+            Ok(FleetEntry::Node(record)) => self.apply_record(record, object.revision),
+            Ok(FleetEntry::Table(service, table)) => self.apply_table(service, table),
+            Err(reason) => return self.ignore_object(&object, &reason),
         }
+        self.unreadable.borrow_mut().remove(&object.name);
         self.newest_revision
             .set(self.newest_revision.get().max(object.revision));
         self.objects
@@ -421,57 +390,61 @@
         self.tables.borrow().get(service).cloned()
     }
 
-    /// Applies an object that holds a node record; one that cannot be parsed is ignored.
-    fn apply_record(&self, object: &StoredObject) {
-        match serde_json::from_str::<NodeRecord>(&object.content) {
-            Ok(record) => {
-                info!(
-                    event = "node-seen", node = %record.node, service = %record.service,
-                    ready = record.ready, revision = %object.revision
-                );
-                self.quarantine.set_report(&record.node, &record.crashes);
-                self.nodes.borrow_mut().insert(record);
-            }
-            Err(error) => {
-                warn!(event = "record-ignored", name = %object.name, reason = %error);
-            }
+    /// Ignores an object that cannot be read. What was known under its name stays in force, and is what
+    /// followers are told.
+    fn ignore_object(&self, object: &StoredObject, reason: &str) {
+        if self.unreadable_revision(&object.name) >= object.revision {
+            return;
         }
+
+        warn!(
+            event = "fleet-entry-ignored", name = %object.name, revision = %object.revision, reason
+        );
+        self.unreadable
+            .borrow_mut()
+            .insert(Arc::clone(&object.name), object.revision);
+        self.changed.notify(usize::MAX);
     }
 
-    /// Applies an object that holds the assignment table of a service; an invalid one is ignored.
-    fn apply_table(&self, service: &str, object: &StoredObject) {
-        match read_table(object) {
-            Ok(table) => {
-                info!(
-                    event = "table-seen",
-                    service,
-                    revision = %object.revision,
-                    rows = table.rows.len(),
-                    next_token = table.next_token
-                );
-                let versioned = VersionedTable {
-                    revision: object.revision,
-                    table,
-                };
-                self.tables
-                    .borrow_mut()
-                    .insert(Arc::from(service), Rc::new(versioned));
-            }
-            Err(reason) => {
-                warn!(event = "table-ignored", name = %object.name, reason = %reason);
-            }
-        }
+    /// Returns the revision at which an object was found that cannot be read, or zero if its name has none.
+    pub fn unreadable_revision(&self, name: &str) -> StoreRevision {
+        let unreadable = self.unreadable.borrow();
+
+        unreadable.get(name).copied().unwrap_or_default()
+    }
+
+    /// Applies the record of a node from an object at a revision.
+    fn apply_record(&self, record: NodeRecord, revision: StoreRevision) {
+        info!(
+            event = "node-seen", node = %record.node, service = %record.service,
+            ready = record.ready, %revision
+        );
+        self.quarantine.set_report(&record.node, &record.crashes);
+        self.nodes.borrow_mut().insert(record);
+    }
+
+    /// Applies the assignment table of a service.
+    fn apply_table(&self, service: Arc<str>, versioned: VersionedTable) {
+        info!(
+            event = "table-seen",
+            service = %service,
+            revision = %versioned.revision,
+            rows = versioned.table.rows.len(),
+            next_token = versioned.table.next_token
+        );
+        self.tables.borrow_mut().insert(service, Rc::new(versioned));
     }
 
     /// Removes an object that was deleted at or before a revision.
     fn remove(&self, name: &Arc<str>, revision: StoreRevision) {
+        self.unreadable.borrow_mut().remove(name);
         if self.objects.borrow_mut().remove(name).is_none() {
             return;
         }
         self.removed_revision
             .set(self.removed_revision.get().max(revision));
 
-        if let Some(node) = name.strip_prefix(NODE_PREFIX) {
+        if let Some(node) = recorded_node(name) {
             info!(event = "node-removed", node);
             self.nodes.borrow_mut().remove(node);
         } else if let Some(service) = name.strip_prefix(TABLE_PREFIX) {
--- a/crates/sidecar/tests/proxy/shutdown.rs
+++ b/crates/sidecar/tests/proxy/shutdown.rs
@@ -17,9 +17,10 @@
     front::FrontHandler,
     front_state::FrontState,
     links::NodeLinks,
+    node_record::{NodeRecord, record_name},
     proxy::NODE_STOPPING,
     settings::SidecarSettings,
-    view::{FleetView, NodeRecord, record_name},
+    view::FleetView,
 };
 
 /// Returns a view with a route to the service of the node, and the record of the node.
--- a/crates/sidecar/tests/view.rs
+++ b/crates/sidecar/tests/view.rs
@@ -13,8 +13,9 @@
 use wagtail_shard::table::RangeTable;
 use wagtail_sidecar::{
     messages::KnownVersions,
+    node_record::{NodeRecord, record_name},
     versioned_table::table_name,
-    view::{FLEET_KIND, FleetView, NodeRecord, record_name},
+    view::{FLEET_KIND, FleetView},
     watching::WatchRelay,
 };
 
@@ -165,6 +166,36 @@
     assert!(view.table("agenda").is_none());
 }
 
+/// Guards against a record that takes the place of another node's.
+#[test]
+fn a_record_counts_only_under_the_name_of_its_node() {
+    let view = FleetView::default();
+    view.apply_object(record("n1", 5, true));
+    let foreign = service_record("n1", "agenda", 6, false);
+    view.apply_object(object("node.n2", 6, foreign.content));
+
+    let names = view.nodes();
+    assert_eq!(names.len(), 1);
+    assert_eq!((&*names[0].service, names[0].ready), ("rooms", true));
+}
+
+/// Guards against a node that no follower finds, as another writer has overwritten its record.
+#[test]
+fn followers_are_told_of_the_last_object_that_could_be_read() {
+    let view = FleetView::default();
+    view.apply_list(vec![record("n1", 5, true)], revision(5));
+    view.apply_list(vec![object("node.n1", 6, "odd")], revision(6));
+
+    assert_eq!(view.unreadable_revision("node.n1"), revision(6));
+    let told = view.fleet_changes_after(revision(0)).unwrap();
+    assert_eq!(told.revision, revision(6));
+    assert_eq!(told.objects, [record("n1", 5, true)]);
+
+    view.apply_object(record("n1", 7, false));
+    assert_eq!(view.unreadable_revision("node.n1"), StoreRevision::ZERO);
+    assert!(!view.node("n1").unwrap().ready);
+}
+
 #[test]
 fn a_lower_version_of_the_configuration_is_ignored() {
     let view = FleetView::default();
