--- a/crates/sidecar/src/deadline.rs
+++ b/crates/net/src/deadline.rs
@@ -1,5 +1,6 @@
 //! The time by which a response must have ended.
 
+use crate::clock;
 use compio::time::timeout;
 use std::{sync::Arc, time::Duration};
 use tracing::info;
@@ -9,7 +10,6 @@
     units::LocalMoment,
     verdict::RunVerdict,
 };
-use wagtail_net::clock;
 
 /// How long a body may go on after the deadline of its request, so that the rest of one that is nearly
 /// complete still reaches the caller.
@@ -18,7 +18,7 @@
 /// `DeadlineBody` breaks a body off that has not ended by the deadline of its request. Its connection
 /// closes then, so that the caller does not take it for complete.
 #[derive(Debug)]
-pub(crate) struct DeadlineBody {
+pub struct DeadlineBody {
     request_id: Arc<str>,
     body: Box<dyn BodyStream>,
     ends_at: LocalMoment,
@@ -26,11 +26,7 @@
 
 impl DeadlineBody {
     /// Limits a body of the response to a request.
-    pub(crate) fn new(
-        request_id: Arc<str>,
-        body: Box<dyn BodyStream>,
-        deadline: LocalMoment,
-    ) -> Self {
+    pub fn new(request_id: Arc<str>, body: Box<dyn BodyStream>, deadline: LocalMoment) -> Self {
         Self {
             request_id,
             body,
--- a/crates/sidecar/src/signal.rs
+++ b/crates/net/src/stop_request.rs
@@ -1,14 +1,14 @@
 //! The signal that asks the process to shut down.
 
+use crate::{signals, stop::StopSignal};
 use tracing::{info, warn};
-use wagtail_net::{signals, stop::StopSignal};
 
 /// The number of the signal that asks a process to shut down.
 const SIGTERM: i32 = 15;
 
 /// Handles SIGTERM from now on, and returns the signal that it triggers. Further ones are logged only, as
 /// the shutdown is limited in time anyway.
-pub(crate) fn handle_stop_signal() -> StopSignal {
+pub fn handle_stop_signal() -> StopSignal {
     let requested = StopSignal::new();
     let (on_receipt, on_failure) = (requested.clone(), requested.clone());
 
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -2,14 +2,13 @@
 
 use crate::{
     bodies::{BodyFault, read_whole},
-    deadline::DeadlineBody,
     forward::{ForwardJob, ForwardOutcome, RequestForwarder},
     front_state::FrontState,
     memory::{MEMORY_FULL, NodeMemory},
     messages::{CompletedFields, DispatchHead},
     outcomes::{RequestEnd, RequestRecorder},
     ports::WireDialect,
-    proxy::{NODE_STOPPING, TargetProxy, headers::end_to_end},
+    proxy::{NODE_STOPPING, TargetProxy},
     quarantine::QUARANTINED,
     settings::SidecarSettings,
     view::FleetView,
@@ -33,6 +32,8 @@
 use wagtail_gate::{quarantine::RequestStanding, waits::CallerWaits};
 use wagtail_net::{
     clock,
+    deadline::DeadlineBody,
+    headers::end_to_end,
     request_body::RequestBody,
     server::{ConnectionLimits, HttpHandler, LimitSource, ServerBody, streamed_body, whole_body},
 };
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -34,7 +34,6 @@
 
 mod bodies;
 mod callers;
-mod deadline;
 pub mod directory;
 pub mod evacuations;
 mod fleet_entry;
@@ -60,7 +59,6 @@
 pub mod relay;
 pub mod run;
 pub mod settings;
-mod signal;
 pub mod tables;
 pub mod versioned_table;
 pub mod view;
--- a/crates/sidecar/src/proxy/dispatch.rs
+++ b/crates/sidecar/src/proxy/dispatch.rs
@@ -1,12 +1,11 @@
 //! Sends requests to the target and classifies its responses.
 
 use super::{
-    TargetProxy, headers,
+    TargetProxy,
     replies::elsewhere,
     slots::{SlotBody, SlotGuard},
 };
 use crate::{
-    deadline::DeadlineBody,
     memory::ReservedBuffer,
     messages::{DispatchHead, NotRunFields, PeerReply},
     ports::{RequestFields, ResponseFields},
@@ -22,7 +21,7 @@
     verdict::RunVerdict,
 };
 use wagtail_gate::{response::ResponseKind, runs::RunEnd};
-use wagtail_net::{client::PooledResponse, clock};
+use wagtail_net::{client::PooledResponse, clock, deadline::DeadlineBody, headers};
 use wagtail_peer::{answer::PeerResponse, body::BodyBuffer, stream::WholeBody};
 
 /// The largest response body that is buffered before it is passed on, in bytes. A buffered response
--- a/crates/sidecar/src/proxy/mod.rs
+++ b/crates/sidecar/src/proxy/mod.rs
@@ -8,12 +8,10 @@
 //! - `warmth`: protects a cold target.
 //! - `notices`: what the target states about itself in its responses.
 //! - `replies`: builds the replies to other nodes.
-//! - [`headers`]: selects the end-to-end header fields.
 
 mod crashes;
 mod dispatch;
 mod evacuation;
-pub mod headers;
 mod notices;
 mod replies;
 mod serve;
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -19,7 +19,6 @@
     record::{RecordPublisher, publish_after_losses, publish_crashes},
     relay::StoreRelay,
     settings::SidecarSettings,
-    signal::handle_stop_signal,
     tables::TableReader,
     view::FleetView,
     watching::WatchRelay,
@@ -39,6 +38,7 @@
     pipeline::PipelineCounts,
     server::{self, ConnectionLimits, HttpHandler},
     stop::StopSignal,
+    stop_request::handle_stop_signal,
 };
 use wagtail_route::announce::announced_nodes;
 use wagtail_shard::keeper::KeeperOptions;
