Followers learn of an overwritten record as well

What operators would see: a node whose record another writer had overwritten wrote it again only if it watched the store itself; the others of a zone follow a watching node, which passes on what it can read. Cause: of an object that cannot be read, followers were told nothing. Change: they are told its name and revision, without its content.

--- a/crates/sidecar/src/view.rs
+++ b/crates/sidecar/src/view.rs
@@ -281,14 +281,21 @@
             || self.removed_revision.get() > revision
             || revision == StoreRevision::ZERO;
         let objects = self.objects.borrow();
-        let changed = objects
-            .values()
-            .filter(|object| complete || object.revision > revision);
+        // Of an object that cannot be read followers learn that it is there, so that its node writes it again.
+        let unreadable = self.unreadable.borrow();
+        let markers = unreadable.iter().map(|(name, revision)| StoredObject {
+            name: Arc::clone(name),
+            revision: *revision,
+            content: Arc::default(),
+        });
+        let changed = objects.values().cloned().chain(markers);
 
         Some(FollowedChanges {
             revision: reached,
             complete,
-            objects: changed.cloned().collect(),
+            objects: changed
+                .filter(|object| complete || object.revision > revision)
+                .collect(),
         })
     }
 
--- a/crates/sidecar/tests/view.rs
+++ b/crates/sidecar/tests/view.rs
@@ -189,7 +189,15 @@
     assert_eq!(view.unreadable_revision("node.n1"), revision(6));
     let told = view.fleet_changes_after(revision(0)).unwrap();
     assert_eq!(told.revision, revision(6));
-    assert_eq!(told.objects, [record("n1", 5, true)]);
+    assert_eq!(
+        told.objects,
+        [record("n1", 5, true), object("node.n1", 6, "")]
+    );
+
+    let follower = FleetView::default();
+    follower.apply_followed(told);
+    assert!(follower.node("n1").unwrap().ready);
+    assert_eq!(follower.unreadable_revision("node.n1"), revision(6));
 
     view.apply_object(record("n1", 7, false));
     assert_eq!(view.unreadable_revision("node.n1"), StoreRevision::ZERO);
