Count the responses of the target that do not name their request

Cause of this change: `response-unmatched` looks the same for a response without an identifier, with an empty one and with several, and failure lines are limited in rate, so that hundreds of cases cannot be counted from the log. Change: the line has `id_count`, and is also written for several identifiers of which the first one matches. The counter `wagtail_unmatched_responses_total` tells refusals and answers that name another request from those that name none. Test: requests_are_counted_by_class_and_status has the counter's lines.

--- a/crates/sidecar/src/outcomes.rs
+++ b/crates/sidecar/src/outcomes.rs
@@ -144,17 +144,21 @@
         }
     }
 
-    /// Records a response of the target that does not name the request that it arrived for.
+    /// Records a response of the target that does not name the request that it arrived for, or not alone.
     pub fn response_unmatched(
         &self,
         dispatch_head: &DispatchHead,
         fields: &ResponseFields,
         status: u16,
     ) {
+        self.metrics
+            .count_unmatched(fields.not_run, fields.id.is_some());
+
         if let Some(skipped) = self.sampled_line(&dispatch_head.id, true) {
             info!(
                 event = "response-unmatched", request_id = %dispatch_head.id,
-                response_id = fields.id.as_deref(), status, refuses = fields.not_run, skipped
+                response_id = fields.id.as_deref(), id_count = fields.id_count, status,
+                refuses = fields.not_run, skipped
             );
         }
     }
--- a/crates/sidecar/src/ports.rs
+++ b/crates/sidecar/src/ports.rs
@@ -64,6 +64,8 @@
 pub struct ResponseFields {
     /// The identifier of the request that the response belongs to.
     pub id: Option<Arc<str>>,
+    /// The number of identifiers in the response, with those that are empty or cannot be read.
+    pub id_count: usize,
     /// Whether the target states that it did not run the request.
     pub not_run: bool,
     /// Whether the response carries the seal of the target, and its body is as the target produced
--- a/crates/sidecar/src/proxy/dispatch.rs
+++ b/crates/sidecar/src/proxy/dispatch.rs
@@ -76,7 +76,7 @@
         };
         let parts = response.parts();
         let fields = self.dialect.read_response(parts.status, &parts.headers);
-        if fields.id.as_ref() != Some(&dispatch_head.id) {
+        if fields.id.as_ref() != Some(&dispatch_head.id) || fields.id_count > 1 {
             let status = parts.status.as_u16();
             self.recorder
                 .response_unmatched(dispatch_head, &fields, status);
--- a/crates/telemetry/src/requests.rs
+++ b/crates/telemetry/src/requests.rs
@@ -57,6 +57,16 @@
     reason: String,
 }
 
+/// `UnmatchedLabel` is the label set of responses of the target that do not name their request.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct UnmatchedLabel {
+    /// What the response states: a `refusal`, or an `answer` of a request that ran.
+    states: &'static str,
+    /// The request that it names: `another` or `none`.
+    names: &'static str,
+}
+
 /// `RequestMetrics` holds the request counters and histograms of one process.
 #[derive(Debug)]
 pub struct RequestMetrics {
@@ -66,6 +76,7 @@
     ended: Family<ClassOutcome, Counter>,
     latency: Family<RequestClass, Histogram>,
     reasons: Family<ReasonLabel, Counter>,
+    unmatched: Family<UnmatchedLabel, Counter>,
     /// The requests that were sent to the target.
     sent: Counter,
     /// The times that requests waited for a slot of the target.
@@ -87,6 +98,7 @@
         let ended = Family::default();
         let latency = Family::new_with_constructor(seconds_histogram as fn() -> Histogram);
         let reasons = Family::default();
+        let unmatched = Family::default();
         let sent = Counter::default();
         let (slot_waits, slot_uses) = (seconds_histogram(), seconds_histogram());
 
@@ -106,6 +118,11 @@
             "Refusals and failures by their reason, where they were decided",
             reasons.clone(),
         );
+        registry.register(
+            "unmatched_responses",
+            "Responses of the target that do not name the request that they arrived for",
+            unmatched.clone(),
+        );
         registry.register(
             "target_requests",
             "Requests that were sent to the target",
@@ -130,6 +147,7 @@
             ended,
             latency,
             reasons,
+            unmatched,
             sent,
             slot_waits,
             slot_uses,
@@ -176,6 +194,17 @@
         self.reasons.get_or_create(&label).inc();
     }
 
+    /// Counts a response of the target that does not name the request that it arrived for: whether it refuses
+    /// that request, and whether it names another one.
+    pub fn count_unmatched(&self, is_refusal: bool, names_another: bool) {
+        let label = UnmatchedLabel {
+            states: if is_refusal { "refusal" } else { "answer" },
+            names: if names_another { "another" } else { "none" },
+        };
+
+        self.unmatched.get_or_create(&label).inc();
+    }
+
     /// Records how long a request that got a response waited for a slot, and how long the target
     /// then took until the response head.
     pub fn count_run(&self, waited: Duration, ran: Duration) {
--- a/crates/telemetry/tests/requests.rs
+++ b/crates/telemetry/tests/requests.rs
@@ -19,6 +19,9 @@
     metrics.count_request(class("agenda"), 200, Duration::from_millis(50));
     metrics.count_request(class("agenda"), 503, Duration::from_millis(1));
     metrics.count_reason("wait-too-long");
+    metrics.count_unmatched(true, true);
+    metrics.count_unmatched(true, false);
+    metrics.count_unmatched(true, false);
     metrics.gauge("slots", "Slots of the target").set(6.0);
 
     let text = metrics.text().unwrap();
@@ -27,6 +30,8 @@
         r#"wagtail_requests_total{service="agenda",kind="idempotent",priority="1",status="503"} 1"#,
         r#"wagtail_request_seconds_count{service="agenda",kind="idempotent",priority="1"} 3"#,
         r#"wagtail_reasons_total{reason="wait-too-long"} 1"#,
+        r#"wagtail_unmatched_responses_total{states="refusal",names="another"} 1"#,
+        r#"wagtail_unmatched_responses_total{states="refusal",names="none"} 2"#,
         "wagtail_slots 6.0",
     ] {
         assert!(text.lines().any(|known| known == line), "{line} in\n{text}");
