Only a refusal that names its request counts as its refusal

Cause: a refusal without an identifier counted for the request that was due on its connection. A late copy of an earlier refusal that has lost its identifier, or has an empty one, or names several requests, cannot be told from one. Change: gate::response takes a response that does not name exactly its request for one of another request. A request that runs at most once then ends with 502, others are sent again, and the connection is closed. Several identifiers count as none. Ruled out: trusting such a refusal on a new connection, or until the target has named a request. It stays a guess about which request is meant, for a target that does not follow its protocol.

--- a/crates/gate/src/response.rs
+++ b/crates/gate/src/response.rs
@@ -1,12 +1,13 @@
 //! What a response of the target says about the request for which it arrived.
 //!
 //! A faulty target may write an earlier response once more, where the response to the next request of the
-//! connection is due. Only the identifier in a response tells which request it belongs to.
+//! connection is due. Only the identifier in a response tells which request it belongs to, so that one without
+//! it states nothing about any request.
 
 /// `ResponseClaim` holds what a response states about itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct ResponseClaim<'a> {
-    /// The identifier of the request that the response belongs to, if it names one.
+    /// The identifier of the request that the response belongs to, if it names exactly one.
     pub request_id: Option<&'a str>,
     /// Whether it states that the request did not run.
     pub is_refusal: bool,
@@ -22,12 +23,8 @@
     /// It answers the request, which the target has run.
     Answer,
     /// The target did not run the request and will not run it.
-    Refusal {
-        /// Whether the connection may carry further requests. After a refusal that names no request it must
-        /// not, as a copy of it would count as the refusal of the next request.
-        keeps_connection: bool,
-    },
-    /// It belongs to another request, so it does not tell whether this one has run.
+    Refusal,
+    /// It belongs to another request or names none, so it does not tell whether this one has run.
     Foreign,
     /// It is a success that the target did not produce. The request may have run.
     NotGenuine,
@@ -36,15 +33,10 @@
 impl ResponseClaim<'_> {
     /// Classifies a response that arrived for the request with the given identifier.
     pub fn classify(&self, request_id: &str) -> ResponseKind {
-        let is_named = self.request_id == Some(request_id);
-        let is_unnamed = self.request_id.is_none();
-
-        if self.is_refusal && (is_named || is_unnamed) {
-            ResponseKind::Refusal {
-                keeps_connection: is_named,
-            }
-        } else if !is_named {
+        if self.request_id != Some(request_id) {
             ResponseKind::Foreign
+        } else if self.is_refusal {
+            ResponseKind::Refusal
         } else if self.is_success && !self.is_genuine {
             ResponseKind::NotGenuine
         } else {
--- a/crates/gate/tests/gate/responses.rs
+++ b/crates/gate/tests/gate/responses.rs
@@ -21,20 +21,18 @@
 /// Guards against a refusal of an earlier request that counts for the next one, which may run.
 #[test]
 fn a_refusal_counts_for_the_request_that_it_names_only() {
-    let kept = ResponseKind::Refusal {
-        keeps_connection: true,
-    };
-    assert_eq!(REFUSAL.classify("a"), kept);
+    assert_eq!(REFUSAL.classify("a"), ResponseKind::Refusal);
     assert_eq!(REFUSAL.classify("b"), ResponseKind::Foreign);
+}
 
+/// Guards against a copy of a refusal that has lost its identifier and counts for the next request.
+#[test]
+fn a_refusal_that_names_no_request_counts_for_none() {
     let unnamed = ResponseClaim {
         request_id: None,
         ..REFUSAL
     };
-    let closed = ResponseKind::Refusal {
-        keeps_connection: false,
-    };
-    assert_eq!(unnamed.classify("b"), closed);
+    assert_eq!(unnamed.classify("a"), ResponseKind::Foreign);
 }
 
 #[test]
--- a/crates/sidecar/src/outcomes.rs
+++ b/crates/sidecar/src/outcomes.rs
@@ -144,7 +144,7 @@
         }
     }
 
-    /// Records a response of the target that does not name the request that it arrived for, or not alone.
+    /// Records a response of the target that does not name the request that it arrived for.
     pub fn response_unmatched(
         &self,
         dispatch_head: &DispatchHead,
--- a/crates/sidecar/src/ports.rs
+++ b/crates/sidecar/src/ports.rs
@@ -62,7 +62,7 @@
 /// it.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct ResponseFields {
-    /// The identifier of the request that the response belongs to.
+    /// The identifier of the request that the response belongs to, if it has exactly one.
     pub id: Option<Arc<str>>,
     /// The number of identifiers in the response, with those that are empty or cannot be read.
     pub id_count: usize,
--- a/crates/sidecar/src/proxy/dispatch.rs
+++ b/crates/sidecar/src/proxy/dispatch.rs
@@ -76,7 +76,7 @@
         };
         let parts = response.parts();
         let fields = self.dialect.read_response(parts.status, &parts.headers);
-        if fields.id.as_ref() != Some(&dispatch_head.id) || fields.id_count > 1 {
+        if fields.id.as_ref() != Some(&dispatch_head.id) {
             let status = parts.status.as_u16();
             self.recorder
                 .response_unmatched(dispatch_head, &fields, status);
@@ -91,7 +91,7 @@
     }
 
     /// Classifies a response of the target: it is relayed, or the request was refused or has
-    /// failed. It counts as failed if the response belongs to another request, if a successful
+    /// failed. It counts as failed if the response does not name the request, if a successful
     /// response is not genuine or if a body that is to be buffered breaks off.
     pub(super) async fn classify_response(
         &self,
@@ -106,10 +106,8 @@
 
         match fields.claim(status).classify(&dispatch_head.id) {
             ResponseKind::Answer => {}
-            ResponseKind::Refusal { keeps_connection } => {
-                if keeps_connection {
-                    response.recycle();
-                }
+            ResponseKind::Refusal => {
+                response.recycle();
                 guard.run_end.set(RunEnd::Settled);
                 self.record_result(status != StatusCode::MISDIRECTED_REQUEST);
                 return self.not_run(NotRunFields {
