A response without an identifier lifts no limit of the target

What callers and targets would see: a target in need that names its limit gets all requests again as soon as a late copy of a response from before, which has lost its identifier, is read. Found by looking for the cause on related paths; nobody has reported it. Change: only a response that names the request withdraws a limit. Any response may still name one, or a leave.

--- a/crates/sidecar/src/proxy/dispatch.rs
+++ b/crates/sidecar/src/proxy/dispatch.rs
@@ -76,14 +76,14 @@
         };
         let parts = response.parts();
         let fields = self.dialect.read_response(parts.status, &parts.headers);
-        if fields.id.as_ref() != Some(&dispatch_head.id) {
+        let is_named = fields.id.as_ref() == Some(&dispatch_head.id);
+        if !is_named {
             let status = parts.status.as_u16();
             self.recorder
                 .response_unmatched(dispatch_head, &fields, status);
         }
         if let Some(life) = life {
-            let is_latest = fields.id.as_ref().is_none_or(|id| *id == dispatch_head.id);
-            self.record_notice(&life, &fields, is_latest);
+            self.record_notice(&life, &fields, is_named);
         }
 
         self.classify_response(dispatch_head, response, &fields, deadline, guard)
--- a/crates/sidecar/src/proxy/notices.rs
+++ b/crates/sidecar/src/proxy/notices.rs
@@ -37,8 +37,8 @@
     }
 
     /// Records what a response of an incarnation of the target states, unless that one has been
-    /// replaced. `is_latest` says that the response belongs to the latest request on its connection; an
-    /// extra response may be old, so it withdraws no limit.
+    /// replaced. `is_latest` says that the response names the latest request on its connection; any other
+    /// may be old, so it withdraws no limit.
     pub(super) fn record_notice(
         &self,
         life: &TargetIncarnation,
