A response to another request raises no limit of the target

What a target in need would see: more requests than the limit that it names, once a late copy of one of its responses from before, with a higher limit, is read. docs/PLATFORM.md says that an extra response may lower the limit but not lift it. Cause: the identifier was compared for a withdrawn limit only. Change: LimitStatement::limit_after decides with the limit in force: a response that does not name the latest request neither withdraws nor raises it.

--- a/crates/core/src/notice.rs
+++ b/crates/core/src/notice.rs
@@ -54,6 +54,20 @@
     Malformed,
 }
 
+impl LimitStatement {
+    /// Returns the limit in force after a response with this statement, if `known` was in force before.
+    /// `is_latest` says that the response is known to belong to the latest request. Any other may be old, so it
+    /// neither withdraws nor raises a limit.
+    pub fn limit_after(self, known: Option<RequestRate>, is_latest: bool) -> Option<RequestRate> {
+        match (self, known) {
+            (Self::Unlimited, _) if is_latest => None,
+            (Self::Limited(rate), Some(known)) if !is_latest && known < rate => Some(known),
+            (Self::Limited(rate), _) => Some(rate),
+            (Self::Unlimited | Self::Malformed, known) => known,
+        }
+    }
+}
+
 /// `StatedLoad` is the load of a target and the pace of its VM, as one response states them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StatedLoad {
--- a/crates/sidecar/src/proxy/notices.rs
+++ b/crates/sidecar/src/proxy/notices.rs
@@ -38,7 +38,7 @@
 
     /// Records what a response of an incarnation of the target states, unless that one has been
     /// replaced. `is_latest` says that the response names the latest request on its connection; any other
-    /// may be old, so it withdraws no limit.
+    /// may be old, so it neither withdraws nor raises a limit.
     pub(super) fn record_notice(
         &self,
         life: &TargetIncarnation,
@@ -51,11 +51,7 @@
 
         self.state.borrow_mut().notices.has_responded = true;
         let known = self.limit();
-        let limit = match fields.limit {
-            LimitStatement::Limited(rate) => Some(rate),
-            LimitStatement::Unlimited if is_latest => None,
-            LimitStatement::Unlimited | LimitStatement::Malformed => known,
-        };
+        let limit = fields.limit.limit_after(known, is_latest);
         self.apply_limit(life, limit);
 
         if fields.limit == LimitStatement::Malformed {
