target: a response that does not name exactly its request states nothing

What callers would see: a request that runs at most once and ran was refused, or was sent to a second target, when `wagtaild`'s target wrote an earlier refusal once more without a usable identifier.

Cause: the client compared the identifier of a response only if there was one, and only the first of several.

Evidence, before the change (503 with `wagtail-refused: shed` and no identifier):

a_response_that_does_not_name_exactly_its_request_is_unknown ... FAILED assertion `left == right` failed: 503 Busy, wagtail-refused: shed left: NotRun right: Unknown

--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -98,19 +98,18 @@
     /// # Errors
     ///
     /// Fails when the response refuses the request before its start. Fails with the verdict `Unknown` when it
-    /// names another request: a target may write an earlier response once more on a kept connection.
+    /// does not name exactly this request: a target may write an earlier response once more on a kept
+    /// connection.
     fn response(
         &self,
         target_request: &TargetRequest,
         response: PooledResponse,
     ) -> Result<TargetResponse> {
         let parts = response.parts();
-        let request_id = target_request.head.id.as_str();
-        let answered = parts.headers.get(headers::REQUEST_ID);
 
-        if answered.is_some_and(|id| id.as_bytes() != request_id.as_bytes()) {
+        if !names_only(parts, target_request.head.id.as_str()) {
             return Err(CoreError::unavailable(
-                format!("{}: the response names another request", self.host),
+                format!("{}: the response does not name its request", self.host),
                 RunVerdict::Unknown,
             ));
         }
@@ -188,6 +187,13 @@
     }
 }
 
+/// Returns whether a response names the given request and no other one.
+fn names_only(parts: &Parts, request_id: &str) -> bool {
+    let mut names = parts.headers.get_all(headers::REQUEST_ID).iter();
+
+    names.next().is_some_and(|name| name == request_id) && names.next().is_none()
+}
+
 /// Returns the error for a refusal of the target before the start of a request.
 fn refusal(reason: &str) -> CoreError {
     match reason {
