net: a connection whose request is not written to its end carries no other

What callers would see: a target answers a request with a long body before it has read that body, keeps the connection and reads on late or never. The next request was put on that connection. It was not sent, and ended at its deadline with 502 or 504, although a new connection could carry it.

Cause: the pool took a connection back as soon as the response was complete. The HTTP library and the layer below it hold the rest of the request in their buffers (up to 64 MB), so that the library states that it is ready for the next request.

Evidence, before the change, with a server that reads the head and answers:

a_connection_with_an_unwritten_request_carries_no_other ... FAILED the request was sent: Elapsed(()) (after the guard of 30 s)

To ask the library for its readiness alone was not enough: the test failed the same way. `WriteProgress` records below the library whether everything was flushed to the socket. Such a connection stays in the pool until it is, and is used again then: `a_connection_is_used_again_once_its_request_is_written`. Connections that were closed are dropped when one is taken, so the wait for one that may never be ready is gone. `requests_in_a_row_share_a_connection` shows that others are reused as before.

Not covered: bytes that the kernel took and the target does not read.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -3,6 +3,7 @@
 use crate::{
     clock,
     head_limit::{HeadBudget, HeadLimitedStream},
+    write_progress::{ProgressStream, WriteProgress},
 };
 use bytes::Bytes;
 use compio::{net::TcpStream, runtime::JoinHandle, time::timeout};
@@ -63,11 +64,19 @@
     /// The task that drives the connection; dropping the handle cancels it.
     driver: JoinHandle<()>,
     head_budget: HeadBudget,
+    write_progress: WriteProgress,
     idle_since: LocalMoment,
     /// How long the connection may be idle and still be reused.
     max_idle: Duration,
 }
 
+impl PooledConnection {
+    /// Returns whether a request can be sent now.
+    fn accepts_request(&self) -> bool {
+        self.sender.is_ready() && !self.write_progress.is_unwritten()
+    }
+}
+
 /// The longest body that is read only to be discarded, in bytes.
 const MAX_DISCARDED_BYTES: usize = 16 << 10;
 
@@ -149,10 +158,8 @@
 
     /// Returns an idle connection that is still open, or opens a new one.
     async fn connection(&self) -> Result<PooledConnection> {
-        while let Some(mut connection) = self.take_idle() {
-            if connection.sender.ready().await.is_ok() {
-                return Ok(connection);
-            }
+        if let Some(connection) = self.take_idle() {
+            return Ok(connection);
         }
 
         let opening = timeout(self.options.connect_timeout, self.connect()).await;
@@ -165,14 +172,21 @@
         })
     }
 
-    /// Takes the most recently used idle connection, unless it has been idle for too long.
+    /// Takes the most recently used idle connection that accepts a request, unless it has been idle for too
+    /// long. The server may respond before a request was written to its end; its connection accepts no other
+    /// one until then.
     fn take_idle(&self) -> Option<PooledConnection> {
         let now = clock::now();
         let mut idle = self.idle.borrow_mut();
         // A later response may have stated a shorter time than an earlier one.
-        idle.retain(|connection| now.since(connection.idle_since) < connection.max_idle);
-
-        idle.pop()
+        idle.retain(|connection| {
+            now.since(connection.idle_since) < connection.max_idle && !connection.sender.is_closed()
+        });
+        let index = idle
+            .iter()
+            .rposition(|connection| connection.accepts_request())?;
+
+        Some(idle.remove(index))
     }
 
     /// Returns a connection to the pool after its response was read to the end. Drops it instead
@@ -207,7 +221,9 @@
 
         let head_budget = HeadBudget::default();
         let stream = HeadLimitedStream::new(stream, head_budget.clone());
-        let (sender, connection) = http1::handshake(HyperStream::new_plain(stream))
+        let write_progress = WriteProgress::default();
+        let stream = ProgressStream::new(HyperStream::new_plain(stream), write_progress.clone());
+        let (sender, connection) = http1::handshake(stream)
             .await
             .map_err(|error| connect_error(&error))?;
 
@@ -218,6 +234,7 @@
             sender,
             driver,
             head_budget,
+            write_progress,
             idle_since: clock::now(),
             max_idle: self.options.max_idle,
         })
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -26,3 +26,4 @@
 pub mod stop;
 pub mod stop_request;
 pub mod traffic;
+mod write_progress;
--- a/crates/net/tests/client.rs
+++ b/crates/net/tests/client.rs
@@ -5,17 +5,23 @@
     io::{AsyncRead, AsyncWriteExt},
     net::TcpListener,
     runtime::Runtime,
-    time::sleep,
+    time::{sleep, timeout},
 };
 use http_body_util::Full;
 use hyper::Request;
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
-use wagtail_net::client::HttpPool;
+use wagtail_net::{
+    client::{HttpPool, PoolOptions},
+    stop::StopSignal,
+};
 
 /// A response that states after which idle time the server closes the connection.
 const RESPONSE: &[u8] =
     b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\nkeep-alive: timeout=1, max=100\r\n\r\n";
 
+/// A response that states no idle time.
+const PLAIN_RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+
 /// The idle time that the server states.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -103,3 +109,118 @@
         assert_eq!(connections.get(), 1);
     });
 }
+
+/// The time within which a loopback server responds.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// The length of a body that the buffers of a loopback connection do not hold, in bytes.
+const LONG_BODY_BYTES: usize = 32 << 20;
+
+/// Returns a request with a long body.
+fn long_request() -> Request<Full<Bytes>> {
+    Request::builder()
+        .method("POST")
+        .uri("/")
+        .header("host", "n")
+        .body(Full::new(Bytes::from(vec![b'x'; LONG_BODY_BYTES])))
+        .unwrap()
+}
+
+/// Guards against a request that waits for a connection whose server answered early and reads on late or never: the
+/// request was not sent, so another connection can carry it.
+#[test]
+fn a_connection_with_an_unwritten_request_carries_no_other() {
+    Runtime::new().unwrap().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        compio::runtime::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                compio::runtime::spawn(async move {
+                    stream.read(Vec::with_capacity(4_096)).await.0.unwrap();
+                    stream.write_all(RESPONSE).await.0.unwrap();
+                    std::future::pending::<()>().await;
+                })
+                .detach();
+            }
+        })
+        .detach();
+
+        let pool = HttpPool::new(address);
+        let mut response = pool.send(long_request()).await.unwrap();
+        response.read_body(0).await.unwrap();
+
+        let answered = timeout(RESPONSE_TIMEOUT, succeeds(&pool)).await;
+        assert!(answered.expect("the request was sent"));
+    });
+}
+
+/// Guards against requests that are sent in the middle of a longer one, and against connections that are lost because
+/// their server read that one late.
+#[test]
+fn a_connection_is_used_again_once_its_request_is_written() {
+    Runtime::new().unwrap().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (reads_on, is_read) = (StopSignal::new(), StopSignal::new());
+        let (read_start, read_end) = (reads_on.clone(), is_read.clone());
+        compio::runtime::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let start = stream.read(Vec::with_capacity(4_096)).await.1;
+            let head = start.windows(4).position(|end| end == b"\r\n\r\n").unwrap() + 4;
+            let mut unread = LONG_BODY_BYTES - (start.len() - head);
+            stream.write_all(PLAIN_RESPONSE).await.0.unwrap();
+            read_start.wait().await;
+            while unread > 0 {
+                let count = stream.read(Vec::with_capacity(1 << 20)).await.0.unwrap();
+                assert!(count > 0, "the connection was closed");
+                unread -= count;
+            }
+            read_end.trigger();
+
+            let next = stream.read(Vec::with_capacity(4_096)).await.1;
+            assert!(next.starts_with(b"GET / HTTP/1.1\r\n"));
+            stream.write_all(PLAIN_RESPONSE).await.0.unwrap();
+            // No further connection is accepted.
+            drop(listener);
+            std::future::pending::<()>().await;
+        })
+        .detach();
+
+        let options = PoolOptions {
+            max_idle: RESPONSE_TIMEOUT,
+            ..PoolOptions::default()
+        };
+        let pool = HttpPool::with_options(address, options);
+        let mut response = pool.send(long_request()).await.unwrap();
+        response.read_body(0).await.unwrap();
+        reads_on.trigger();
+        is_read.wait().await;
+        sleep(Duration::from_millis(50)).await;
+
+        let answered = timeout(RESPONSE_TIMEOUT, succeeds(&pool)).await;
+        assert!(answered.expect("the request was sent"));
+    });
+}
+
+/// Guards against a new connection for each of several requests that follow right after another.
+#[test]
+fn requests_in_a_row_share_a_connection() {
+    Runtime::new().unwrap().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        compio::runtime::spawn(async move {
+            // Only one connection is accepted.
+            let (mut stream, _) = listener.accept().await.unwrap();
+            drop(listener);
+            while matches!(stream.read(Vec::with_capacity(4_096)).await.0, Ok(1..)) {
+                stream.write_all(PLAIN_RESPONSE).await.0.unwrap();
+            }
+        })
+        .detach();
+
+        let pool = HttpPool::new(address);
+        for _ in 0..50 {
+            assert!(succeeds(&pool).await);
+        }
+    });
+}
