net: a request whose kept connection was closed before is sent on another one

What callers would see: 503 `target-unreachable` with the promise "not run", or a further target, for a request that was never sent: the target had closed the idle connection while the request was put on it.

Cause: the client asked the HTTP library to send and reported the lost connection, although the library gives a request back that it did not begin to write.

The verdict `NotRun` now has that request as its evidence instead of the kind of the error: the library returns it only if none of it was written. It is sent on the next idle connection or on a new one; a new connection that fails so ends the loop.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -12,7 +12,10 @@
 use hyper::{
     HeaderMap, Request, Response,
     body::Incoming,
-    client::conn::http1::{self, SendRequest},
+    client::conn::{
+        TrySendError,
+        http1::{self, SendRequest},
+    },
 };
 use rustix::net::sockopt;
 use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
@@ -128,7 +131,8 @@
         self.address
     }
 
-    /// Sends a request and waits for the status line and header fields of the response.
+    /// Sends a request and waits for the status line and header fields of the response. A kept connection
+    /// may have been closed before the request left this process; then it is sent on another one.
     ///
     /// Dropping the future closes the connection, which cancels the request on the server.
     ///
@@ -137,31 +141,41 @@
     /// Fails with the verdict `NotRun` when no connection could be opened or the request was not
     /// sent, and with `Unknown` when some of its bytes may have been sent.
     pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<PooledResponse> {
-        let mut connection = self.connection().await?;
-        connection.head_budget.begin();
-        let response = connection.sender.send_request(request).await;
-        connection.head_budget.end();
-
-        let response = response.map_err(|error| {
-            // Canceled means that the connection closed before the request left this process.
-            let verdict = if error.is_canceled() {
-                RunVerdict::NotRun
-            } else {
-                RunVerdict::Unknown
-            };
+        let mut request = request;
 
-            CoreError::unavailable(format!("{}: {error}", self.address), verdict)
-        })?;
+        loop {
+            let (mut connection, is_new) = match self.take_idle() {
+                Some(connection) => (connection, false),
+                None => (self.open().await?, true),
+            };
+            connection.head_budget.begin();
+            let response = connection.sender.try_send_request(request).await;
+            connection.head_budget.end();
 
-        Ok(PooledResponse::new(response, connection, self.clone()))
+            let mut failure = match response {
+                Ok(response) => return Ok(PooledResponse::new(response, connection, self.clone())),
+                Err(failure) => failure,
+            };
+            // The request is given back only if none of it left this process.
+            match failure.take_message() {
+                Some(unsent) if !is_new => request = unsent,
+                Some(_) => return Err(self.send_error(&failure, RunVerdict::NotRun)),
+                None => return Err(self.send_error(&failure, RunVerdict::Unknown)),
+            }
+        }
     }
 
-    /// Returns an idle connection that is still open, or opens a new one.
-    async fn connection(&self) -> Result<PooledConnection> {
-        if let Some(connection) = self.take_idle() {
-            return Ok(connection);
-        }
+    /// Returns the error for a request that was not sent, or has no response.
+    fn send_error(
+        &self,
+        failure: &TrySendError<Request<Full<Bytes>>>,
+        verdict: RunVerdict,
+    ) -> CoreError {
+        CoreError::unavailable(format!("{}: {}", self.address, failure.error()), verdict)
+    }
 
+    /// Opens a new connection within the timeout.
+    async fn open(&self) -> Result<PooledConnection> {
         let opening = timeout(self.options.connect_timeout, self.connect()).await;
 
         opening.unwrap_or_else(|_elapsed| {
--- a/crates/net/tests/client.rs
+++ b/crates/net/tests/client.rs
@@ -3,13 +3,21 @@
 use bytes::Bytes;
 use compio::{
     io::{AsyncRead, AsyncWriteExt},
-    net::TcpListener,
+    net::{TcpListener, TcpStream},
     runtime::Runtime,
     time::{sleep, timeout},
 };
 use http_body_util::Full;
 use hyper::Request;
-use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    io::{Read, Write},
+    net::SocketAddr,
+    rc::Rc,
+    sync::mpsc,
+    thread,
+    time::Duration,
+};
 use wagtail_net::{
     client::{HttpPool, PoolOptions},
     stop::StopSignal,
@@ -224,3 +232,47 @@
         }
     });
 }
+
+/// Guards against a request that counts as refused although it was not sent, as the server closed its connection while
+/// it was chosen.
+#[test]
+fn a_request_whose_connection_was_closed_before_is_sent_on_another() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (closing, is_idle) = mpsc::channel();
+    let (closed, is_closed) = mpsc::channel();
+    let server = thread::spawn(move || {
+        let (mut control, _) = listener.accept().unwrap();
+        let (mut idle, _) = listener.accept().unwrap();
+        respond_once(&mut idle);
+        is_idle.recv().unwrap();
+        // The reader of this byte is woken before the connection is found closed.
+        control.write_all(b"x").unwrap();
+        drop(idle);
+        closed.send(()).unwrap();
+
+        let (mut other, _) = listener.accept().unwrap();
+        respond_once(&mut other);
+    });
+
+    Runtime::new().unwrap().block_on(async {
+        let mut control = TcpStream::connect(address).await.unwrap();
+        let pool = HttpPool::new(address);
+        assert!(succeeds(&pool).await);
+
+        compio::runtime::spawn(async move {
+            closing.send(()).unwrap();
+            is_closed.recv().unwrap();
+        })
+        .detach();
+        control.read(Vec::with_capacity(1)).await.0.unwrap();
+        assert!(succeeds(&pool).await);
+    });
+    server.join().unwrap();
+}
+
+/// Reads a request and responds to it.
+fn respond_once(stream: &mut std::net::TcpStream) {
+    assert!(stream.read(&mut [0; 4_096]).unwrap() > 0);
+    stream.write_all(RESPONSE).unwrap();
+}
