Tests: bytes behind a complete response do not answer the next request

Part of the search for responses that are attributed by their place. Surplus bytes on an idle connection, and those in the same segment as a response, end the connection, and the next request is sent on another one. The test passes on the code before it: the case was reported as one that can't happen by reading only.

Bytes that arrive once the next request is being written can't be told from its response by a connection. Only the identifier tells, which the callers of the pool compare.

--- a/crates/net/tests/client.rs
+++ b/crates/net/tests/client.rs
@@ -276,3 +276,54 @@
     assert!(stream.read(&mut [0; 4_096]).unwrap() > 0);
     stream.write_all(RESPONSE).unwrap();
 }
+
+/// Guards against bytes behind a complete response that count as the response to the next request.
+#[test]
+fn bytes_behind_a_response_do_not_answer_the_next_request() {
+    const SURPLUS: &[u8] = b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n";
+
+    for arrives_later in [false, true] {
+        Runtime::new().unwrap().block_on(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            let (response_read, surplus_sent) = (StopSignal::new(), StopSignal::new());
+            let (is_read, is_sent) = (response_read.clone(), surplus_sent.clone());
+            compio::runtime::spawn(async move {
+                let (mut first, _) = listener.accept().await.unwrap();
+                first.read(Vec::with_capacity(4_096)).await.0.unwrap();
+                if arrives_later {
+                    first.write_all(PLAIN_RESPONSE).await.0.unwrap();
+                    is_read.wait().await;
+                    first.write_all(SURPLUS).await.0.unwrap();
+                } else {
+                    let bytes = [PLAIN_RESPONSE, SURPLUS].concat();
+                    first.write_all(bytes).await.0.unwrap();
+                }
+                is_sent.trigger();
+
+                let (mut second, _) = listener.accept().await.unwrap();
+                second.read(Vec::with_capacity(4_096)).await.0.unwrap();
+                second.write_all(PLAIN_RESPONSE).await.0.unwrap();
+                std::future::pending::<()>().await;
+            })
+            .detach();
+
+            let pool = HttpPool::new(address);
+            assert_eq!(status(&pool).await, 200);
+            response_read.trigger();
+            surplus_sent.wait().await;
+            sleep(Duration::from_millis(50)).await;
+            assert_eq!(status(&pool).await, 200, "later: {arrives_later}");
+        });
+    }
+}
+
+/// Sends a request and returns the status of its response.
+async fn status(pool: &HttpPool) -> u16 {
+    let request = Request::builder().uri("/").header("host", "n");
+    let request = request.body(Full::<Bytes>::default()).unwrap();
+    let mut response = pool.send(request).await.unwrap();
+    response.read_body(0).await.unwrap();
+
+    response.parts().status.as_u16()
+}
