Forward: the evidence whether a request has run is a record of its own

`AttemptRecord` in `route` holds what the attempts of a request have come to, so that it can be tested without nodes: a later refusal does not take back that an earlier attempt may have run, and nothing is promised while a silent node may still run it. `give_up` relied on that no attempt is in flight; it now asks the record, which counts silent ones.

No change of behaviour was found necessary: by reading, an attempt that may have run was kept through later refusals before as well.

--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -2,6 +2,7 @@
 //! their budgets.
 //!
 //! - [`announce`]: the nodes that are told of a start.
+//! - [`attempts`]: what the attempts of a request have come to.
 //! - [`choice`]: load balancing for services without keys, by costs that one ingress observes.
 //! - [`state`]: the load, latency and ejection state of one target, as one ingress knows it.
 //! - [`home`]: the only target that may run a given non-idempotent request.
@@ -18,6 +19,7 @@
 //! - [`watchers`]: the nodes that watch the store for the others of their zone.
 
 pub mod announce;
+pub mod attempts;
 pub mod budget;
 pub mod choice;
 pub mod evacuation;
--- a/crates/sidecar/src/forward/ending.rs
+++ b/crates/sidecar/src/forward/ending.rs
@@ -27,7 +27,7 @@
     /// Returns whether a request that reached a target may be retried, and takes the retry out of
     /// the budget if so.
     pub(super) fn may_retry(&self, job: &ForwardJob, attempts: &ForwardAttempts) -> bool {
-        let cannot_have_run = !attempts.may_have_run();
+        let cannot_have_run = !attempts.record.may_have_run();
         // A retry could end a second target within one request.
         let content = job.dispatch_head.content(job.body.clone());
         if !cannot_have_run && self.view.quarantine().standing(&content) > RequestStanding::Trusted
@@ -36,13 +36,13 @@
         }
 
         (cannot_have_run || job.route.kind.is_idempotent())
-            && attempts.at_targets() < job.route.max_attempts
+            && attempts.record.at_targets() < job.route.max_attempts
             && self.with_budget(&job.dispatch_head.service, RetryBudget::withdraw)
     }
 
     /// Returns the outcome of a request that is given up.
     pub(super) fn give_up(&self, job: &ForwardJob, attempts: ForwardAttempts) -> ForwardOutcome {
-        if let Some(reason) = attempts.may_have_run {
+        if let Some(reason) = attempts.record.failure() {
             return ForwardOutcome::Failed { reason };
         }
 
--- a/crates/sidecar/src/forward/job.rs
+++ b/crates/sidecar/src/forward/job.rs
@@ -5,6 +5,7 @@
 use std::{cell::RefCell, sync::Arc, time::Duration};
 use wagtail_core::{CoreError, routing::RouteSpec, units::LocalMoment};
 use wagtail_peer::answer::PeerResponse;
+use wagtail_route::attempts::AttemptRecord;
 
 /// `ForwardJob` is a caller's request with its destination and its deadline.
 #[derive(Debug)]
@@ -32,13 +33,9 @@
 /// `ForwardAttempts` holds the results of the attempts made so far for a request.
 #[derive(Debug, Default)]
 pub(super) struct ForwardAttempts {
-    /// The number of attempts that reached a target, or may have.
-    pub(super) target_attempts: u32,
-    /// The reason of the last attempt that may have run.
-    pub(super) may_have_run: Option<Arc<str>>,
+    /// The evidence whether the request has run.
+    pub(super) record: AttemptRecord,
     pub(super) refusal: Option<NotRunFields>,
-    /// The number of attempts in flight whose node has fallen silent.
-    pub(super) silent: u32,
     /// The node that the last refusal named as the holder of the key.
     pub(super) holder_hint: Option<Arc<str>>,
     /// The nodes that declined the request because all slots of their targets are taken. They may be
@@ -50,11 +47,6 @@
 }
 
 impl ForwardAttempts {
-    /// Returns the number of attempts that reached a target, or may have.
-    pub(super) fn at_targets(&self) -> u32 {
-        self.target_attempts + self.silent
-    }
-
     /// Returns the nodes that are not asked again.
     pub(super) fn tried(&self, asked: &[Arc<str>]) -> Vec<Arc<str>> {
         let mut declined = self.declined.clone();
@@ -68,11 +60,6 @@
 
         tried
     }
-
-    /// Returns whether the request may have run.
-    pub(super) fn may_have_run(&self) -> bool {
-        self.may_have_run.is_some() || self.silent > 0
-    }
 }
 
 /// `EndedAttempt` is an attempt whose node has replied or is lost.
--- a/crates/sidecar/src/forward/mod.rs
+++ b/crates/sidecar/src/forward/mod.rs
@@ -170,7 +170,7 @@
                 .take_if(|(ordinal, _)| *ordinal == ended.ordinal)
                 .is_none()
             {
-                attempts.silent = attempts.silent.saturating_sub(1);
+                attempts.record.record_silence_end();
             }
             if let Some(outcome) = self.record_attempt(job, ended, &mut attempts) {
                 return outcome;
@@ -181,7 +181,7 @@
     /// Returns the node to send a request to now, or `None` if no further attempt may be made.
     fn next_attempt(&self, job: &ForwardJob, attempts: &ForwardAttempts) -> Option<Arc<str>> {
         let node = self.next_node(job, attempts)?;
-        let is_retry = attempts.at_targets() > 0;
+        let is_retry = attempts.record.at_targets() > 0;
 
         (!is_retry || self.may_retry(job, attempts)).then_some(node)
     }
@@ -213,7 +213,7 @@
             return;
         };
 
-        attempts.silent += 1;
+        attempts.record.record_silence();
         self.picker.borrow_mut().unreachable(&node, clock::now());
         self.probe(&node);
         tracing::info!(
@@ -243,8 +243,7 @@
                     let refusal = unreachable_refusal();
                     attempts.refusal = Some(refusal.with_sooner(attempts.refusal.take()));
                 } else {
-                    attempts.target_attempts += 1;
-                    attempts.may_have_run = Some(Arc::from("node-lost"));
+                    attempts.record.record_failure(Arc::from("node-lost"));
                 }
                 return None;
             }
@@ -280,7 +279,7 @@
                 {
                     attempts.evacuated_zones.push(Arc::clone(&record.zone));
                 }
-                attempts.target_attempts += u32::from(fields.reached_target);
+                attempts.record.record_refusal(fields.reached_target);
                 attempts.holder_hint.clone_from(&fields.holder);
                 if &*fields.reason == ZONE_EVACUATED && !job.keyed && attempts.refusal.is_some() {
                     // The target has no part in when the request may run.
@@ -291,13 +290,13 @@
             }
             ReplyBody::Failed { reason, load } => {
                 self.record_load(job, node, load);
-                attempts.target_attempts += 1;
-                attempts.may_have_run = Some(reason);
+                attempts.record.record_failure(reason);
                 None
             }
             _ => {
-                attempts.target_attempts += 1;
-                attempts.may_have_run = Some(Arc::from("unexpected-reply"));
+                attempts
+                    .record
+                    .record_failure(Arc::from("unexpected-reply"));
                 None
             }
         }
--- a/crates/sidecar/src/forward/nodes.rs
+++ b/crates/sidecar/src/forward/nodes.rs
@@ -152,7 +152,7 @@
         let may_ask = may_ask_holder(
             &job.asked.borrow(),
             &node,
-            attempts.may_have_run(),
+            attempts.record.may_have_run(),
             job.route.kind.is_idempotent(),
         );
 
