Forward: a failure of a target is not relayed as a promise

What callers saw: a request that runs at most once, ran, and got the target's own 503, 429 or 408. Callers take these for the promise that it has not run and never will, and send it again.

Cause: a response without the mark of a refusal counts as an answer and was relayed with any status. The protocol says that no other response states that a request did not run, so nobody had given that promise.

Evidence, before the change, with a target that runs each request and fails it without the mark:

promises::a_failure_of_a_target_promises_nothing ... FAILED RequestOutcome { id: "request-8", status: 408, retry_after: None, body: Some("failed") } left: 408 right: 502

Such a request now ends with 502 `refusal-not-stated`, without the target's header fields: a failure that carries them has to have the target's status. The node that answers the caller decides, so that it also holds for targets of nodes that run earlier code. A request that may be repeated still gets the target's response: its caller relies on no promise. 421 with the target's mark of a refusal or without it is a refusal before it gets here.

--- a/crates/route/src/attempts.rs
+++ b/crates/route/src/attempts.rs
@@ -60,3 +60,9 @@
         self.failure.is_some() || self.silent > 0
     }
 }
+
+/// Returns whether the response of a target that ran a request may be relayed. A caller whose request runs
+/// at most once would take some statuses for the promise that it has not run and never will.
+pub const fn may_relay(status: u16, is_idempotent: bool) -> bool {
+    is_idempotent || !matches!(status, 408 | 421 | 429 | 503)
+}
--- a/crates/route/tests/attempts.rs
+++ b/crates/route/tests/attempts.rs
@@ -1,7 +1,7 @@
 //! Tests of what the attempts of a request have come to.
 
 use std::sync::Arc;
-use wagtail_route::attempts::AttemptRecord;
+use wagtail_route::attempts::{AttemptRecord, may_relay};
 
 /// Guards against a later refusal that makes callers believe that an earlier attempt did not run.
 #[test]
@@ -42,3 +42,14 @@
     assert!(record.may_have_run());
     assert_eq!(record.at_targets(), 1);
 }
+
+/// Guards against statuses that promise what no target stated, and against changes of other responses.
+#[test]
+fn only_statuses_that_promise_are_kept_from_callers_that_rely_on_them() {
+    for status in 200..600 {
+        let promises = [408, 421, 429, 503].contains(&status);
+
+        assert_eq!(may_relay(status, false), !promises, "{status}");
+        assert!(may_relay(status, true), "{status}");
+    }
+}
--- a/crates/sidecar/src/forward/mod.rs
+++ b/crates/sidecar/src/forward/mod.rs
@@ -41,6 +41,7 @@
 use wagtail_peer::{answer::PeerResponse, link::SilencePolicy};
 use wagtail_route::{
     RetryBudget,
+    attempts::may_relay,
     pick::{LoadReport, PickOptions, TargetPicker},
     room::RoomSearch,
 };
@@ -255,6 +256,11 @@
                 self.record_load(job, node, fields.load);
                 self.record_response_size(job, &fields);
                 self.record_room(job, ended.ordinal, true);
+                if !may_relay(fields.status, job.route.kind.is_idempotent()) {
+                    return Some(ForwardOutcome::Failed {
+                        reason: Arc::from("refusal-not-stated"),
+                    });
+                }
                 Some(ForwardOutcome::Completed {
                     fields,
                     body: response.body,
