Tests: a request of which a part was written is not one that was not sent

Part of the search for the promise "not run" without evidence: a server closes a new or a kept connection while a long request is written to it, having read a part of it or nothing.

--- a/crates/net/tests/client.rs
+++ b/crates/net/tests/client.rs
@@ -7,6 +7,7 @@
     runtime::Runtime,
     time::{sleep, timeout},
 };
+use futures_util::future::join;
 use http_body_util::Full;
 use hyper::Request;
 use std::{
@@ -18,6 +19,7 @@
     thread,
     time::Duration,
 };
+use wagtail_core::verdict::RunVerdict;
 use wagtail_net::{
     client::{HttpPool, PoolOptions},
     stop::StopSignal,
@@ -327,3 +329,50 @@
 
     response.parts().status.as_u16()
 }
+
+/// Guards against a request that counts as not sent, as its connection broke while it was written.
+#[test]
+fn a_request_of_which_a_part_was_written_is_unknown() {
+    for is_kept in [false, true] {
+        for reads in [false, true] {
+            let verdict = verdict_of_long_request(is_kept, reads);
+
+            assert_eq!(verdict, RunVerdict::Unknown, "{is_kept}, {reads}");
+        }
+    }
+}
+
+/// Sends a long request to a server that closes the connection, after it has read a part if `reads`. Returns the
+/// verdict of the error.
+fn verdict_of_long_request(is_kept: bool, reads: bool) -> RunVerdict {
+    Runtime::new().unwrap().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let sent = StopSignal::new();
+        let is_sent = sent.clone();
+        compio::runtime::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            if is_kept {
+                stream.read(Vec::with_capacity(4_096)).await.0.unwrap();
+                stream.write_all(PLAIN_RESPONSE).await.0.unwrap();
+            }
+            is_sent.wait().await;
+            if reads {
+                stream.read(Vec::with_capacity(4_096)).await.0.unwrap();
+            }
+        })
+        .detach();
+
+        let pool = HttpPool::new(address);
+        if is_kept {
+            assert!(succeeds(&pool).await);
+        }
+        let closing = async {
+            sleep(Duration::from_millis(50)).await;
+            sent.trigger();
+        };
+        let (response, ()) = join(pool.send(long_request()), closing).await;
+
+        response.unwrap_err().verdict()
+    })
+}
