--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -196,9 +196,7 @@
         idle.retain(|connection| {
             now.since(connection.idle_since) < connection.max_idle && !connection.sender.is_closed()
         });
-        let index = idle
-            .iter()
-            .rposition(|connection| connection.accepts_request())?;
+        let index = idle.iter().rposition(PooledConnection::accepts_request)?;
 
         Some(idle.remove(index))
     }
--- a/crates/net/src/write_progress.rs
+++ b/crates/net/src/write_progress.rs
@@ -39,38 +39,38 @@
 impl<S: Read + Unpin> Read for ProgressStream<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: ReadBufCursor<'_>,
+        cx: &mut Context<'_>,
+        buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_read(context, buffer)
+        Pin::new(&mut self.inner).poll_read(cx, buf)
     }
 }
 
 impl<S: Write + Unpin> Write for ProgressStream<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &[u8],
+        cx: &mut Context<'_>,
+        buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.progress.0.set(true);
-        Pin::new(&mut self.inner).poll_write(context, buffer)
+        Pin::new(&mut self.inner).poll_write(cx, buf)
     }
 
     fn poll_write_vectored(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffers: &[IoSlice<'_>],
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.progress.0.set(true);
-        Pin::new(&mut self.inner).poll_write_vectored(context, buffers)
+        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
         self.inner.is_write_vectored()
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let flushed = Pin::new(&mut self.inner).poll_flush(context);
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let flushed = Pin::new(&mut self.inner).poll_flush(cx);
         if matches!(flushed, Poll::Ready(Ok(()))) {
             self.progress.0.set(false);
         }
@@ -78,7 +78,7 @@
         flushed
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_shutdown(context)
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
     }
 }
