--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -3,6 +3,7 @@
 use crate::{
     clock,
     head_limit::{HeadBudget, HeadLimitedStream},
+    write_progress::{ProgressStream, WriteProgress},
 };
 use bytes::Bytes;
 use compio::{net::TcpStream, runtime::JoinHandle, time::timeout};
@@ -11,7 +12,10 @@
 use hyper::{
     HeaderMap, Request, Response,
     body::Incoming,
-    client::conn::http1::{self, SendRequest},
+    client::conn::{
+        TrySendError,
+        http1::{self, SendRequest},
+    },
 };
 use rustix::net::sockopt;
 use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
@@ -63,11 +67,19 @@
     /// The task that drives the connection; dropping the handle cancels it.
     driver: JoinHandle<()>,
     head_budget: HeadBudget,
+    write_progress: WriteProgress,
     idle_since: LocalMoment,
     /// How long the connection may be idle and still be reused.
     max_idle: Duration,
 }
 
+impl PooledConnection {
+    /// Returns whether a request can be sent now.
+    fn accepts_request(&self) -> bool {
+        self.sender.is_ready() && !self.write_progress.is_unwritten()
+    }
+}
+
 /// The longest body that is read only to be discarded, in bytes.
 const MAX_DISCARDED_BYTES: usize = 16 << 10;
 
@@ -119,7 +131,8 @@
         self.address
     }
 
-    /// Sends a request and waits for the status line and header fields of the response.
+    /// Sends a request and waits for the status line and header fields of the response. A kept connection
+    /// may have been closed before the request left this process; then it is sent on another one.
     ///
     /// Dropping the future closes the connection, which cancels the request on the server.
     ///
@@ -128,33 +141,41 @@
     /// Fails with the verdict `NotRun` when no connection could be opened or the request was not
     /// sent, and with `Unknown` when some of its bytes may have been sent.
     pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<PooledResponse> {
-        let mut connection = self.connection().await?;
-        connection.head_budget.begin();
-        let response = connection.sender.send_request(request).await;
-        connection.head_budget.end();
-
-        let response = response.map_err(|error| {
-            // Canceled means that the connection closed before the request left this process.
-            let verdict = if error.is_canceled() {
-                RunVerdict::NotRun
-            } else {
-                RunVerdict::Unknown
-            };
-
-            CoreError::unavailable(format!("{}: {error}", self.address), verdict)
-        })?;
+        let mut request = request;
 
-        Ok(PooledResponse::new(response, connection, self.clone()))
-    }
+        loop {
+            let (mut connection, is_new) = match self.take_idle() {
+                Some(connection) => (connection, false),
+                None => (self.open().await?, true),
+            };
+            connection.head_budget.begin();
+            let response = connection.sender.try_send_request(request).await;
+            connection.head_budget.end();
 
-    /// Returns an idle connection that is still open, or opens a new one.
-    async fn connection(&self) -> Result<PooledConnection> {
-        while let Some(mut connection) = self.take_idle() {
-            if connection.sender.ready().await.is_ok() {
-                return Ok(connection);
+            let mut failure = match response {
+                Ok(response) => return Ok(PooledResponse::new(response, connection, self.clone())),
+                Err(failure) => failure,
+            };
+            // The request is given back only if none of it left this process.
+            match failure.take_message() {
+                Some(unsent) if !is_new => request = unsent,
+                Some(_) => return Err(self.send_error(&failure, RunVerdict::NotRun)),
+                None => return Err(self.send_error(&failure, RunVerdict::Unknown)),
             }
         }
+    }
+
+    /// Returns the error for a request that was not sent, or has no response.
+    fn send_error(
+        &self,
+        failure: &TrySendError<Request<Full<Bytes>>>,
+        verdict: RunVerdict,
+    ) -> CoreError {
+        CoreError::unavailable(format!("{}: {}", self.address, failure.error()), verdict)
+    }
 
+    /// Opens a new connection within the timeout.
+    async fn open(&self) -> Result<PooledConnection> {
         let opening = timeout(self.options.connect_timeout, self.connect()).await;
 
         opening.unwrap_or_else(|_elapsed| {
@@ -165,14 +186,19 @@
         })
     }
 
-    /// Takes the most recently used idle connection, unless it has been idle for too long.
+    /// Takes the most recently used idle connection that accepts a request, unless it has been idle for too
+    /// long. The server may respond before a request was written to its end; its connection accepts no other
+    /// one until then.
     fn take_idle(&self) -> Option<PooledConnection> {
         let now = clock::now();
         let mut idle = self.idle.borrow_mut();
         // A later response may have stated a shorter time than an earlier one.
-        idle.retain(|connection| now.since(connection.idle_since) < connection.max_idle);
+        idle.retain(|connection| {
+            now.since(connection.idle_since) < connection.max_idle && !connection.sender.is_closed()
+        });
+        let index = idle.iter().rposition(PooledConnection::accepts_request)?;
 
-        idle.pop()
+        Some(idle.remove(index))
     }
 
     /// Returns a connection to the pool after its response was read to the end. Drops it instead
@@ -207,7 +233,9 @@
 
         let head_budget = HeadBudget::default();
         let stream = HeadLimitedStream::new(stream, head_budget.clone());
-        let (sender, connection) = http1::handshake(HyperStream::new_plain(stream))
+        let write_progress = WriteProgress::default();
+        let stream = ProgressStream::new(HyperStream::new_plain(stream), write_progress.clone());
+        let (sender, connection) = http1::handshake(stream)
             .await
             .map_err(|error| connect_error(&error))?;
 
@@ -218,6 +246,7 @@
             sender,
             driver,
             head_budget,
+            write_progress,
             idle_since: clock::now(),
             max_idle: self.options.max_idle,
         })
