--- a/crates/core/src/notice.rs
+++ b/crates/core/src/notice.rs
@@ -56,12 +56,12 @@
 
 impl LimitStatement {
     /// Returns the limit in force after a response with this statement, if `known` was in force before.
-    /// `is_latest` says that the response is known to belong to the latest request. Any other may be old, so it
-    /// neither withdraws nor raises a limit.
-    pub fn limit_after(self, known: Option<RequestRate>, is_latest: bool) -> Option<RequestRate> {
+    /// `is_named` says that the response names the request that it arrived for. Any other may be old, so it neither
+    /// withdraws nor raises a limit.
+    pub fn limit_after(self, known: Option<RequestRate>, is_named: bool) -> Option<RequestRate> {
         match (self, known) {
-            (Self::Unlimited, _) if is_latest => None,
-            (Self::Limited(rate), Some(known)) if !is_latest && known < rate => Some(known),
+            (Self::Unlimited, _) if is_named => None,
+            (Self::Limited(rate), Some(known)) if !is_named && known < rate => Some(known),
             (Self::Limited(rate), _) => Some(rate),
             (Self::Unlimited | Self::Malformed, known) => known,
         }
--- a/crates/sidecar/src/proxy/notices.rs
+++ b/crates/sidecar/src/proxy/notices.rs
@@ -37,13 +37,13 @@
     }
 
     /// Records what a response of an incarnation of the target states, unless that one has been
-    /// replaced. `is_latest` says that the response names the latest request on its connection; any other
+    /// replaced. `is_named` says that the response names the request that it arrived for; any other
     /// may be old, so it neither withdraws nor raises a limit.
     pub(super) fn record_notice(
         &self,
         life: &TargetIncarnation,
         fields: &ResponseFields,
-        is_latest: bool,
+        is_named: bool,
     ) {
         if self.state.borrow().keeper.life() != Some(life) {
             return;
@@ -51,7 +51,7 @@
 
         self.state.borrow_mut().notices.has_responded = true;
         let known = self.limit();
-        let limit = fields.limit.limit_after(known, is_latest);
+        let limit = fields.limit.limit_after(known, is_named);
         self.apply_limit(life, limit);
 
         if fields.limit == LimitStatement::Malformed {
--- a/crates/telemetry/src/requests.rs
+++ b/crates/telemetry/src/requests.rs
@@ -63,7 +63,7 @@
 struct UnmatchedLabel {
     /// What the response states: a `refusal`, or an `answer` of a request that ran.
     states: &'static str,
-    /// The request that it names: `another` or `none`.
+    /// The request that it names: `another`, or `none` if it names none or several.
     names: &'static str,
 }
 
