Net: responses that a server makes itself and the choice of a server leave the sidecar

plain_response and close_after are now in wagtail_net::server, host_of in wagtail_net::headers, and spawn_server, which was spawn_caller_server, in wagtail_net::pipeline. None of them knows anything of nodes. No change of behaviour.

--- a/crates/net/src/headers.rs
+++ b/crates/net/src/headers.rs
@@ -54,3 +54,11 @@
         .parse()
         .ok()
 }
+
+/// Returns the host of a request, from its URI or its `host` header field.
+pub fn host_of(parts: &http::request::Parts) -> Option<&str> {
+    parts
+        .uri
+        .host()
+        .or_else(|| parts.headers.get(http::header::HOST)?.to_str().ok())
+}
--- a/crates/net/src/pipeline.rs
+++ b/crates/net/src/pipeline.rs
@@ -17,11 +17,12 @@
 
 use crate::{
     pipeline::{connection::serve_connection, encode::DateCache},
-    server::{HttpHandler, LimitSource, accept_connections},
+    server::{HttpHandler, LimitSource, accept_connections, serve},
     stop::StopSignal,
 };
-use compio::net::TcpListener;
+use compio::{net::TcpListener, runtime::JoinHandle};
 use std::{cell::Cell, rc::Rc, time::Duration};
+use tracing::info;
 
 /// The default of [`PipelineOptions::max_requests`].
 const DEFAULT_MAX_REQUESTS: usize = 16;
@@ -104,3 +105,28 @@
     })
     .await;
 }
+
+/// Spawns a server. It reads requests ahead, and counts them, if there are `counts`; otherwise it is that of
+/// [`crate::server::serve`].
+pub fn spawn_server(
+    listener: TcpListener,
+    handler: Rc<dyn HttpHandler>,
+    limits: Rc<dyn LimitSource>,
+    counts: Option<PipelineCounts>,
+    stop: StopSignal,
+) -> JoinHandle<()> {
+    let Some(counts) = counts else {
+        return compio::runtime::spawn(serve(listener, handler, limits, stop));
+    };
+
+    let options = PipelineOptions {
+        counts,
+        ..PipelineOptions::default()
+    };
+    info!(
+        event = "pipelining-enabled",
+        max_requests = options.max_requests,
+        max_head_bytes = options.max_head_bytes
+    );
+    compio::runtime::spawn(serve_pipelined(listener, handler, limits, options, stop))
+}
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -11,9 +11,9 @@
 };
 use http_body_util::{Either as EitherBody, Full, StreamBody};
 use hyper::{
-    Request, Response,
+    Request, Response, StatusCode,
     body::{Frame, Incoming},
-    header::{CONNECTION, HeaderName, HeaderValue},
+    header::{CONNECTION, HeaderName, HeaderValue, RETRY_AFTER},
     server::conn::http1,
     service::service_fn,
 };
@@ -102,6 +102,32 @@
     EitherBody::Left(Full::new(bytes.into()))
 }
 
+/// Returns a response that a server makes itself. A `pause` is sent as `retry-after`, in seconds
+/// with three decimals.
+pub fn plain_response(
+    status: StatusCode,
+    reason: &str,
+    pause: Option<Duration>,
+) -> Response<ServerBody> {
+    let mut response = Response::new(whole_body(reason.to_owned()));
+    *response.status_mut() = status;
+
+    if let Some(pause) = pause
+        && let Ok(value) = HeaderValue::try_from(format!("{:.3}", pause.as_secs_f64()))
+    {
+        response.headers_mut().insert(RETRY_AFTER, value);
+    }
+
+    response
+}
+
+/// Makes a response close its connection.
+pub fn close_after(response: &mut Response<ServerBody>) {
+    response
+        .headers_mut()
+        .insert(CONNECTION, HeaderValue::from_static("close"));
+}
+
 /// Creates a body that is streamed while it is sent. An error of the stream closes the connection,
 /// so that the client does not mistake a truncated body for a complete one.
 pub fn streamed_body(body: Box<dyn BodyStream>) -> ServerBody {
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -16,12 +16,7 @@
 use bytes::Bytes;
 use compio::time::timeout;
 use futures_util::future::{Either, select};
-use hyper::{
-    Request, Response, StatusCode,
-    body::Body,
-    header::{CONNECTION, HeaderValue, RETRY_AFTER},
-    http::request::Parts,
-};
+use hyper::{Request, Response, StatusCode, body::Body, http::request::Parts};
 use std::{cell::RefCell, pin::pin, rc::Rc, sync::Arc, time::Duration};
 use wagtail_core::{
     digest::RequestDigest,
@@ -33,9 +28,12 @@
 use wagtail_net::{
     clock,
     deadline::DeadlineBody,
-    headers::end_to_end,
+    headers::{end_to_end, host_of},
     request_body::RequestBody,
-    server::{ConnectionLimits, HttpHandler, LimitSource, ServerBody, streamed_body, whole_body},
+    server::{
+        ConnectionLimits, HttpHandler, LimitSource, ServerBody, close_after, plain_response,
+        streamed_body,
+    },
 };
 use wagtail_route::hosts::{HostTable, choose_service};
 
@@ -364,21 +362,6 @@
     })
 }
 
-/// Makes a response close its connection.
-fn close_after(response: &mut Response<ServerBody>) {
-    response
-        .headers_mut()
-        .insert(CONNECTION, HeaderValue::from_static("close"));
-}
-
-/// Returns the host of a request, from its URI or its `host` header field.
-fn host_of(parts: &Parts) -> Option<&str> {
-    parts
-        .uri
-        .host()
-        .or_else(|| parts.headers.get(hyper::header::HOST)?.to_str().ok())
-}
-
 /// Returns the response that forwards a target's, and the reason if that one is malformed.
 fn forwarded_response(
     fields: &CompletedFields,
@@ -397,22 +380,3 @@
         ),
     }
 }
-
-/// Returns a response that this node makes itself. A `pause` is sent as `retry-after`, in seconds
-/// with three decimals.
-pub(crate) fn plain_response(
-    status: StatusCode,
-    reason: &str,
-    pause: Option<Duration>,
-) -> Response<ServerBody> {
-    let mut response = Response::new(whole_body(reason.to_owned()));
-    *response.status_mut() = status;
-
-    if let Some(pause) = pause
-        && let Ok(value) = HeaderValue::try_from(format!("{:.3}", pause.as_secs_f64()))
-    {
-        response.headers_mut().insert(RETRY_AFTER, value);
-    }
-
-    response
-}
--- a/crates/sidecar/src/front_state.rs
+++ b/crates/sidecar/src/front_state.rs
@@ -1,6 +1,6 @@
 //! Whether the node takes callers' requests: its shutdown, and how late it gets its turns on the processor.
 
-use crate::{front::plain_response, view::FleetView};
+use crate::view::FleetView;
 use compio::time::sleep;
 use hyper::{Request, Response, StatusCode};
 use std::{cell::Cell, rc::Rc, time::Duration};
@@ -9,7 +9,7 @@
 use wagtail_net::{
     clock,
     request_body::RequestBody,
-    server::{HttpHandler, ServerBody},
+    server::{HttpHandler, ServerBody, plain_response},
     stop::StopSignal,
 };
 
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -33,7 +33,6 @@
 //! - [`run`]: starts a node, runs it and shuts it down.
 
 mod bodies;
-mod callers;
 pub mod directory;
 pub mod evacuations;
 mod fleet_entry;
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -1,7 +1,6 @@
 //! Starts a node, runs it and shuts it down.
 
 use crate::{
-    callers::spawn_caller_server,
     directory::{self, DirectoryOptions},
     evacuations::EvacuationOptions,
     forward::RequestForwarder,
@@ -35,7 +34,7 @@
 use wagtail_core::{objects::ObjectStore, service::WorkClass};
 use wagtail_net::{
     clock,
-    pipeline::PipelineCounts,
+    pipeline::{PipelineCounts, spawn_server},
     server::{self, ConnectionLimits, HttpHandler},
     stop::StopSignal,
     stop_request::handle_stop_signal,
@@ -341,7 +340,7 @@
     context.spawn_tasks();
 
     let (callers_stop, peers_stop) = (StopSignal::new(), StopSignal::new());
-    let callers = spawn_caller_server(
+    let callers = spawn_server(
         listeners.callers,
         context.front_handler(),
         Rc::new(CallerLimitSource::new(
