Shutdown: a stopping node refuses requests that it cannot finish

Callers of a node in a planned stop got 502 for requests that targets were working on, or half of a response. The node took every request until 2.4 s after SIGTERM, and passed on what it had read until its end; what was in flight at 5.35 s (grace 6 s) was cut off, also requests that run at most once. The cause: nothing compared the end of the process with the time that a request takes. Neither did the node beside a target, for requests of other nodes.

wagtail_gate::shutdown decides now. A request is taken if its deadline passes before the answers are due, or if the longest recent request of its route, or one in flight for longer, with a tenth more, would end by then. Deadlines alone would refuse most requests of 15 to 100 ms, as they are several seconds. Others are refused at once with 503 (not run) at the caller's node, and with node-stopping at the node beside the target, so that the caller's node asks another one. The check comes after the body was read, before each retry, and again when a request leaves the queue of the target. The durations include streamed bodies. A body that is incomplete when the answers are due is refused. What a stopping node passes on has at most the time until then, so that queues drop what comes too late; what waits in its own queue then is refused as not run, where the end of the process made it 502 node-lost.

Not covered: a request that waits in the queue of another node when the answers are due gets 502 although it has not run, as its node cannot tell; a route whose requests suddenly take longer than any recent one.

--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -19,6 +19,7 @@
 //! - [`quarantine`]: which requests are refused because targets crash when they run them.
 //! - [`response`]: what a response of the target says about its request.
 //! - [`runs`]: which requests may have run when the target ended.
+//! - [`shutdown`]: which requests still end before a process that is shutting down.
 //! - [`sizes`]: the expected sizes of responses.
 //! - [`slots`]: the slots, the pace and the service times of the target.
 //! - [`target_limits`]: the limits on the rate of requests to one target.
@@ -38,6 +39,7 @@
 pub mod quarantine;
 pub mod response;
 pub mod runs;
+pub mod shutdown;
 pub mod sizes;
 pub mod slots;
 pub mod target_limits;
--- a/crates/gate/tests/gate/main.rs
+++ b/crates/gate/tests/gate/main.rs
@@ -10,5 +10,6 @@
 mod quarantine_storm;
 mod responses;
 mod runs;
+mod shutdown;
 mod slots;
 mod uploads;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`clock`]: a monotonic clock that also runs while the machine is suspended.
 //! - [`client`]: an HTTP/1.1 client with a connection pool.
 //! - [`deadline`]: breaks off bodies that have not ended in time.
+//! - [`guarded`]: a body that keeps something alive while it is read.
 //! - [`headers`]: selects the header fields that are passed on.
 //! - [`pipeline`]: an HTTP/1.1 server that reads further requests before it responds.
 //! - [`request_body`]: the body of a request that a handler reads.
@@ -16,6 +17,7 @@
 pub mod client;
 pub mod clock;
 pub mod deadline;
+pub mod guarded;
 mod head_limit;
 pub mod headers;
 pub mod pipeline;
--- a/crates/sidecar/src/forward/mod.rs
+++ b/crates/sidecar/src/forward/mod.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     evacuations::ZONE_EVACUATED,
+    front_state::FrontState,
     links::NodeLinks,
     messages::{
         CompletedFields, DispatchHead, NoticeReport, PeerReply, PeerRequest, ReplyBody,
@@ -87,6 +88,7 @@
     /// How long requests for each service take to find a target with room.
     room: RefCell<HashMap<Arc<str>, RoomSearch>>,
     random: RefCell<ChaCha8Rng>,
+    front: FrontState,
 }
 
 impl RequestForwarder {
@@ -113,9 +115,16 @@
             response_sizes: RefCell::default(),
             room: RefCell::default(),
             random: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
+            front: FrontState::default(),
         }
     }
 
+    /// Returns this forwarder with the state that tells which requests still end before the process.
+    #[must_use]
+    pub fn with_front(self, front: FrontState) -> Self {
+        Self { front, ..self }
+    }
+
     /// Records that a node has started and is reachable.
     pub fn node_started(&self, node: &Arc<str>) {
         self.picker.borrow_mut().forget(node);
@@ -181,6 +190,10 @@
     /// Returns the node to send a request to now, or `None` if no further attempt may be made.
     fn next_attempt(&self, job: &ForwardJob, attempts: &ForwardAttempts) -> Option<Arc<str>> {
         let node = self.next_node(job, attempts)?;
+        let shutdown = self.front.shutdown();
+        if !shutdown.admits(&job.route.name, job.deadline, clock::now()) {
+            return None;
+        }
         let is_retry = attempts.at_targets() > 0;
 
         (!is_retry || self.may_retry(job, attempts)).then_some(node)
@@ -345,9 +358,10 @@
         silence: StopSignal,
     ) -> Result<PeerResponse<PeerReply>, CoreError> {
         let now = clock::now();
+        let useful_until = self.front.shutdown().useful_until(job.deadline);
         let dispatch_head = DispatchHead {
             elapsed_ms: millis(job.waited + now.since(job.started_at)),
-            time_left_ms: millis(job.deadline.since(now)),
+            time_left_ms: millis(useful_until.since(now)),
             notice: self.notices.borrow().get(node).cloned(),
             accepted_wait_ms,
             ..job.dispatch_head.clone()
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -3,7 +3,7 @@
 use crate::{
     bodies::{BodyFault, read_whole},
     forward::{ForwardJob, ForwardOutcome, RequestForwarder},
-    front_state::FrontState,
+    front_state::{FrontState, InFlightGuard},
     memory::{MEMORY_FULL, NodeMemory},
     messages::{CompletedFields, DispatchHead},
     outcomes::{RequestEnd, RequestRecorder},
@@ -28,6 +28,7 @@
 use wagtail_net::{
     clock,
     deadline::DeadlineBody,
+    guarded::GuardedBody,
     headers::{end_to_end, host_of},
     request_body::RequestBody,
     server::{
@@ -50,8 +51,8 @@
 /// The time for which a caller may read nothing of a response before its connection is closed.
 const MAX_READ_PAUSE: Duration = Duration::from_secs(5);
 
-/// The delay that a refused caller is asked for while no configuration is known.
-const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// The delay that a refused caller is asked for while this node knows no configuration, or is stopping.
+const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 /// `FrontHandler` forwards the requests of callers and returns the responses to them.
 #[derive(Debug)]
@@ -116,12 +117,11 @@
 
     /// Processes one request, from its head to the response.
     async fn respond(&self, request: Request<RequestBody>) -> Response<ServerBody> {
-        let _guard = self.state.begin();
         let started_at = clock::now();
         let (parts, body) = request.into_parts();
 
         let mut response = match self.prepare(&parts, body, started_at).await {
-            Ok(job) => self.run(job).await,
+            Ok((job, guard)) => self.run(job, guard).await,
             Err(early) => {
                 let caller = self.dialect.read_caller(&parts.headers);
                 self.recorder.request_rejected(
@@ -151,12 +151,9 @@
         parts: &Parts,
         body: RequestBody,
         started_at: LocalMoment,
-    ) -> Result<ForwardJob, EarlyResponse> {
+    ) -> Result<(ForwardJob, InFlightGuard), EarlyResponse> {
         let Some(hosts) = self.view.hosts() else {
-            return Err(EarlyResponse {
-                pause: Some(NO_CONFIG_RETRY_AFTER),
-                ..EarlyResponse::new(StatusCode::SERVICE_UNAVAILABLE, "no-config")
-            });
+            return Err(not_ready("no-config"));
         };
         let mut job = self.resolve(parts, &hosts, started_at)?;
         let caller_wait = job.caller_deadline.since(started_at);
@@ -166,7 +163,15 @@
                 ..EarlyResponse::new(StatusCode::SERVICE_UNAVAILABLE, NODE_LATE)
             });
         }
-        job.body = read_body(body, hosts.limits(), started_at, self.proxy.memory()).await?;
+        let body = read_body(body, hosts.limits(), started_at, self.proxy.memory());
+        job.body = match select(pin!(body), pin!(self.state.expired().wait())).await {
+            Either::Left((body, _)) => body?,
+            Either::Right(_) => return Err(not_ready(NODE_STOPPING)),
+        };
+        let route = &job.route.name;
+        if !(self.state.shutdown()).admits(route, job.deadline, clock::now()) {
+            return Err(not_ready(NODE_STOPPING));
+        }
         let content = job.dispatch_head.content(job.body.clone());
         if self.view.quarantine().standing(&content) == RequestStanding::Refused {
             return Err(EarlyResponse {
@@ -175,7 +180,8 @@
             });
         }
 
-        Ok(job)
+        let guard = self.state.begin(route);
+        Ok((job, guard))
     }
 
     /// Finds the route and the service of a request from its head.
@@ -243,7 +249,7 @@
     }
 
     /// Forwards a request until its deadline and records how it ended.
-    async fn run(&self, job: ForwardJob) -> Response<ServerBody> {
+    async fn run(&self, job: ForwardJob, guard: InFlightGuard) -> Response<ServerBody> {
         let time_left = job.deadline.since(clock::now());
         let outcome = {
             let forwarded = pin!(timeout(time_left, self.forwarder.forward(&job)));
@@ -260,6 +266,7 @@
                 let id = Arc::clone(&job.dispatch_head.id);
                 let body = self.proxy.link().paced(body, fields.body_bytes);
                 let body = DeadlineBody::new(id, body, job.deadline);
+                let body = GuardedBody::new(Box::new(body), guard);
                 forwarded_response(&fields, Box::new(body))
             }
             Ok(ForwardOutcome::NotRun { reason, pause }) => (
@@ -362,6 +369,14 @@
     })
 }
 
+/// Returns the refusal of a request by a node that takes none now.
+fn not_ready(reason: &'static str) -> EarlyResponse {
+    EarlyResponse {
+        pause: Some(NOT_READY_RETRY_AFTER),
+        ..EarlyResponse::new(StatusCode::SERVICE_UNAVAILABLE, reason)
+    }
+}
+
 /// Returns the response that forwards a target's, and the reason if that one is malformed.
 fn forwarded_response(
     fields: &CompletedFields,
--- a/crates/sidecar/src/front_state.rs
+++ b/crates/sidecar/src/front_state.rs
@@ -3,9 +3,17 @@
 use crate::view::FleetView;
 use compio::time::sleep;
 use hyper::{Request, Response, StatusCode};
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, Ref, RefCell},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 use wagtail_core::{ports::LocalFuture, units::LocalMoment};
-use wagtail_gate::lag::{LagGauge, LagOptions};
+use wagtail_gate::{
+    lag::{LagGauge, LagOptions},
+    shutdown::{ShutdownGate, ShutdownPlan},
+};
 use wagtail_net::{
     clock,
     request_body::RequestBody,
@@ -20,8 +28,8 @@
 /// shutdown.
 #[derive(Debug, Clone)]
 pub struct FrontState {
-    in_flight: Rc<Cell<usize>>,
-    draining: Rc<Cell<bool>>,
+    shutdown: Rc<RefCell<ShutdownGate>>,
+    next_ticket: Rc<Cell<u64>>,
     expired: StopSignal,
     lag: Rc<Cell<LagGauge>>,
 }
@@ -29,8 +37,8 @@
 impl Default for FrontState {
     fn default() -> Self {
         Self {
-            in_flight: Rc::default(),
-            draining: Rc::default(),
+            shutdown: Rc::default(),
+            next_ticket: Rc::default(),
             expired: StopSignal::new(),
             lag: Rc::new(Cell::new(LagGauge::new(LagOptions::default()))),
         }
@@ -55,14 +63,23 @@
         self.lag.get().refusal(caller_wait, now)
     }
 
-    /// Counts a request as in flight until the guard is dropped.
-    pub(crate) fn begin(&self) -> InFlightGuard {
-        InFlightGuard::new(&self.in_flight)
+    /// Counts a request as in flight on a route until the guard is dropped.
+    pub(crate) fn begin(&self, route: &Arc<str>) -> InFlightGuard {
+        let ticket = self.next_ticket.replace(self.next_ticket.get() + 1);
+        let mut shutdown = self.shutdown.borrow_mut();
+        shutdown.durations().begin(ticket, route, clock::now());
+
+        InFlightGuard(Rc::clone(&self.shutdown), ticket)
+    }
+
+    /// Returns what decides on requests during the shutdown.
+    pub(crate) fn shutdown(&self) -> Ref<'_, ShutdownGate> {
+        self.shutdown.borrow()
     }
 
     /// Returns whether callers are sent to other nodes.
     pub(crate) fn is_draining(&self) -> bool {
-        self.draining.get()
+        self.shutdown().is_started()
     }
 
     /// Returns the signal that requests in flight are answered, as the process is about to end.
@@ -72,13 +89,13 @@
 
     /// Returns the number of callers' requests in flight.
     pub fn in_flight(&self) -> usize {
-        self.in_flight.get()
+        self.shutdown().running()
     }
 
     /// Sends callers to other nodes: this node reports that it is not ready, and each response
     /// closes its connection.
-    pub fn start_drain(&self) {
-        self.draining.set(true);
+    pub fn start_drain(&self, plan: ShutdownPlan) {
+        self.shutdown.borrow_mut().start(plan);
     }
 
     /// Answers the requests that are still in flight, as the process is about to end. Their connections would
@@ -90,20 +107,12 @@
 
 /// `InFlightGuard` counts a request as in flight until it is dropped.
 #[derive(Debug)]
-pub(crate) struct InFlightGuard(Rc<Cell<usize>>);
-
-impl InFlightGuard {
-    /// Adds a request to the count.
-    fn new(count: &Rc<Cell<usize>>) -> Self {
-        count.set(count.get() + 1);
-
-        Self(Rc::clone(count))
-    }
-}
+pub(crate) struct InFlightGuard(Rc<RefCell<ShutdownGate>>, u64);
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+        let now = clock::now();
+        self.0.borrow_mut().durations().end(self.1, now);
     }
 }
 
--- a/crates/sidecar/src/proxy/crashes.rs
+++ b/crates/sidecar/src/proxy/crashes.rs
@@ -5,6 +5,7 @@
     messages::NotRunFields,
     quarantine::{ISOLATED, QUARANTINED},
 };
+use std::sync::Arc;
 use tracing::warn;
 use wagtail_core::{
     digest::{RequestContent, RequestDigest},
@@ -33,8 +34,10 @@
     }
 
     /// Records that a request is about to be sent to the target.
-    pub(super) fn begin_run(&self, ticket: u64, content: RequestContent) {
+    pub(super) fn begin_run(&self, ticket: u64, route: &Arc<str>, content: RequestContent) {
         let state = &mut *self.state.borrow_mut();
+        let durations = state.shutdown.durations();
+        durations.begin(ticket, route, clock::now());
 
         if let Some(life) = state.keeper.life() {
             state.runs.begin(ticket, life.clone(), content);
@@ -44,7 +47,11 @@
     /// Records how a request at the target ended.
     pub(super) fn finish_run(&self, ticket: u64, end: RunEnd) {
         let now = clock::now();
-        let succeeded = self.state.borrow_mut().runs.finish(ticket, end, now);
+        let succeeded = {
+            let mut state = self.state.borrow_mut();
+            state.shutdown.durations().end(ticket, now);
+            state.runs.finish(ticket, end, now)
+        };
 
         if let Some(content) = succeeded {
             self.view.quarantine().record_success(&content);
--- a/crates/sidecar/src/proxy/mod.rs
+++ b/crates/sidecar/src/proxy/mod.rs
@@ -35,8 +35,14 @@
     units::LocalMoment,
 };
 use wagtail_gate::{
-    AdmissionGate, GateOptions, capacity::CapacityOptions, limit::LimitOptions,
-    origins::RouteOrigins, runs::RunTracker, sizes::ResponseSizes, warmup::TargetWarmth,
+    AdmissionGate, GateOptions,
+    capacity::CapacityOptions,
+    limit::LimitOptions,
+    origins::RouteOrigins,
+    runs::RunTracker,
+    shutdown::{ShutdownGate, ShutdownPlan},
+    sizes::ResponseSizes,
+    warmup::TargetWarmth,
 };
 use wagtail_net::{
     client::{HttpPool, PoolOptions},
@@ -101,6 +107,7 @@
     response_sizes: ResponseSizes,
     notices: NoticeState,
     runs: RunTracker,
+    shutdown: ShutdownGate,
     /// The latest incarnation of the target that has sent a heartbeat.
     incarnation: Option<TargetIncarnation>,
     /// Whether a task checks if the target's process has ended.
@@ -151,6 +158,7 @@
             response_sizes: ResponseSizes::default(),
             notices: NoticeState::default(),
             runs: RunTracker::default(),
+            shutdown: ShutdownGate::default(),
             incarnation: None,
             checking: false,
             slots: 0,
@@ -309,6 +317,11 @@
         self.apply_actions(actions);
     }
 
+    /// Refuses requests that would be cut off by the end of this node's shutdown.
+    pub fn start_drain(&self, plan: ShutdownPlan) {
+        self.state.borrow_mut().shutdown.start(plan);
+    }
+
     /// Refuses new requests because this node is shutting down; another node may run them.
     pub fn stop(&self) {
         self.state.borrow_mut().stopping = true;
--- a/crates/sidecar/src/proxy/serve.rs
+++ b/crates/sidecar/src/proxy/serve.rs
@@ -69,6 +69,9 @@
         if let Some(refusal) = self.refuse_head(dispatch_head) {
             return self.not_run(refusal);
         }
+        if let Some(refusal) = self.check_shutdown(dispatch_head, deadline) {
+            return self.not_run(refusal);
+        }
         let is_call = self.observe(dispatch_head);
         if let Some(key) = dispatch_head.key
             && let Some(refusal) = self.wait_for_key(key, deadline).await
@@ -99,12 +102,15 @@
             return self.not_run(replies::elsewhere(GateRefusal::Closed.as_str()));
         }
 
-        // A crash may become known while the request waits for its slot.
+        // A shutdown may begin while the request waits for its slot, or a crash become known.
+        if let Some(refusal) = self.check_shutdown(dispatch_head, deadline) {
+            return self.not_run(refusal);
+        }
         if let Some(refusal) = self.check_standing(&content) {
             return self.not_run(refusal);
         }
 
-        self.begin_run(guard.ticket, content);
+        self.begin_run(guard.ticket, &dispatch_head.route, content);
         started.set(Some(clock::now()));
         let mut response = self.dispatch(dispatch_head, body, deadline, guard).await;
         if let Some(promise) = promise {
@@ -280,6 +286,18 @@
         Some(replies::elsewhere(reason))
     }
 
+    /// Returns the refusal of a request that would be cut off by the end of this node's shutdown.
+    fn check_shutdown(
+        &self,
+        dispatch_head: &DispatchHead,
+        deadline: LocalMoment,
+    ) -> Option<NotRunFields> {
+        let state = self.state.borrow();
+        let ends_in_time = (state.shutdown).admits(&dispatch_head.route, deadline, clock::now());
+
+        (!ends_in_time).then(|| replies::elsewhere(NODE_STOPPING))
+    }
+
     /// Counts an arrival for a key and waits for its grant if that is expected within
     /// `MAX_GRANT_WAIT`. Returns the refusal if the target does not get the key in time.
     async fn wait_for_key(&self, key: u16, deadline: LocalMoment) -> Option<NotRunFields> {
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -32,6 +32,7 @@
 use thiserror::Error;
 use tracing::{info, warn};
 use wagtail_core::{objects::ObjectStore, service::WorkClass};
+use wagtail_gate::shutdown::{ShutdownOptions, ShutdownPlan};
 use wagtail_net::{
     clock,
     pipeline::{PipelineCounts, spawn_server},
@@ -45,17 +46,6 @@
 /// The maximum head size of a request from the target, the platform or a collector, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
-/// The time for which new requests of callers are still served after the signal, until the callers
-/// use other nodes.
-const CALLER_DRAIN_TIME: Duration = Duration::from_millis(2_400);
-
-/// The time that the shutdown leaves unused before the forced end.
-const SHUTDOWN_MARGIN: Duration = Duration::from_millis(500);
-
-/// How long before the end of the shutdown callers' requests that are still in flight are answered. With more, a
-/// target that is about to respond is cut off on a busy VM.
-const EXPIRY_MARGIN: Duration = Duration::from_millis(150);
-
 /// The interval between two checks whether the target still has requests in flight.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -199,13 +189,15 @@
             keeper_options(&settings),
         )
         .with_meter(links.sent_meter().clone());
-        let forwarder = Rc::new(RequestForwarder::new(
+        let front = FrontState::default();
+        let forwarder = RequestForwarder::new(
             Rc::clone(&settings),
             view.clone(),
             links.clone(),
             proxy.clone(),
             seed,
-        ));
+        )
+        .with_front(front.clone());
 
         Self {
             settings,
@@ -215,12 +207,12 @@
             links,
             relay,
             proxy,
-            forwarder,
+            forwarder: Rc::new(forwarder),
             recorder,
             planners: PlannerActivity::default(),
             watching,
             tables,
-            front: FrontState::default(),
+            front,
             pipeline: PipelineCounts::default(),
             seed,
         }
@@ -438,8 +430,7 @@
     .detach();
 }
 
-/// Shuts down in order: first callers move to other nodes, then requests in flight from other nodes
-/// end at the target.
+/// Shuts down: the node drains, and what is still in flight shortly before the end is answered.
 async fn stop(context: &NodeContext, servers: NodeServers) {
     let started_at = clock::now();
     info!(
@@ -447,33 +438,21 @@
         in_flight = context.front.in_flight(),
         at_target = context.proxy.in_flight()
     );
-    context.front.start_drain();
+    let grace = context.settings.grace;
+    let plan = ShutdownPlan::new(ShutdownOptions::default(), started_at, grace);
+    context.front.start_drain(plan);
+    context.proxy.start_drain(plan);
 
-    let drain_timeout = context.settings.grace.saturating_sub(SHUTDOWN_MARGIN);
-    let front = context.front.clone();
-    let expiry = drain_timeout.saturating_sub(EXPIRY_MARGIN);
+    let (front, proxy) = (context.front.clone(), context.proxy.clone());
     compio::runtime::spawn(async move {
-        sleep(expiry).await;
+        sleep(plan.expiry_time()).await;
+        // First what waits for a slot, which has not run.
+        proxy.close();
         front.expire();
     })
     .detach();
-    let drained = timeout(drain_timeout, async {
-        sleep(CALLER_DRAIN_TIME.min(drain_timeout / 2)).await;
-        // Requests of other nodes stop with those of callers: while the last callers are served, too
-        // little time may be left to finish what starts.
-        context.proxy.stop();
-        servers.callers_stop.trigger();
-        // A server that panicked has nothing left in flight.
-        drop(servers.callers.await);
-
-        context.watching.stop();
-        while context.proxy.in_flight() > 0 {
-            sleep(DRAIN_POLL_INTERVAL).await;
-        }
-        servers.peers_stop.trigger();
-        drop(servers.peers.await);
-    })
-    .await;
+    let length = plan.expiry_time() + plan.answer_time();
+    let drained = timeout(length, drain(context, servers, plan)).await;
 
     info!(
         event = "shutdown-complete",
@@ -484,6 +463,23 @@
     );
 }
 
+/// Drains in order: first callers move to other nodes, then requests in flight from other nodes end at the target.
+async fn drain(context: &NodeContext, servers: NodeServers, plan: ShutdownPlan) {
+    sleep(plan.intake_time()).await;
+    // Requests of other nodes stop with those of callers.
+    context.proxy.stop();
+    servers.callers_stop.trigger();
+    // A server that panicked has nothing left in flight.
+    drop(servers.callers.await);
+
+    context.watching.stop();
+    while context.proxy.in_flight() > 0 {
+        sleep(DRAIN_POLL_INTERVAL).await;
+    }
+    servers.peers_stop.trigger();
+    drop(servers.peers.await);
+}
+
 /// Binds an address; `purpose` names its clients in the error.
 async fn bind(purpose: &'static str, address: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(address)
