--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -1,7 +1,6 @@
 //! Starts a node, runs it and shuts it down.
 
 use crate::{
-    callers::spawn_caller_server,
     directory::{self, DirectoryOptions},
     evacuations::EvacuationOptions,
     forward::RequestForwarder,
@@ -29,13 +28,14 @@
     runtime::JoinHandle,
     time::{sleep, timeout},
 };
-use std::{io, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{io, net::SocketAddr, pin::pin, rc::Rc, sync::Arc, time::Duration};
 use thiserror::Error;
 use tracing::{info, warn};
 use wagtail_core::{objects::ObjectStore, service::WorkClass};
+use wagtail_gate::shutdown::{ShutdownOptions, ShutdownPlan};
 use wagtail_net::{
     clock,
-    pipeline::PipelineCounts,
+    pipeline::{PipelineCounts, spawn_server},
     server::{self, ConnectionLimits, HttpHandler},
     stop::StopSignal,
     stop_request::handle_stop_signal,
@@ -46,17 +46,6 @@
 /// The maximum head size of a request from the target, the platform or a collector, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
-/// The time for which new requests of callers are still served after the signal, until the callers
-/// use other nodes.
-const CALLER_DRAIN_TIME: Duration = Duration::from_millis(2_400);
-
-/// The time that the shutdown leaves unused before the forced end.
-const SHUTDOWN_MARGIN: Duration = Duration::from_millis(500);
-
-/// How long before the end of the shutdown callers' requests that are still in flight are answered. With more, a
-/// target that is about to respond is cut off on a busy VM.
-const EXPIRY_MARGIN: Duration = Duration::from_millis(150);
-
 /// The interval between two checks whether the target still has requests in flight.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -200,13 +189,15 @@
             keeper_options(&settings),
         )
         .with_meter(links.sent_meter().clone());
-        let forwarder = Rc::new(RequestForwarder::new(
+        let front = FrontState::default();
+        let forwarder = RequestForwarder::new(
             Rc::clone(&settings),
             view.clone(),
             links.clone(),
             proxy.clone(),
             seed,
-        ));
+        )
+        .with_front(front.clone());
 
         Self {
             settings,
@@ -216,12 +207,12 @@
             links,
             relay,
             proxy,
-            forwarder,
+            forwarder: Rc::new(forwarder),
             recorder,
             planners: PlannerActivity::default(),
             watching,
             tables,
-            front: FrontState::default(),
+            front,
             pipeline: PipelineCounts::default(),
             seed,
         }
@@ -341,7 +332,7 @@
     context.spawn_tasks();
 
     let (callers_stop, peers_stop) = (StopSignal::new(), StopSignal::new());
-    let callers = spawn_caller_server(
+    let callers = spawn_server(
         listeners.callers,
         context.front_handler(),
         Rc::new(CallerLimitSource::new(
@@ -439,8 +430,7 @@
     .detach();
 }
 
-/// Shuts down in order: first callers move to other nodes, then requests in flight from other nodes
-/// end at the target.
+/// Shuts down: the node drains, and what is still in flight shortly before the end is answered.
 async fn stop(context: &NodeContext, servers: NodeServers) {
     let started_at = clock::now();
     info!(
@@ -448,33 +438,20 @@
         in_flight = context.front.in_flight(),
         at_target = context.proxy.in_flight()
     );
-    context.front.start_drain();
-
-    let drain_timeout = context.settings.grace.saturating_sub(SHUTDOWN_MARGIN);
-    let front = context.front.clone();
-    let expiry = drain_timeout.saturating_sub(EXPIRY_MARGIN);
-    compio::runtime::spawn(async move {
-        sleep(expiry).await;
-        front.expire();
-    })
-    .detach();
-    let drained = timeout(drain_timeout, async {
-        sleep(CALLER_DRAIN_TIME.min(drain_timeout / 2)).await;
-        // Requests of other nodes stop with those of callers: while the last callers are served, too
-        // little time may be left to finish what starts.
-        context.proxy.stop();
-        servers.callers_stop.trigger();
-        // A server that panicked has nothing left in flight.
-        drop(servers.callers.await);
-
-        context.watching.stop();
-        while context.proxy.in_flight() > 0 {
-            sleep(DRAIN_POLL_INTERVAL).await;
-        }
-        servers.peers_stop.trigger();
-        drop(servers.peers.await);
-    })
-    .await;
+    let grace = context.settings.grace;
+    let plan = ShutdownPlan::new(ShutdownOptions::default(), started_at, grace);
+    context.front.start_drain(plan);
+    context.proxy.start_drain(plan);
+
+    let mut drain = pin!(drain(context, servers, plan));
+    let mut drained = timeout(plan.expiry_time(), drain.as_mut()).await;
+    if drained.is_err() {
+        // First what waits for a slot, which has not run.
+        context.proxy.close();
+        context.front.expire();
+        // From now on, as the timer may have fired late.
+        drained = timeout(plan.answer_time(), drain).await;
+    }
 
     info!(
         event = "shutdown-complete",
@@ -485,6 +462,23 @@
     );
 }
 
+/// Drains in order: first callers move to other nodes, then requests in flight from other nodes end at the target.
+async fn drain(context: &NodeContext, servers: NodeServers, plan: ShutdownPlan) {
+    sleep(plan.intake_time()).await;
+    // Requests of other nodes stop with those of callers.
+    context.proxy.stop();
+    servers.callers_stop.trigger();
+    // A server that panicked has nothing left in flight.
+    drop(servers.callers.await);
+
+    context.watching.stop();
+    while context.proxy.in_flight() > 0 {
+        sleep(DRAIN_POLL_INTERVAL).await;
+    }
+    servers.peers_stop.trigger();
+    drop(servers.peers.await);
+}
+
 /// Binds an address; `purpose` names its clients in the error.
 async fn bind(purpose: &'static str, address: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(address)
