Peer: a request beyond the last stream of a peer that shuts down did not run

What callers saw: 502 node-lost after 12 ms for a request that reached no target, in a planned stop of another node. The request was sent as n0 ended its connection. Cause: HTTP/2 states with GOAWAY which stream was the last that the peer may have processed. The library ends the streams above it with that error, and only those; the verdict was Unknown all the same, so that a request that runs at most once was not sent to another node. Why it works: a stream that ends with a GOAWAY of the peer counts as not run, like one that is reset with REFUSED_STREAM. a_stream_that_breaks_after_its_request_is_unknown, which ends connections by GOAWAY behind a request that was read, still passes: such streams end with the connection. Test, seen failing before (left: Unknown, right: NotRun): a_stream_beyond_the_last_one_of_a_peer_that_shuts_down_did_not_run.

--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -113,7 +113,7 @@
     /// # Errors
     ///
     /// Fails with the verdict `NotRun` when the request did not leave this process or the peer
-    /// refused its stream, and `Unknown` otherwise.
+    /// states that it did not process its stream, and `Unknown` otherwise.
     pub async fn request(&self, head: &RequestHead, body: Bytes) -> Result<TargetResponse> {
         let policy = if head.idempotent {
             SilencePolicy::FailFast
@@ -134,7 +134,7 @@
     /// # Errors
     ///
     /// Fails with the verdict `NotRun` when the request did not leave this process or the peer
-    /// refused its stream, and `Unknown` otherwise.
+    /// states that it did not process its stream, and `Unknown` otherwise.
     pub async fn exchange<Q: Serialize, A: DeserializeOwned>(
         &self,
         head: &Q,
@@ -274,9 +274,11 @@
     /// Returns the error for a request that may have reached the peer. Drops the connections when
     /// the error affects the connection and not only the stream.
     fn stream_error(&self, error: &h2::Error) -> CoreError {
-        // HTTP/2 guarantees that a stream reset with REFUSED_STREAM was not processed.
+        // HTTP/2 guarantees that a stream reset with REFUSED_STREAM was not processed, and neither was one above the
+        // last stream that a GOAWAY names. The library ends only those with it; the others end on their own.
         let refused = error.reason() == Some(Reason::REFUSED_STREAM);
-        let verdict = if refused {
+        let is_beyond_last = error.is_go_away() && error.is_remote();
+        let verdict = if refused || is_beyond_last {
             RunVerdict::NotRun
         } else {
             RunVerdict::Unknown
--- a/crates/peer/tests/verdicts.rs
+++ b/crates/peer/tests/verdicts.rs
@@ -1,7 +1,11 @@
 //! Tests of what the end of a stream says about its request, with a peer that has read the whole request.
 
 use bytes::Bytes;
-use compio::{net::TcpListener, runtime::Runtime};
+use compio::{
+    io::{AsyncRead, AsyncWriteExt},
+    net::TcpListener,
+    runtime::Runtime,
+};
 use cyper_core::HyperStream;
 use h2::{
     Reason, RecvStream,
@@ -32,6 +36,50 @@
     Close,
 }
 
+/// The frames of a peer that states that it has processed no request: empty settings, and GOAWAY with the stream 0 as
+/// the last one and without an error.
+const SHUTDOWN_FRAMES: [u8; 26] = [
+    0, 0, 0, 4, 0, 0, 0, 0, 0, // SETTINGS
+    0, 0, 8, 7, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, // GOAWAY
+];
+
+/// The type of a frame that begins a request.
+const HEADERS_TYPE: u8 = 1;
+
+/// The length of the preface of a connection, and of the head of a frame.
+const PREFACE_BYTES: usize = 24;
+const FRAME_HEAD_BYTES: usize = 9;
+
+/// Waits for the head of a request, and states that none was processed.
+async fn refuse_by_shutdown(listener: TcpListener) {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let mut bytes = Vec::new();
+    while !has_headers(&bytes) {
+        let (read, buffer) = stream.read(Vec::with_capacity(4 << 10)).await.into();
+        assert!(read.unwrap() > 0);
+        bytes.extend(buffer);
+    }
+
+    stream.write_all(SHUTDOWN_FRAMES).await.0.unwrap();
+    std::future::pending::<()>().await;
+}
+
+/// Returns whether the bytes of a connection contain the head of a request.
+fn has_headers(bytes: &[u8]) -> bool {
+    let mut frames = bytes.get(PREFACE_BYTES..).unwrap_or_default();
+
+    while let Some(head) = frames.get(..FRAME_HEAD_BYTES) {
+        if head[3] == HEADERS_TYPE {
+            return true;
+        }
+        let length = u32::from_be_bytes([0, head[0], head[1], head[2]]);
+        let length = FRAME_HEAD_BYTES + usize::try_from(length).unwrap();
+        frames = frames.get(length..).unwrap_or_default();
+    }
+
+    false
+}
+
 /// Accepts a connection and a request, reads the request to its end and ends the stream.
 async fn serve(listener: TcpListener, end: StreamEnd) {
     let (stream, _) = listener.accept().await.unwrap();
@@ -82,10 +130,18 @@
 
 /// Sends a request to a peer that ends its stream, and returns the verdict.
 fn verdict(end: StreamEnd, body: RequestBody) -> RunVerdict {
+    verdict_of(|listener| serve(listener, end), body)
+}
+
+/// Sends a request to a peer and returns the verdict of its failure.
+fn verdict_of<F: Future<Output = ()> + 'static>(
+    serve: impl FnOnce(TcpListener) -> F,
+    body: RequestBody,
+) -> RunVerdict {
     Runtime::new().unwrap().block_on(async {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address: SocketAddr = listener.local_addr().unwrap();
-        let peer = compio::runtime::spawn(serve(listener, end));
+        let peer = compio::runtime::spawn(serve(listener));
         let link = PeerLink::new(address);
 
         let response: wagtail_core::Result<PeerResponse<u64>> = link
@@ -141,3 +197,12 @@
         assert_eq!(verdict(refused, body), RunVerdict::NotRun);
     }
 }
+
+/// Guards against a request that ends with a failure although it could run at another node: it was sent at the moment
+/// at which its peer ended its shutdown.
+#[test]
+fn a_stream_beyond_the_last_one_of_a_peer_that_shuts_down_did_not_run() {
+    for body in bodies() {
+        assert_eq!(verdict_of(refuse_by_shutdown, body), RunVerdict::NotRun);
+    }
+}
