--- a/review/common-2/upstream.rs
+++ b/review/common-2/upstream.rs
@@ -1,5 +1,5 @@
 //! A stand-in for an upstream, a process of its own. It prints what it does, a line for each event, and takes
-//! commands on its standard input: `drain`, `leave`, `leaving`, `limit RATE`, `unlimited`.
+//! commands on its standard input: `drain`, `leave`, `leaving`, `limit RATE`, `unlimited`, `fault NAME`.
 
 use super::{
     http::{self, Message, Peer, read_request, write_response},
@@ -79,6 +79,8 @@
     draining: bool,
     leaving: bool,
     limit: Option<String>,
+    /// What happens to a part of the answers: `lose`, `extra`, `cut` or `none`.
+    fault: String,
     /// The held ranges with their tokens, and until when.
     holds: Vec<(u16, u16, u64)>,
     held_until: Option<Instant>,
@@ -137,6 +139,7 @@
             let mut state = self.state.lock().unwrap();
             match line.split_once(' ') {
                 Some(("limit", rate)) => state.limit = Some(rate.to_owned()),
+                Some(("fault", name)) => state.fault = name.to_owned(),
                 _ if line == "unlimited" => state.limit = None,
                 _ if line == "drain" => state.draining = true,
                 _ if line == "leaving" => state.leaving = true,
@@ -271,8 +274,12 @@
                 say(&format!("granted {}-{}@{} above={is_above}", row.0, row.1, row.2));
             }
         }
+        let until = sent_at + Duration::from_secs_f64(hold * CLOCK_LAG);
+        let left = until.saturating_duration_since(Instant::now()).as_millis() as u64;
+        let texts: Vec<String> = kept.iter().map(|row| format!("{}-{}@{}", row.0, row.1, row.2)).collect();
+        say(&format!("holds {} {}", unix_ms() + left, texts.join(",")));
         state.holds = kept;
-        state.held_until = Some(sent_at + Duration::from_secs_f64(hold * CLOCK_LAG));
+        state.held_until = Some(until);
         waits
     }
 
@@ -283,7 +290,13 @@
             let (status, is_run, body) = self.answer(&request, &id, began);
             let state = self.state.lock().unwrap();
             let (limit, leaving) = (state.limit.clone(), state.leaving);
+            let is_hit = is_run && unix_ms() % 3 == 0;
+            let fault = if is_hit { state.fault.clone() } else { String::new() };
             drop(state);
+            if fault == "lose" {
+                say(&format!("lose {id}"));
+                return;
+            }
             let mut headers = vec![("wagtailpulley-request-id", id.as_str()), ("keep-alive", "timeout=10")];
             if is_run {
                 headers.push(("wagtailpulley-response-seal", "3e1b.07.5a2.600.0.c9f2a4d1"));
@@ -296,9 +309,20 @@
             if leaving {
                 headers.push(("server-leaving", "1"));
             }
+            if fault == "cut" {
+                say(&format!("cut {id}"));
+                let mut bytes = Vec::new();
+                let _unfailing = write_response(&mut bytes, status, &headers, body.as_bytes());
+                let _gone = peer.get_mut().write_all(&bytes[..bytes.len() - 3]);
+                return;
+            }
             if write_response(peer.get_mut(), status, &headers, body.as_bytes()).is_err() {
                 return;
             }
+            if fault == "extra" {
+                say(&format!("extra {id}"));
+                let _gone = write_response(peer.get_mut(), status, &headers, body.as_bytes());
+            }
         }
     }
 
