Review case 8: replies to heartbeats outgrow 4 KiB, and keys are lost for good

Cause: each round of moves cuts rows of the table, and none is joined again, so that the reply with a holder's rows grows without a bound. Added: a script with busy keys that change, the final fault and the check of RECOVER; the shared upstream keeps the limit of a reply, the record may leave events out.

--- a/review/7/main.rs
+++ b/review/7/main.rs
@@ -51,6 +51,7 @@
         crash_path: String::new(),
         settings: String::new(),
         config: config(
+            12,
             &[
                 ("reservar", "/book/", "unsafe", "reservas", 2, 1.0),
                 ("cancelar", "/cancel/", "unsafe", "bajas", 2, 1.0),
--- a/review/common-2/fleet.rs
+++ b/review/common-2/fleet.rs
@@ -43,6 +43,8 @@
 pub struct Record {
     lines: Arc<Mutex<Vec<(u64, String)>>>,
     events: Arc<Mutex<Vec<Event>>>,
+    /// The events that are left out of the text.
+    hidden: Arc<Mutex<Vec<&'static str>>>,
 }
 
 impl Record {
@@ -50,9 +52,15 @@
         Record {
             lines: Arc::default(),
             events: Arc::default(),
+            hidden: Arc::default(),
         }
     }
 
+    /// Leaves some events of the upstreams out of the text, where the case notes them in a shorter form.
+    pub fn hide(&self, words: &[&'static str]) {
+        *self.hidden.lock().unwrap() = words.to_vec();
+    }
+
     pub fn note(&self, line: String) {
         self.lines.lock().unwrap().push((unix_ms(), line));
     }
@@ -158,7 +166,11 @@
                 let mut words = line.split(' ').map(str::to_owned);
                 let at_ms = words.next().and_then(|at| at.parse().ok()).unwrap_or(0);
                 let words: Vec<String> = words.collect();
-                record.lines.lock().unwrap().push((at_ms, format!("m{machine} {id} {}", words.join(" "))));
+                let is_hidden = words.first().is_some_and(|word| record.hidden.lock().unwrap().contains(&word.as_str()));
+                if !is_hidden {
+                    let line = format!("m{machine} {id} {}", words.join(" "));
+                    record.lines.lock().unwrap().push((at_ms, line));
+                }
                 record.events.lock().unwrap().push(Event { at_ms, machine, words });
             }
         });
@@ -360,6 +372,17 @@
 impl Ask<'_> {
     /// Sends the request on a new connection.
     pub fn send(&self, address: SocketAddr, record: &Record) -> io::Result<Message> {
+        record.note(format!("client sends {} {} {} to {address}", self.id, self.method, self.path));
+        let answer = self.send_quietly(address);
+        record.note(match &answer {
+            Ok(answer) => format!("client gets {} for {}: {}", answer.status, self.id, answer.text()),
+            Err(error) => format!("client gets nothing for {}: {error}", self.id),
+        });
+        answer
+    }
+
+    /// Sends the request without a note.
+    pub fn send_quietly(&self, address: SocketAddr) -> io::Result<Message> {
         let wait = self.deadline.as_millis().to_string();
         let key = self.key.map(|key| key.to_string());
         let mut headers = vec![
@@ -370,18 +393,12 @@
         if let Some(key) = &key {
             headers.push(("wagtailpulley-shard-key", key));
         }
-        record.note(format!("client sends {} {} {} to {address}", self.id, self.method, self.path));
-        let answer = http::call(address, self.method, self.path, &headers, self.body, self.deadline);
-        record.note(match &answer {
-            Ok(answer) => format!("client gets {} for {}: {}", answer.status, self.id, answer.text()),
-            Err(error) => format!("client gets nothing for {}: {error}", self.id),
-        });
-        answer
+        http::call(address, self.method, self.path, &headers, self.body, self.deadline)
     }
 }
 
 /// Returns a configuration with the routes `(name, prefix, type, service, maxAttempts, timeoutS)` and the services.
-pub fn config(routes: &[(&str, &str, &str, &str, u32, f64)], services: &[(&str, bool)]) -> Json {
+pub fn config(version: u32, routes: &[(&str, &str, &str, &str, u32, f64)], services: &[(&str, bool)]) -> Json {
     let resource = |kind: &str, name: &str, spec: Json| {
         Json::table(vec![
             ("resourceKind", Json::text(kind)),
@@ -419,5 +436,5 @@
         ("idleTimeoutS", Json::number(15)),
     ]);
     resources.push(resource("limits", "limits", limits));
-    Json::table(vec![("version", Json::text("0000000c")), ("resources", Json::List(resources))])
+    Json::table(vec![("version", Json::text(&format!("{version:08x}"))), ("resources", Json::List(resources))])
 }
--- a/review/common-2/upstream.rs
+++ b/review/common-2/upstream.rs
@@ -19,6 +19,12 @@
 /// The requests that wait for a slot at most.
 const MAX_QUEUED: usize = 24;
 
+/// The size of the largest reply that acknowledges a heartbeat, in bytes.
+const MAX_REPLY_BYTES: usize = 4 << 10;
+
+/// What a range is handed over with.
+const HANDOVER: &str = "5c0e7a21d94b36f8";
+
 /// How much slower than true time the upstream's clock runs at most.
 const CLOCK_LAG: f64 = 1.02;
 
@@ -182,7 +188,11 @@
             let limit = Duration::from_secs(1);
             let reply = http::call(self.options.admin, "POST", &path, &headers, body.as_bytes(), limit);
             let mut pause = self.options.heartbeat;
-            if let Ok(reply) = reply
+            if let Ok(reply) = &reply
+                && reply.body.len() > MAX_REPLY_BYTES
+            {
+                say(&format!("not-acknowledged reply of {} bytes", reply.body.len()));
+            } else if let Ok(reply) = reply
                 && (200..300).contains(&reply.status)
                 && sent_at.elapsed() < limit
             {
@@ -190,6 +200,9 @@
                     was_acked = true;
                     say("drain-acknowledged");
                 }
+                if self.options.keyed {
+                    say(&format!("acknowledged reply of {} bytes", reply.body.len()));
+                }
                 if self.apply(&reply, reported, sent_at) {
                     pause = Duration::from_millis(90);
                 }
@@ -232,7 +245,7 @@
             };
             fields.push(("holds", Json::List(state.holds.iter().map(row).collect())));
             let row = |(from, to): &(u16, u16)| {
-                Json::List(vec![Json::number(from), Json::number(to), Json::text("handover")])
+                Json::List(vec![Json::number(from), Json::number(to), Json::text(HANDOVER)])
             };
             fields.push(("released", Json::List(state.released.iter().map(row).collect())));
         }
