--- a/review/common-2/fleet.rs
+++ b/review/common-2/fleet.rs
@@ -140,6 +140,18 @@
         }
     }
 
+    /// Sends a signal to the upstream by its number.
+    pub fn signal_upstream(&self, signal: i32) {
+        unsafe extern "C" {
+            fn kill(pid: i32, signal: i32) -> i32;
+        }
+        if let Some(upstream) = &self.upstream {
+            self.record.note(format!("m{} upstream gets signal {signal}", self.index));
+            // SAFETY: the call takes two numbers, and the process is a child that was not waited for.
+            unsafe { kill(upstream.id() as i32, signal) };
+        }
+    }
+
     /// Returns whether the process of the node has ended by itself.
     pub fn node_ended(&mut self) -> bool {
         self.node.as_mut().is_some_and(|node| !matches!(node.try_wait(), Ok(None)))
