--- a/review/7/main.rs
+++ b/review/7/main.rs
@@ -73,7 +73,7 @@
     exit(verdict);
 }
 
-/// Sends bookings to one node, four a second in the mean, at uneven times, until it is told to stop.
+/// Sends bookings to one node, five in three seconds in the mean, at uneven times, until it is told to stop.
 fn send_bookings(machine: usize, address: SocketAddr, record: Record, stop: Arc<AtomicBool>) {
     let mut number = 0;
     let mut random = unix_ms().wrapping_add(machine as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
@@ -89,7 +89,7 @@
         random ^= random << 13;
         random ^= random >> 7;
         random ^= random << 17;
-        thread::sleep(Duration::from_millis(100 + random % 300));
+        thread::sleep(Duration::from_millis(300 + random % 600));
     }
 }
 
--- a/review/common-2/upstream.rs
+++ b/review/common-2/upstream.rs
@@ -25,6 +25,9 @@
 /// What a range is handed over with.
 const HANDOVER: &str = "5c0e7a21d94b36f8";
 
+/// How late the last heartbeat before a leave arrives.
+const LATENESS: Duration = Duration::from_millis(2_200);
+
 /// How much slower than true time the upstream's clock runs at most.
 const CLOCK_LAG: f64 = 1.02;
 
@@ -84,6 +87,10 @@
     queued: usize,
     draining: bool,
     leaving: bool,
+    /// Whether the leave was announced, after which there are no further heartbeats.
+    left: bool,
+    /// The number of the last heartbeat.
+    sequence: u64,
     limit: Option<String>,
     /// What happens to a part of the answers: `lose`, `extra`, `cut` or `none`.
     fault: String,
@@ -135,7 +142,7 @@
 }
 
 impl Upstream {
-    fn read_commands(&self) {
+    fn read_commands(self: &Arc<Self>) {
         for line in io::stdin().lines().map_while(Result::ok) {
             say(&format!("command {line}"));
             if line == "leave" {
@@ -157,14 +164,20 @@
         std::process::exit(0);
     }
 
-    /// Announces the leave until it is acknowledged, with a pause of a heartbeat between two attempts.
-    fn send_leave(&self) {
-        let path = format!("/instances/{}/leave", self.options.id);
-        let admin = self.options.admin.to_string();
-        let headers = [("host", admin.as_str())];
+    /// Announces the leave until it is acknowledged, with a pause of a heartbeat between two attempts. A heartbeat
+    /// that was sent before it arrives late, and is the last one.
+    fn send_leave(self: &Arc<Self>) {
+        let (body, _) = self.heartbeat();
+        self.state.lock().unwrap().left = true;
+        let late = Arc::clone(self);
+        thread::spawn(move || {
+            thread::sleep(LATENESS);
+            say("late-heartbeat");
+            let _answer = late.post("heartbeat", body.as_bytes());
+        });
         for _ in 0..4 {
             say("leave-sent");
-            let reply = http::call(self.options.admin, "POST", &path, &headers, b"", Duration::from_secs(1));
+            let reply = self.post("leave", b"");
             if reply.is_ok_and(|reply| (200..300).contains(&reply.status)) {
                 say("leave-acknowledged");
                 return;
@@ -174,19 +187,21 @@
         say("leave-not-acknowledged");
     }
 
+    fn post(&self, call: &str, body: &[u8]) -> io::Result<Message> {
+        let path = format!("/instances/{}/{call}", self.options.id);
+        let admin = self.options.admin.to_string();
+        let headers = [("host", admin.as_str()), ("content-type", "application/json")];
+        http::call(self.options.admin, "POST", &path, &headers, body, Duration::from_secs(1))
+    }
+
     fn send_heartbeats(&self) {
-        let mut sequence = 0;
         let mut was_acked = false;
-        loop {
-            sequence += 1;
+        while !self.state.lock().unwrap().left {
             let sent_at = Instant::now();
-            let (body, reported) = self.heartbeat(sequence);
+            let (body, reported) = self.heartbeat();
             let is_draining = self.state.lock().unwrap().draining;
-            let path = format!("/instances/{}/heartbeat", self.options.id);
-            let admin = self.options.admin.to_string();
-            let headers = [("host", admin.as_str()), ("content-type", "application/json")];
             let limit = Duration::from_secs(1);
-            let reply = http::call(self.options.admin, "POST", &path, &headers, body.as_bytes(), limit);
+            let reply = self.post("heartbeat", body.as_bytes());
             let mut pause = self.options.heartbeat;
             if let Ok(reply) = &reply
                 && reply.body.len() > MAX_REPLY_BYTES
@@ -215,9 +230,11 @@
     }
 
     /// Returns the body of a heartbeat and the number of releases in it.
-    fn heartbeat(&self, sequence: u64) -> (String, usize) {
+    fn heartbeat(&self) -> (String, usize) {
         let mut state = self.state.lock().unwrap();
         state.expire();
+        state.sequence += 1;
+        let sequence = state.sequence;
         let mut fields = vec![
             ("address", Json::text(&self.options.address.to_string())),
             ("born", Json::number(self.born)),
