A response that is reset while its request is written is not whole

Seen by callers: a target answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The part reached the caller as a whole response: chunked, with its last chunk, through the node beside the target and through another.

Cause: a socket states its error once. After the reset, the pending write of the request took ECONNRESET; the next read then found the end of the stream, and a body without a length is whole at the end of its connection. The HTTP library reads before it polls the write that failed. With a length, or chunked, the end alone is not enough, so that only such bodies were affected.

Fix: the connections of the HTTP client, which carry requests to targets and to the store, remember the error of a write. At the end of the stream a read fails with it. If the socket has no peer any more, the read waits for the write in flight, which ends at once. A server that ends its side first, and is reset later, gives EPIPE to the write: its response is whole, and the failure of the write is held back until the read has said so.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -3,6 +3,7 @@
 use crate::{
     clock,
     head_limit::{HeadBudget, HeadLimitedStream},
+    reset::ResetAwareStream,
     write_progress::{ProgressStream, WriteProgress},
 };
 use bytes::Bytes;
@@ -232,7 +233,7 @@
         }
 
         let head_budget = HeadBudget::default();
-        let stream = HeadLimitedStream::new(stream, head_budget.clone());
+        let stream = HeadLimitedStream::new(ResetAwareStream::new(stream), head_budget.clone());
         let write_progress = WriteProgress::default();
         let stream = ProgressStream::new(HyperStream::new_plain(stream), write_progress.clone());
         let (sender, connection) = http1::handshake(stream)
--- a/crates/net/src/head_limit.rs
+++ b/crates/net/src/head_limit.rs
@@ -4,7 +4,6 @@
     BufResult,
     buf::IoBufMut,
     io::{AsyncRead, util::Splittable},
-    net::TcpStream,
 };
 use std::{cell::Cell, io, rc::Rc};
 
@@ -43,24 +42,24 @@
 
 /// `HeadLimitedStream` is a connection whose read half obeys a [`HeadBudget`].
 #[derive(Debug)]
-pub(crate) struct HeadLimitedStream {
-    stream: TcpStream,
+pub(crate) struct HeadLimitedStream<S> {
+    stream: S,
     budget: HeadBudget,
 }
 
-impl HeadLimitedStream {
+impl<S> HeadLimitedStream<S> {
     /// Limits a connection.
-    pub(crate) fn new(stream: TcpStream, budget: HeadBudget) -> Self {
+    pub(crate) fn new(stream: S, budget: HeadBudget) -> Self {
         Self { stream, budget }
     }
 }
 
-impl Splittable for HeadLimitedStream {
-    type ReadHalf = HeadLimitedReader;
-    type WriteHalf = TcpStream;
+impl<S: Splittable> Splittable for HeadLimitedStream<S> {
+    type ReadHalf = HeadLimitedReader<S::ReadHalf>;
+    type WriteHalf = S::WriteHalf;
 
-    fn split(self) -> (HeadLimitedReader, TcpStream) {
-        let (stream, writer) = self.stream.into_split();
+    fn split(self) -> (Self::ReadHalf, Self::WriteHalf) {
+        let (stream, writer) = self.stream.split();
         let reader = HeadLimitedReader {
             stream,
             budget: self.budget,
@@ -72,12 +71,12 @@
 
 /// `HeadLimitedReader` is the read half of a [`HeadLimitedStream`]. Reading fails when the budget is spent.
 #[derive(Debug)]
-pub(crate) struct HeadLimitedReader {
-    stream: TcpStream,
+pub(crate) struct HeadLimitedReader<R> {
+    stream: R,
     budget: HeadBudget,
 }
 
-impl AsyncRead for HeadLimitedReader {
+impl<R: AsyncRead> AsyncRead for HeadLimitedReader<R> {
     async fn read<B: IoBufMut>(&mut self, buf: B) -> BufResult<usize, B> {
         if self.budget.is_spent() {
             let error = io::Error::new(
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod headers;
 pub mod pipeline;
 pub mod request_body;
+mod reset;
 pub mod server;
 pub mod signals;
 pub mod stall;
