A line break at the beginning of a field name does not end a response head

Seen by callers: a target sent a head whose lines end with CRLF, and in it a field name that began with LF. The caller got a 200 whose body began with the rest of the head. With a length in that rest, the caller waited for a body that did not end, and got a 502 at the deadline.

Cause: the HTTP library accepts a line that ends with a single LF, as HTTP allows. An empty line made so ends the head.

Fix: the read half that limits the size of a head follows its lines as well. A line that ends in another way than the status line of its head is an error, so that the request counts as one that may have run (502). Heads with single LFs throughout are accepted as before; interim heads are read one by one; the body is not looked at.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     clock,
-    head_limit::{HeadBudget, HeadLimitedStream},
     reset::ResetAwareStream,
+    response_head::{HeadCheck, HeadCheckedStream},
     write_progress::{ProgressStream, WriteProgress},
 };
 use bytes::Bytes;
@@ -67,7 +67,7 @@
     sender: SendRequest<Full<Bytes>>,
     /// The task that drives the connection; dropping the handle cancels it.
     driver: JoinHandle<()>,
-    head_budget: HeadBudget,
+    head_check: HeadCheck,
     write_progress: WriteProgress,
     idle_since: LocalMoment,
     /// How long the connection may be idle and still be reused.
@@ -149,9 +149,9 @@
                 Some(connection) => (connection, false),
                 None => (self.open().await?, true),
             };
-            connection.head_budget.begin();
+            connection.head_check.begin();
             let response = connection.sender.try_send_request(request).await;
-            connection.head_budget.end();
+            connection.head_check.end();
 
             let mut failure = match response {
                 Ok(response) => return Ok(PooledResponse::new(response, connection, self.clone())),
@@ -232,8 +232,8 @@
             enable_keep_alive(&stream, interval).map_err(|error| connect_error(&error))?;
         }
 
-        let head_budget = HeadBudget::default();
-        let stream = HeadLimitedStream::new(ResetAwareStream::new(stream), head_budget.clone());
+        let head_check = HeadCheck::default();
+        let stream = HeadCheckedStream::new(ResetAwareStream::new(stream), head_check.clone());
         let write_progress = WriteProgress::default();
         let stream = ProgressStream::new(HyperStream::new_plain(stream), write_progress.clone());
         let (sender, connection) = http1::handshake(stream)
@@ -246,7 +246,7 @@
         Ok(PooledConnection {
             sender,
             driver,
-            head_budget,
+            head_check,
             write_progress,
             idle_since: clock::now(),
             max_idle: self.options.max_idle,
