Header fields without end from a peer take little memory

A peer that sends header fields without end, as a response, made the node that had called it take 49 MB for that response before it failed. Six of them are more than a VM of 260 MB has beside its other work.

Cause: the HTTP/2 library accepts header fields of 16 MB by default, and keeps each with its overhead. Responses between nodes carry hardly any: their head is a message at the beginning of the body, of at most 256 KB.

Fix: responses on links between nodes may have 16 KB of header fields. The library also derives from it how many further frames of them it accepts.

--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -40,6 +40,9 @@
 /// many streams with slow readers do not block the others.
 pub(crate) const CONNECTION_WINDOW_BYTES: u32 = 16 << 20;
 
+/// The most bytes of header fields that a response may have. Peers send hardly any.
+const MAX_HEADER_BYTES: u32 = 16 << 10;
+
 /// `PeerLink` holds the connections to one peer: one for short work and one for long work, so that
 /// a large response does not delay a short one. They are opened on demand.
 #[derive(Debug)]
@@ -362,6 +365,7 @@
     let (sender, mut connection) = Builder::new()
         .initial_window_size(window_bytes)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+        .max_header_list_size(MAX_HEADER_BYTES)
         .handshake(tracked.compat())
         .await
         .map_err(|error| error.to_string())?;
