A response that breaks off ends with a reset for callers that know no chunks

Seen by callers: to a request of HTTP/1.0, a long response that broke off (a target that resets its connection, a deadline that passes) ended as if it were whole, without pipelining. Only the end of the connection tells such a caller the end of a body without a length.

Cause: the server closes the connection when the body of a response fails. That is the sign of a broken response where it is chunked or has a length; here it is the sign of a whole one. The pipelining server resets the connection then.

Fix: the server without pipelining does the same, if the body of a response has failed and its request was HTTP/1.0. The ways in which a connection ends are a module of the crate now, as both servers use them.

--- a/crates/net/src/pipeline/ending.rs
+++ b/crates/net/src/ending.rs
@@ -33,15 +33,18 @@
     pub(crate) async fn close(self, stream: &TcpStream, at_end: bool) {
         match self {
             ConnectionEnd::Answered if !at_end => linger(stream).await,
-            ConnectionEnd::Reset => {
-                // An error leaves a connection that is closed without a reset.
-                let _unchanged = sockopt::set_socket_linger(stream, Some(Duration::ZERO));
-            }
+            ConnectionEnd::Reset => reset_on_close(stream),
             ConnectionEnd::Answered | ConnectionEnd::Idle | ConnectionEnd::Broken => {}
         }
     }
 }
 
+/// Makes the close of a connection a reset.
+pub(crate) fn reset_on_close(stream: &TcpStream) {
+    // An error leaves a connection that is closed without a reset.
+    let _unchanged = sockopt::set_socket_linger(stream, Some(Duration::ZERO));
+}
+
 /// Closes the sending side, and discards what the client sends until it closes too.
 async fn linger(mut stream: &TcpStream) {
     let closing = async {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod client;
 pub mod clock;
 pub mod deadline;
+mod ending;
 pub mod guarded;
 mod head_lines;
 pub mod headers;
--- a/crates/net/src/pipeline.rs
+++ b/crates/net/src/pipeline.rs
@@ -8,7 +8,6 @@
 mod body;
 mod connection;
 mod encode;
-mod ending;
 mod exchange;
 mod head;
 mod input;
--- a/crates/net/src/pipeline/connection.rs
+++ b/crates/net/src/pipeline/connection.rs
@@ -1,11 +1,11 @@
 //! The task of one connection.
 
 use crate::{
+    ending::ConnectionEnd,
     pipeline::{
         PipelineOptions,
         body::{BodyDecoder, DecodeStep},
         encode::{DateCache, RESPONSE_PREFIX},
-        ending::ConnectionEnd,
         exchange::Exchange,
         head::{BodyFraming, HeadParser, RequestHead},
         input::{ConnectionInput, ReadPurpose},
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -1,6 +1,11 @@
 //! An HTTP/1.1 server: the accept loop and response bodies.
 
-use crate::{request_body::RequestBody, stall::StallGuardedStream, stop::StopSignal};
+use crate::{
+    ending::{ConnectionEnd, reset_on_close},
+    request_body::RequestBody,
+    stall::StallGuardedStream,
+    stop::StopSignal,
+};
 use bytes::Bytes;
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::{CompioTimer, HyperStream};
@@ -11,13 +16,13 @@
 };
 use http_body_util::{Either as EitherBody, Full, StreamBody};
 use hyper::{
-    Request, Response, StatusCode,
+    Request, Response, StatusCode, Version,
     body::{Frame, Incoming},
     header::{CONNECTION, HeaderName, HeaderValue, RETRY_AFTER},
     server::conn::http1,
     service::service_fn,
 };
-use std::{convert::Infallible, fmt::Debug, pin::pin, rc::Rc, time::Duration};
+use std::{cell::Cell, convert::Infallible, fmt::Debug, pin::pin, rc::Rc, time::Duration};
 use wagtail_core::{
     CoreError,
     ports::{BodyStream, LocalFuture},
@@ -152,10 +157,15 @@
     limits: Rc<dyn LimitSource>,
     stop: StopSignal,
 ) {
-    accept_connections(listener, &stop, |stream| {
-        let stream = StallGuardedStream::new(stream, limits.write_stall());
+    accept_connections(listener, &stop, |socket| {
+        let stream = StallGuardedStream::new(socket.clone(), limits.write_stall());
+        let (handler, limits, stop) = (Rc::clone(&handler), limits.limits(), stop.clone());
 
-        serve_connection(stream, Rc::clone(&handler), limits.limits(), stop.clone())
+        async move {
+            if serve_connection(stream, handler, limits, stop).await == ConnectionEnd::Reset {
+                reset_on_close(&socket);
+            }
+        }
     })
     .await;
 }
@@ -201,18 +211,22 @@
     }
 }
 
-/// Serves one connection until it closes. After `stop` is triggered it finishes the request in
-/// flight and then closes.
+/// Serves one connection until it is to be closed. After `stop` is triggered it finishes the request in
+/// flight first. Returns how the connection ends.
 async fn serve_connection(
     stream: StallGuardedStream,
     handler: Rc<dyn HttpHandler>,
     limits: ConnectionLimits,
     stop: StopSignal,
-) {
+) -> ConnectionEnd {
     let keep_alive =
         HeaderValue::from_str(&format!("timeout={}", limits.advertised_seconds())).ok();
+    // A body without a length ends with the connection of a client that knows no chunks.
+    let is_old_client = Rc::new(Cell::new(false));
+    let is_old = Rc::clone(&is_old_client);
     let service = service_fn(move |request: Request<Incoming>| {
         let (handler, keep_alive) = (Rc::clone(&handler), keep_alive.clone());
+        is_old.set(request.version() == Version::HTTP_10);
 
         async move {
             let mut response = handler.handle(request.map(RequestBody::from)).await;
@@ -234,9 +248,19 @@
     let mut connection = pin!(connection);
 
     let stopped = pin!(stop.wait().fuse());
-    if let Either::Left(_) = select(stopped, connection.as_mut()).await {
-        connection.as_mut().graceful_shutdown();
-        // An error needs no handling: the client sees the connection close.
-        drop(connection.await);
+    let ended = match select(stopped, connection.as_mut()).await {
+        Either::Left(_) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+        Either::Right((ended, _)) => ended,
+    };
+
+    match ended {
+        Ok(()) => ConnectionEnd::Answered,
+        // The body of a response has failed.
+        Err(error) if error.is_user() && is_old_client.get() => ConnectionEnd::Reset,
+        // The client sees the connection close.
+        Err(_) => ConnectionEnd::Broken,
     }
 }
