A response that its caller does not read ends at its deadline

A target that sent a body without end kept a slot, a connection and its work for as long as a caller read nothing of it, without a limit where no memory limit is set.

Cause: the deadline was looked at when a part of the body was asked for. While a write to the caller, or to the caller's node, takes nothing, no part is.

Fix: beside the target, a task breaks off a body that is passed on while it arrives, also while nothing reads it. The body is dropped then, and with it its slot and its connection to the target. What arrives later at the caller is the same: a read after that time failed before.

--- a/crates/sidecar/src/proxy/dispatch.rs
+++ b/crates/sidecar/src/proxy/dispatch.rs
@@ -164,7 +164,7 @@
                     whole_end,
                 };
                 let id = Arc::clone(&dispatch_head.id);
-                let body = DeadlineBody::new(id, Box::new(body), deadline);
+                let body = DeadlineBody::new(id, Box::new(body), deadline).with_watch();
                 self.relayed_response(
                     &dispatch_head.route,
                     status,
