--- a/crates/net/src/head_lines.rs
+++ b/crates/net/src/head_lines.rs
@@ -67,8 +67,8 @@
     /// Appends to the current line.
     fn extend_line(&mut self, text: &[u8]) {
         if self.ending.is_none() {
-            let unread = self.length.min(STATUS_BYTES);
-            for (slot, byte) in self.status[unread..].iter_mut().zip(text) {
+            let filled = self.length.min(STATUS_BYTES);
+            for (slot, byte) in self.status[filled..].iter_mut().zip(text) {
                 *slot = *byte;
             }
         }
