--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`link`]: the network link of the VM as a resource.
 //! - [`memory`]: the memory for bodies as a resource.
 //! - [`origins`]: which requests are calls from running work.
+//! - [`process_end`]: whether the process of the target has ended.
 //! - [`quarantine`]: which requests are refused because targets crash when they run them.
 //! - [`response`]: what a response of the target says about its request.
 //! - [`runs`]: which requests may have run when the target ended.
@@ -36,6 +37,7 @@
 pub mod link;
 pub mod memory;
 pub mod origins;
+pub mod process_end;
 pub mod quarantine;
 pub mod response;
 pub mod runs;
--- a/crates/gate/src/quarantine.rs
+++ b/crates/gate/src/quarantine.rs
@@ -116,13 +116,13 @@
         }
     }
 
-    /// Records a crash of the target of this node.
+    /// Records a crash of the target of this node at `ended_ms`, in milliseconds since the Unix epoch.
     pub fn record_crash(
         &mut self,
         life: TargetIncarnation,
         mut digests: Vec<RequestDigest>,
         now: LocalMoment,
-        now_ms: u64,
+        ended_ms: u64,
     ) -> Vec<QuarantineChange> {
         if digests.is_empty() {
             return Vec::new();
@@ -135,7 +135,7 @@
 
         self.own.add_crash(TargetCrash {
             life,
-            at_ms: now_ms,
+            at_ms: ended_ms,
             digests,
         });
         self.rebuild(now)
--- a/crates/gate/src/runs.rs
+++ b/crates/gate/src/runs.rs
@@ -65,12 +65,12 @@
         None
     }
 
-    /// Records that the process of an incarnation of the target has ended, and returns the requests
+    /// Records that the process of an incarnation of the target has ended at `ended_at`, and returns the requests
     /// that may have run there at that moment.
     pub fn end_incarnation(
         &mut self,
         life: &TargetIncarnation,
-        now: LocalMoment,
+        ended_at: LocalMoment,
     ) -> Vec<RequestContent> {
         let running = self.running.extract_if(|_, run| run.life == *life);
         let mut ended: Vec<RequestContent> = running.map(|(_, run)| run.content).collect();
@@ -78,7 +78,7 @@
         for (at, run) in std::mem::take(&mut self.unresolved) {
             if run.life != *life {
                 self.unresolved.push_back((at, run));
-            } else if now.since(at) <= UNRESOLVED_TIME {
+            } else if ended_at.since(at) <= UNRESOLVED_TIME {
                 ended.push(run.content);
             }
         }
--- a/crates/gate/tests/gate/main.rs
+++ b/crates/gate/tests/gate/main.rs
@@ -6,6 +6,7 @@
 mod limits;
 mod link;
 mod memory;
+mod process_end;
 mod quarantine;
 mod quarantine_storm;
 mod responses;
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -19,7 +19,13 @@
     },
 };
 use rustix::net::sockopt;
-use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 use wagtail_core::{
     CoreError, Result,
     ports::{BodyStream, LocalFuture},
@@ -81,6 +87,25 @@
     }
 }
 
+/// `ConnectionCount` counts a connection as open until it is dropped.
+#[derive(Debug)]
+struct ConnectionCount(Rc<Cell<usize>>);
+
+impl ConnectionCount {
+    /// Adds a connection to a count.
+    fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+
+        Self(Rc::clone(count))
+    }
+}
+
+impl Drop for ConnectionCount {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// The longest body that is read only to be discarded, in bytes.
 const MAX_DISCARDED_BYTES: usize = 16 << 10;
 
@@ -93,6 +118,7 @@
     address: SocketAddr,
     options: PoolOptions,
     idle: Rc<RefCell<Vec<PooledConnection>>>,
+    open_connections: Rc<Cell<usize>>,
 }
 
 impl HttpPool {
@@ -107,6 +133,7 @@
             address,
             options,
             idle: Rc::default(),
+            open_connections: Rc::default(),
         }
     }
 
@@ -127,6 +154,14 @@
         matches!(opening, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
     }
 
+    /// Returns the number of connections, in use or idle, that neither side is known to have closed. One on which
+    /// nothing is read until its reader takes more counts as open.
+    pub fn open_connections(&self) -> usize {
+        self.drop_stale();
+
+        self.open_connections.get()
+    }
+
     /// Returns the address of the server.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -191,17 +226,23 @@
     /// long. The server may respond before a request was written to its end; its connection accepts no other
     /// one until then.
     fn take_idle(&self) -> Option<PooledConnection> {
-        let now = clock::now();
+        self.drop_stale();
         let mut idle = self.idle.borrow_mut();
-        // A later response may have stated a shorter time than an earlier one.
-        idle.retain(|connection| {
-            now.since(connection.idle_since) < connection.max_idle && !connection.sender.is_closed()
-        });
         let index = idle.iter().rposition(PooledConnection::accepts_request)?;
 
         Some(idle.remove(index))
     }
 
+    /// Drops the idle connections that are closed or have been idle for too long.
+    fn drop_stale(&self) {
+        let now = clock::now();
+
+        // A later response may have stated a shorter time than an earlier one.
+        self.idle.borrow_mut().retain(|connection| {
+            now.since(connection.idle_since) < connection.max_idle && !connection.sender.is_closed()
+        });
+    }
+
     /// Returns a connection to the pool after its response was read to the end. Drops it instead
     /// when it is closed or the pool is full.
     fn put_back(&self, mut connection: PooledConnection) {
@@ -241,7 +282,11 @@
             .map_err(|error| connect_error(&error))?;
 
         // Errors of the connection reach the callers through `sender`.
-        let driver = compio::runtime::spawn(async move { drop(connection.await) });
+        let count = ConnectionCount::new(&self.open_connections);
+        let driver = compio::runtime::spawn(async move {
+            drop(connection.await);
+            drop(count);
+        });
 
         Ok(PooledConnection {
             sender,
--- a/crates/net/tests/client.rs
+++ b/crates/net/tests/client.rs
@@ -273,6 +273,40 @@
     server.join().unwrap();
 }
 
+/// Guards against a server that seems to have ended while a connection to it is open, or to live after it closed all.
+#[test]
+fn a_connection_counts_as_open_until_the_server_closes_it() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (closing, is_idle) = mpsc::channel();
+    let server = thread::spawn(move || {
+        let (mut idle, _) = listener.accept().unwrap();
+        assert!(idle.read(&mut [0; 4_096]).unwrap() > 0);
+        idle.write_all(PLAIN_RESPONSE).unwrap();
+        is_idle.recv().unwrap();
+    });
+
+    Runtime::new().unwrap().block_on(async {
+        let options = PoolOptions {
+            max_idle: Duration::from_mins(1),
+            ..PoolOptions::default()
+        };
+        let pool = HttpPool::with_options(address, options);
+        assert_eq!(pool.open_connections(), 0);
+        assert!(succeeds(&pool).await);
+        assert_eq!(pool.open_connections(), 1);
+
+        closing.send(()).unwrap();
+        server.join().unwrap();
+        let is_closed = async {
+            while pool.open_connections() > 0 {
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        timeout(Duration::from_secs(10), is_closed).await.unwrap();
+    });
+}
+
 /// Reads a request and responds to it.
 fn respond_once(stream: &mut std::net::TcpStream) {
     assert!(stream.read(&mut [0; 4_096]).unwrap() > 0);
--- a/crates/route/src/hosts.rs
+++ b/crates/route/src/hosts.rs
@@ -1,6 +1,6 @@
 //! Route lookup by host and path prefix, and the weighted choice among a route's services.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 use wagtail_core::{
     routing::{CallerLimits, EntryKind, RouteSpec, RoutingConfig, ServiceEntry},
     slice::KeyHash,
@@ -89,6 +89,15 @@
         self.version
     }
 
+    /// Returns the longest time that a route gives its requests, or `None` without a route.
+    pub fn longest_timeout(&self) -> Option<Duration> {
+        self.hosts
+            .values()
+            .flatten()
+            .map(|route| route.timeout)
+            .max()
+    }
+
     /// Returns the limits on callers.
     pub fn limits(&self) -> &CallerLimits {
         &self.limits
--- a/crates/shard/src/keeper.rs
+++ b/crates/shard/src/keeper.rs
@@ -69,7 +69,8 @@
     Stale,
     /// It is the next one of the known incarnation.
     Current,
-    /// It is the first one of a new incarnation; the previous one has ended.
+    /// It is the first one of a new incarnation, and the previous one has ended. Or it shows that an incarnation
+    /// which was recorded as ended lives.
     NewIncarnation,
 }
 
@@ -229,9 +230,12 @@
         };
 
         if *life == heartbeat.life {
-            if heartbeat.sequence <= self.sequence || self.ended {
+            if heartbeat.sequence <= self.sequence {
                 return HeartbeatVerdict::Stale;
             }
+            if self.ended {
+                return self.revive(heartbeat, now);
+            }
             self.sequence = heartbeat.sequence;
             self.challenge = None;
             self.record_releases(heartbeat);
@@ -247,6 +251,18 @@
         HeartbeatVerdict::NewIncarnation
     }
 
+    /// Takes an incarnation that was recorded as ended back into service, with the keys that the table still assigns
+    /// to it, if it alone has sent heartbeats for `CHALLENGE_DURATION`. Those of a process that has ended arrive late
+    /// at most.
+    fn revive(&mut self, heartbeat: &TargetHeartbeat, now: LocalMoment) -> HeartbeatVerdict {
+        if !self.wins_challenge(heartbeat, now) {
+            return HeartbeatVerdict::Stale;
+        }
+
+        self.start_incarnation(heartbeat);
+        HeartbeatVerdict::NewIncarnation
+    }
+
     /// Returns whether an incarnation with an earlier start replaces the known one, because it
     /// alone has sent heartbeats for `CHALLENGE_DURATION`. Incarnations that were replaced before
     /// are never accepted again.
@@ -274,7 +290,7 @@
         }
     }
 
-    /// Records that the target's process has ended and drops its grants.
+    /// Records that the target's process has certainly ended and drops its grants.
     pub fn target_ended(&mut self) {
         self.ended = true;
         self.granted.clear();
--- a/crates/shard/tests/shard/decisions.rs
+++ b/crates/shard/tests/shard/decisions.rs
@@ -242,6 +242,30 @@
     assert!(verdicts.contains(&HeartbeatVerdict::NewIncarnation));
 }
 
+/// Guards against a target that was taken for ended and lives, whose heartbeats count as stale for as long as it does.
+#[test]
+fn an_incarnation_that_seemed_to_have_ended_returns_when_it_alone_sends() {
+    let mut table = RangeTable::new();
+    table.assign(0, LAST_KEY, &holder("a", 1));
+    let mut keeper = GrantKeeper::new(Arc::from("a"), KeeperOptions::default(), at(0));
+    keeper.accept(&heartbeat("a", 1, 1, Vec::new(), Vec::new()), at(0));
+    keeper.target_ended();
+
+    // One that was under way when the process ended, and its repeat.
+    for now in [870, 4_000] {
+        let late = heartbeat("a", 1, 2, Vec::new(), Vec::new());
+        assert_eq!(keeper.accept(&late, at(now)), HeartbeatVerdict::Stale);
+    }
+    let next = heartbeat("a", 1, 3, Vec::new(), Vec::new());
+    assert_eq!(
+        keeper.accept(&next, at(4_100)),
+        HeartbeatVerdict::NewIncarnation
+    );
+
+    confirm_table(&mut keeper, &table, at(4_100));
+    assert_matches!(keeper.reply(&next, at(4_100), at(4_100)).grant, Some(_));
+}
+
 #[test]
 fn an_answer_that_comes_too_late_grants_nothing() {
     let mut table = RangeTable::new();
--- a/crates/sidecar/src/proxy/crashes.rs
+++ b/crates/sidecar/src/proxy/crashes.rs
@@ -10,6 +10,7 @@
 use wagtail_core::{
     digest::{RequestContent, RequestDigest},
     heartbeat::TargetIncarnation,
+    units::LocalMoment,
 };
 use wagtail_gate::{crash_report::CrashReport, quarantine::RequestStanding, runs::RunEnd};
 use wagtail_net::clock;
@@ -34,10 +35,17 @@
     }
 
     /// Records that a request is about to be sent to the target.
-    pub(super) fn begin_run(&self, ticket: u64, route: &Arc<str>, content: RequestContent) {
+    pub(super) fn begin_run(
+        &self,
+        ticket: u64,
+        route: &Arc<str>,
+        content: RequestContent,
+        deadline: LocalMoment,
+    ) {
+        let now = clock::now();
         let state = &mut *self.state.borrow_mut();
-        let durations = state.shutdown.durations();
-        durations.begin(ticket, route, clock::now());
+        state.shutdown.durations().begin(ticket, route, now);
+        state.end_detector.begin(ticket, deadline, now);
 
         if let Some(life) = state.keeper.life() {
             state.runs.begin(ticket, life.clone(), content);
@@ -50,6 +58,9 @@
         let succeeded = {
             let mut state = self.state.borrow_mut();
             state.shutdown.durations().end(ticket, now);
+            if end != RunEnd::Unresolved {
+                state.end_detector.settle(ticket);
+            }
             state.runs.finish(ticket, end, now)
         };
 
@@ -58,10 +69,14 @@
         }
     }
 
-    /// Records that the process of an incarnation of the target has ended without a leave.
-    pub(super) fn record_crash(&self, life: &TargetIncarnation, reason: &str) {
-        let now = clock::now();
-        let ended = self.state.borrow_mut().runs.end_incarnation(life, now);
+    /// Records that the process of an incarnation of the target has ended at `ended_at` without a leave.
+    pub(super) fn record_crash(
+        &self,
+        life: &TargetIncarnation,
+        reason: &str,
+        ended_at: LocalMoment,
+    ) {
+        let ended = self.state.borrow_mut().runs.end_incarnation(life, ended_at);
         let mut digests: Vec<RequestDigest> = ended.iter().map(RequestContent::digest).collect();
         digests.sort_unstable();
         digests.dedup();
@@ -71,7 +86,7 @@
             event = "target-ended", life = %life, reason, running = ended.len(),
             digests = names.join(",")
         );
-        self.view.quarantine().record_crash(life, digests);
+        self.view.quarantine().record_crash(life, digests, ended_at);
         self.crashed.notify(usize::MAX);
     }
 
@@ -91,15 +106,19 @@
     /// Records that another incarnation of the target has started. The one before has ended, which
     /// is a crash unless it was leaving or is known to have ended.
     pub(super) fn record_replaced(&self, next_life: &TargetIncarnation) {
-        let previous = {
+        let (previous, suspected_at) = {
             let mut state = self.state.borrow_mut();
             let is_known = state.ended || state.leaving_since.is_some();
             let previous = state.incarnation.replace(next_life.clone());
-            previous.filter(|_| !is_known)
+            (
+                previous.filter(|_| !is_known),
+                state.end_detector.suspected_at(),
+            )
         };
 
         if let Some(life) = previous {
-            self.record_crash(&life, "another incarnation has started");
+            let ended_at = suspected_at.unwrap_or_else(clock::now);
+            self.record_crash(&life, "another incarnation has started", ended_at);
         }
     }
 }
--- a/crates/sidecar/src/proxy/dispatch.rs
+++ b/crates/sidecar/src/proxy/dispatch.rs
@@ -1,7 +1,7 @@
 //! Sends requests to the target and classifies its responses.
 
 use super::{
-    TargetProxy,
+    TARGET_UNREACHABLE, TargetProxy,
     replies::elsewhere,
     slots::{SlotBody, SlotGuard},
 };
@@ -11,15 +11,12 @@
     ports::{RequestFields, ResponseFields},
 };
 use bytes::Bytes;
-use compio::time::{sleep, timeout};
+use compio::time::timeout;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri};
 use http_body_util::Full;
 use std::{sync::Arc, time::Duration};
 use tracing::warn;
-use wagtail_core::{
-    CoreError, Result, heartbeat::TargetIncarnation, ports::BodyStream, units::LocalMoment,
-    verdict::RunVerdict,
-};
+use wagtail_core::{CoreError, Result, ports::BodyStream, units::LocalMoment, verdict::RunVerdict};
 use wagtail_gate::{response::ResponseKind, runs::RunEnd};
 use wagtail_net::{client::PooledResponse, clock, deadline::DeadlineBody, headers};
 use wagtail_peer::{answer::PeerResponse, body::BodyBuffer, stream::WholeBody};
@@ -33,10 +30,6 @@
 /// The weight of the latest result in the moving average of failures.
 const FAILURE_WEIGHT: f32 = 0.05;
 
-/// The delay before a refused connection is confirmed by a second attempt. If that is refused too,
-/// the target's process counts as ended.
-const REFUSAL_CONFIRM_DELAY: Duration = Duration::from_millis(60);
-
 impl TargetProxy {
     /// Sends a request to the target and returns the reply for the caller's node.
     pub(super) async fn dispatch(
@@ -65,7 +58,7 @@
                 guard.run_end.set(RunEnd::Settled);
                 drop(guard);
                 self.check_process();
-                return self.not_run(elsewhere("target-unreachable"));
+                return self.not_run(elsewhere(TARGET_UNREACHABLE));
             }
             Ok(Err(error)) => {
                 self.record_result(true);
@@ -230,55 +223,6 @@
         Ok(http_request)
     }
 
-    /// Checks in the background whether the target's process has ended. If it has, its keys can be
-    /// freed without waiting for its grants to lapse.
-    pub(super) fn check_process(&self) {
-        let Some(life) = self.state.borrow().keeper.life().cloned() else {
-            return;
-        };
-        if std::mem::replace(&mut self.state.borrow_mut().checking, true) {
-            return;
-        }
-        let proxy = self.clone();
-
-        compio::runtime::spawn(async move {
-            let has_ended = proxy.refuses_connections().await;
-            proxy.state.borrow_mut().checking = false;
-            if has_ended {
-                proxy.end_target(&life);
-            }
-        })
-        .detach();
-    }
-
-    /// Returns whether the target's port refuses two connections, `REFUSAL_CONFIRM_DELAY` apart.
-    async fn refuses_connections(&self) -> bool {
-        if !self.pool.refuses_connections().await {
-            return false;
-        }
-        sleep(REFUSAL_CONFIRM_DELAY).await;
-
-        self.pool.refuses_connections().await
-    }
-
-    /// Records that the process of an incarnation of the target has ended, unless that is known, or
-    /// it is leaving: a leaving target may close its port while it still runs requests.
-    fn end_target(&self, life: &TargetIncarnation) {
-        let actions = {
-            let mut state = self.state.borrow_mut();
-            if state.keeper.life() != Some(life) || state.leaving_since.is_some() || state.ended {
-                return;
-            }
-            state.ended = true;
-            state.keeper.target_ended();
-            state.gate.target_ended(clock::now());
-            state.gate.set_closed(true)
-        };
-
-        self.record_crash(life, "connections are refused");
-        self.apply_actions(actions);
-    }
-
     /// Updates the moving average of failures with the result of a request.
     pub(super) fn record_result(&self, failed: bool) {
         let mut state = self.state.borrow_mut();
--- a/crates/sidecar/src/proxy/mod.rs
+++ b/crates/sidecar/src/proxy/mod.rs
@@ -4,6 +4,7 @@
 //! - `dispatch`: sends the request to the target and classifies its response.
 //! - `crashes`: what ran at the target when its process ended.
 //! - `slots`: guards that free a slot or a queue position when they are dropped.
+//! - `ending`: watches whether the target's process has ended.
 //! - `evacuation`: refuses requests while the zone of the target is evacuated.
 //! - `warmth`: protects a cold target.
 //! - `notices`: what the target states about itself in its responses.
@@ -11,6 +12,7 @@
 
 mod crashes;
 mod dispatch;
+mod ending;
 mod evacuation;
 mod notices;
 mod replies;
@@ -39,6 +41,7 @@
     capacity::CapacityOptions,
     limit::LimitOptions,
     origins::RouteOrigins,
+    process_end::{EndDetector, EndOptions},
     runs::RunTracker,
     shutdown::{ShutdownGate, ShutdownPlan},
     sizes::ResponseSizes,
@@ -59,6 +62,9 @@
 /// The reason code of a refusal by a node that is shutting down.
 pub const NODE_STOPPING: &str = "node-stopping";
 
+/// The reason code of a refusal because the target refuses connections.
+const TARGET_UNREACHABLE: &str = "target-unreachable";
+
 /// The time limit for opening a connection to the target.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -107,11 +113,12 @@
     response_sizes: ResponseSizes,
     notices: NoticeState,
     runs: RunTracker,
+    end_detector: EndDetector,
     shutdown: ShutdownGate,
     /// The latest incarnation of the target that has sent a heartbeat.
     incarnation: Option<TargetIncarnation>,
-    /// Whether a task checks if the target's process has ended.
-    checking: bool,
+    /// The incarnation of the target whose process a task checks.
+    checked: Option<TargetIncarnation>,
     slots: u32,
     leaving_since: Option<LocalMoment>,
     /// The end of the drain time of a leaving target with keys.
@@ -158,9 +165,10 @@
             response_sizes: ResponseSizes::default(),
             notices: NoticeState::default(),
             runs: RunTracker::default(),
+            end_detector: EndDetector::new(EndOptions::default(), clock::now()),
             shutdown: ShutdownGate::default(),
             incarnation: None,
-            checking: false,
+            checked: None,
             slots: 0,
             leaving_since: None,
             serving_until: None,
@@ -212,6 +220,7 @@
         let actions = {
             let mut state = self.state.borrow_mut();
             state.ended = false;
+            state.end_detector.begin_incarnation();
             state.leaving_since = has_departed.then_some(now);
             state.serving_until = None;
             state.failed_share = 0.0;
@@ -239,6 +248,7 @@
         let actions = {
             let mut state = self.state.borrow_mut();
             state.last_heartbeat = Some(now);
+            state.end_detector.heard(now);
             state.slots = target_heartbeat.slots;
             state.gate.set_slots(target_heartbeat.slots, now)
         };
--- a/crates/sidecar/src/proxy/serve.rs
+++ b/crates/sidecar/src/proxy/serve.rs
@@ -1,7 +1,7 @@
 //! Decides whether and when a request may run at the target.
 
 use super::{
-    NODE_STOPPING, SLOW_PACE, TargetProxy, replies,
+    NODE_STOPPING, SLOW_PACE, TARGET_UNREACHABLE, TargetProxy, replies,
     slots::{Admission, SlotGuard},
 };
 use crate::{
@@ -110,7 +110,7 @@
             return self.not_run(refusal);
         }
 
-        self.begin_run(guard.ticket, &dispatch_head.route, content);
+        self.begin_run(guard.ticket, &dispatch_head.route, content, deadline);
         started.set(Some(clock::now()));
         let mut response = self.dispatch(dispatch_head, body, deadline, guard).await;
         if let Some(promise) = promise {
@@ -276,6 +276,8 @@
             "other-service"
         } else if state.ended || state.keeper.life().is_none() {
             "target-down"
+        } else if state.leaving_since.is_none() && state.end_detector.is_refusing() {
+            TARGET_UNREACHABLE
         } else if state.stopping {
             // A request that started now would be cut off by the end of the process.
             NODE_STOPPING
--- a/crates/sidecar/src/quarantine.rs
+++ b/crates/sidecar/src/quarantine.rs
@@ -5,6 +5,7 @@
 use wagtail_core::{
     digest::{RequestContent, RequestDigest},
     heartbeat::TargetIncarnation,
+    units::LocalMoment,
 };
 use wagtail_gate::{
     crash_report::CrashReport,
@@ -35,14 +36,21 @@
         quarantine.standing(&content.digest(), clock::now())
     }
 
-    /// Records the requests that ran when the target of this node crashed.
-    pub fn record_crash(&self, life: &TargetIncarnation, digests: Vec<RequestDigest>) {
-        let (now, now_ms) = (clock::now(), clock::unix_millis());
+    /// Records the requests that ran when the target of this node crashed, at `ended_at`.
+    pub fn record_crash(
+        &self,
+        life: &TargetIncarnation,
+        digests: Vec<RequestDigest>,
+        ended_at: LocalMoment,
+    ) {
+        let now = clock::now();
+        let known_for = u64::try_from(now.since(ended_at).as_millis()).unwrap_or_default();
+        let ended_ms = clock::unix_millis().saturating_sub(known_for);
 
-        let changes = self
-            .quarantine
-            .borrow_mut()
-            .record_crash(life.clone(), digests, now, now_ms);
+        let changes =
+            self.quarantine
+                .borrow_mut()
+                .record_crash(life.clone(), digests, now, ended_ms);
         log_changes(changes);
     }
 
