--- a/crates/shard/src/departures.rs
+++ b/crates/shard/src/departures.rs
@@ -38,6 +38,21 @@
         }
     }
 
+    /// Returns the number of departures.
+    pub fn len(&self) -> usize {
+        self.departures.len()
+    }
+
+    /// Returns the departure of the target that started last.
+    pub fn latest(&self) -> Option<&TargetDeparture> {
+        self.departures.last()
+    }
+
+    /// Returns whether the list holds no departure.
+    pub fn is_empty(&self) -> bool {
+        self.departures.is_empty()
+    }
+
     /// Adds the departures of another list.
     pub fn merge(&mut self, other: &Self) {
         for departure in &other.departures {
--- a/crates/shard/src/lib.rs
+++ b/crates/shard/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`sender`]: which heartbeats come from the target of a node.
 //! - [`table`]: the assignment table and the operations that change it.
 //! - [`departures`]: the targets that have announced their leave.
+//! - [`facts`]: what the record of a node states for good.
 //! - [`keeper`]: the node's grants to its target in reply to heartbeats.
 //! - [`planner`]: plans which target holds which range.
 //! - [`balance`]: selects the moves that balance the load.
@@ -18,6 +19,7 @@
 
 pub mod balance;
 pub mod departures;
+pub mod facts;
 pub mod keeper;
 pub mod load;
 pub mod planner;
--- a/crates/shard/tests/shard/main.rs
+++ b/crates/shard/tests/shard/main.rs
@@ -3,6 +3,7 @@
 mod decisions;
 mod departures;
 mod evacuations;
+mod facts;
 mod fleet_reads;
 mod node_calls;
 mod random_faults;
--- a/crates/sidecar/src/forward/mod.rs
+++ b/crates/sidecar/src/forward/mod.rs
@@ -321,6 +321,27 @@
         }
     }
 
+    /// Returns what the present process of a node may not know of its target: what the target stated to an earlier
+    /// process, or that it has announced its leave.
+    fn notice_for(&self, node: &Arc<str>) -> Option<TargetNotice> {
+        let stated = self.notices.borrow().get(node).cloned();
+        let record = self.view.node(node);
+        let departure = record
+            .as_ref()
+            .and_then(|record| record.departures.latest());
+
+        match departure {
+            Some(departure)
+                if stated
+                    .as_ref()
+                    .is_none_or(|notice| departure.covers(&notice.life)) =>
+            {
+                Some(TargetNotice::from(departure))
+            }
+            _ => stated,
+        }
+    }
+
     /// Records what a node reported of its target, so that a later process of that node learns of it.
     fn record_notice(&self, node: &Arc<str>, report: NoticeReport) {
         let mut notices = self.notices.borrow_mut();
@@ -367,7 +388,7 @@
         let dispatch_head = DispatchHead {
             elapsed_ms: millis(job.waited + now.since(job.started_at)),
             time_left_ms: millis(useful_until.since(now)),
-            notice: self.notices.borrow().get(node).cloned(),
+            notice: self.notice_for(node),
             accepted_wait_ms,
             ..job.dispatch_head.clone()
         };
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod proxy;
 pub mod quarantine;
 pub mod record;
+mod record_restore;
 pub mod relay;
 pub mod run;
 pub mod settings;
--- a/crates/sidecar/src/messages.rs
+++ b/crates/sidecar/src/messages.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use wagtail_core::{
     digest::RequestContent,
-    heartbeat::TargetIncarnation,
+    heartbeat::{TargetDeparture, TargetIncarnation},
     notice::RequestRate,
     objects::{StoreError, StoreRevision, StoredObject},
     request::HeaderField,
@@ -65,11 +65,11 @@
     }
 }
 
-/// `TargetNotice` is what a target has stated about itself in its responses.
+/// `TargetNotice` is what a target has stated about itself in its responses, or its departure.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct TargetNotice {
-    /// The run of the target.
+    /// The run of the target; of a departure, the latest one that it covers.
     pub life: TargetIncarnation,
     /// The rate of requests that it accepts from all nodes together; `None` without a limit.
     pub limit: Option<RequestRate>,
@@ -77,6 +77,19 @@
     pub is_leaving: bool,
 }
 
+impl From<&TargetDeparture> for TargetNotice {
+    fn from(departure: &TargetDeparture) -> Self {
+        Self {
+            life: TargetIncarnation {
+                started_ms: departure.started_until_ms,
+                id: Arc::clone(&departure.id),
+            },
+            limit: None,
+            is_leaving: true,
+        }
+    }
+}
+
 /// `NoticeReport` tells another node what this one knows from responses of its target.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/sidecar/src/node_record.rs
+++ b/crates/sidecar/src/node_record.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, sync::Arc};
 use wagtail_gate::crash_report::CrashReport;
-use wagtail_shard::departures::DepartureList;
+use wagtail_shard::{departures::DepartureList, facts::NodeFacts};
 
 /// The prefix of the names of objects that hold a node record.
 const NODE_PREFIX: &str = "node.";
@@ -32,6 +32,26 @@
     pub crashes: CrashReport,
 }
 
+impl NodeRecord {
+    /// Returns what the record states for good.
+    pub fn facts(&self) -> NodeFacts {
+        NodeFacts {
+            departures: self.departures.clone(),
+            crashes: self.crashes.clone(),
+        }
+    }
+
+    /// Returns the record with all that is known for good.
+    #[must_use]
+    pub fn with_facts(self, facts: NodeFacts) -> Self {
+        Self {
+            departures: facts.departures,
+            crashes: facts.crashes,
+            ..self
+        }
+    }
+}
+
 /// Returns the name of the object that holds the record of a node.
 pub fn record_name(node: &str) -> String {
     format!("{NODE_PREFIX}{node}")
--- a/crates/sidecar/src/proxy/crashes.rs
+++ b/crates/sidecar/src/proxy/crashes.rs
@@ -14,6 +14,7 @@
 };
 use wagtail_gate::{crash_report::CrashReport, quarantine::RequestStanding, runs::RunEnd};
 use wagtail_net::clock;
+use wagtail_shard::departures::DepartureList;
 
 impl TargetProxy {
     /// Returns the refusal of a request that may not run at all, or not beside those that run now.
@@ -95,6 +96,16 @@
         self.crashed.listen().await;
     }
 
+    /// Returns the departures of this node's targets, with what its earlier processes have stored.
+    pub fn departures(&self) -> DepartureList {
+        let mut departures = self.with_keeper(|keeper| keeper.departures().clone());
+        if let Some(record) = self.view.node(&self.settings.node) {
+            departures.merge(&record.departures);
+        }
+
+        departures
+    }
+
     /// Returns the report of this node on crashes, with what its earlier processes have stored.
     pub fn crash_report(&self) -> CrashReport {
         let record = self.view.node(&self.settings.node);
--- a/crates/sidecar/src/proxy/notices.rs
+++ b/crates/sidecar/src/proxy/notices.rs
@@ -125,13 +125,16 @@
     /// final. A limit holds until the target responds to this process.
     pub(super) fn apply_notice(&self, notice: &TargetNotice) {
         let is_present = self.state.borrow().keeper.life() == Some(&notice.life);
+        let departure = TargetDeparture::from(&notice.life);
         let is_news =
             notice.is_leaving && self.with_keeper(|keeper| !keeper.has_departed(&notice.life));
         if is_news {
-            info!(event = "target-leave-reported", life = %notice.life, is_present);
-            self.with_keeper(|keeper| keeper.depart(TargetDeparture::from(&notice.life)));
+            let is_covered =
+                self.with_keeper(|keeper| keeper.life().is_some_and(|life| departure.covers(life)));
+            info!(event = "target-leave-reported", life = %notice.life, is_present = is_covered);
+            self.with_keeper(|keeper| keeper.depart(departure));
             self.departed.notify(usize::MAX);
-            if is_present {
+            if is_covered {
                 self.leave_at_once(clock::now());
             }
         }
--- a/crates/sidecar/src/record.rs
+++ b/crates/sidecar/src/record.rs
@@ -31,13 +31,36 @@
         service: Arc::clone(&settings.service),
         slots: proxy.slots(),
         ready: proxy.is_ready(),
-        departures: proxy.with_keeper(|keeper| keeper.departures().clone()),
+        departures: proxy.departures(),
         crashes: proxy.crash_report(),
     }
 }
 
+/// Spawns the tasks that publish the record of this node after a crash of its target, and after the store may have
+/// lost it.
+pub fn spawn_publication(
+    settings: &Rc<SidecarSettings>,
+    proxy: &TargetProxy,
+    publisher: &RecordPublisher,
+    view: FleetView,
+) {
+    compio::runtime::spawn(publish_crashes(
+        Rc::clone(settings),
+        proxy.clone(),
+        publisher.clone(),
+    ))
+    .detach();
+    compio::runtime::spawn(publish_after_losses(
+        Rc::clone(settings),
+        proxy.clone(),
+        publisher.clone(),
+        view,
+    ))
+    .detach();
+}
+
 /// Publishes the record of this node whenever its target has crashed. Runs until it is dropped.
-pub async fn publish_crashes(
+async fn publish_crashes(
     settings: Rc<SidecarSettings>,
     proxy: TargetProxy,
     publisher: RecordPublisher,
@@ -50,7 +73,7 @@
 
 /// Publishes the record of this node whenever the store may have lost it: it has returned from a copy, or another
 /// writer has put something else in its place. Runs until it is dropped.
-pub async fn publish_after_losses(
+async fn publish_after_losses(
     settings: Rc<SidecarSettings>,
     proxy: TargetProxy,
     publisher: RecordPublisher,
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -15,7 +15,8 @@
     planning::{PlannerActivity, PlannerTask},
     ports::WireDialect,
     proxy::TargetProxy,
-    record::{RecordPublisher, publish_after_losses, publish_crashes},
+    record::{RecordPublisher, spawn_publication},
+    record_restore::RecordRestorer,
     relay::StoreRelay,
     settings::SidecarSettings,
     tables::TableReader,
@@ -257,19 +258,13 @@
             self.relay.clone(),
             Rc::clone(&self.store),
         );
-        compio::runtime::spawn(publish_after_losses(
-            Rc::clone(&self.settings),
-            self.proxy.clone(),
-            record.clone(),
+        spawn_publication(&self.settings, &self.proxy, &record, self.view.clone());
+        let restorer = RecordRestorer::new(
+            Arc::clone(&self.settings.node),
             self.view.clone(),
-        ))
-        .detach();
-        compio::runtime::spawn(publish_crashes(
-            Rc::clone(&self.settings),
-            self.proxy.clone(),
-            record.clone(),
-        ))
-        .detach();
+            self.relay.clone(),
+        );
+        compio::runtime::spawn(restorer.run()).detach();
         let heartbeats = Rc::new(HeartbeatHandler::new(
             Rc::clone(&self.settings),
             Rc::clone(&self.dialect),
--- a/crates/sidecar/src/view.rs
+++ b/crates/sidecar/src/view.rs
@@ -26,7 +26,9 @@
     routing::RoutingConfig,
     units::LocalMoment,
 };
+use wagtail_net::clock;
 use wagtail_route::hosts::HostTable;
+use wagtail_shard::facts::FactMemory;
 
 /// The kind of the stored objects that the nodes share: node records and assignment tables.
 pub const FLEET_KIND: &str = "fleet";
@@ -40,6 +42,7 @@
     /// The revisions of the objects that cannot be read, by name.
     unreadable: Rc<RefCell<BTreeMap<Arc<str>, StoreRevision>>>,
     nodes: Rc<RefCell<NodeIndex>>,
+    facts: Rc<RefCell<FactMemory>>,
     tables: Rc<RefCell<BTreeMap<Arc<str>, Rc<VersionedTable>>>>,
     fleet_revision: Rc<Cell<StoreRevision>>,
     newest_revision: Rc<Cell<StoreRevision>>,
@@ -420,11 +423,29 @@
         unreadable.get(name).copied().unwrap_or_default()
     }
 
-    /// Applies the record of a node from an object at a revision.
+    /// Returns the nodes whose stored records lack what they stated before the store returned from a copy.
+    pub fn lost_records(&self) -> Vec<Arc<str>> {
+        self.facts.borrow().lost().cloned().collect()
+    }
+
+    /// Returns whether the stored record of a node lacks what it stated before the store returned from a copy.
+    pub fn is_lost(&self, node: &str) -> bool {
+        self.facts.borrow().is_lost(node)
+    }
+
+    /// Applies the record of a node from an object at a revision, with what earlier ones stated for good.
     fn apply_record(&self, record: NodeRecord, revision: StoreRevision) {
+        let facts = self.facts.borrow_mut().record(
+            &record.node,
+            record.facts(),
+            revision,
+            clock::unix_millis(),
+        );
+        let is_lost = self.is_lost(&record.node);
+        let record = record.with_facts(facts);
         info!(
             event = "node-seen", node = %record.node, service = %record.service,
-            ready = record.ready, %revision
+            ready = record.ready, departures = record.departures.len(), is_lost, %revision
         );
         self.quarantine.set_report(&record.node, &record.crashes);
         self.nodes.borrow_mut().insert(record);
--- a/crates/sidecar/tests/proxy.rs
+++ b/crates/sidecar/tests/proxy.rs
@@ -285,6 +285,19 @@
     });
 }
 
+/// Guards against requests to a target whose leave, which names no run, only other nodes still know.
+#[test]
+fn a_leave_that_covers_the_run_of_the_target_counts() {
+    Runtime::new().unwrap().block_on(async {
+        let proxy = proxy();
+
+        let reason = refusal_reason(&proxy, &head_with_notice(7, true, None)).await;
+
+        assert_eq!(reason, "target-leaving");
+        assert!(!proxy.is_ready());
+    });
+}
+
 #[test]
 fn a_leave_of_an_earlier_run_of_the_target_does_not_count() {
     Runtime::new().unwrap().block_on(async {
--- a/crates/sidecar/tests/view.rs
+++ b/crates/sidecar/tests/view.rs
@@ -4,6 +4,7 @@
 use futures_util::future::join;
 use std::{sync::Arc, time::Duration};
 use wagtail_core::{
+    heartbeat::{TargetDeparture, TargetIncarnation},
     objects::{ObjectChange, StoreRevision, StoredObject},
     routing::RoutingConfig,
     units::LocalMoment,
@@ -403,3 +404,36 @@
         assert_eq!(changes, None);
     });
 }
+
+/// Guards against a departure that all nodes forget when the store returns from a copy, while the node of the target is
+/// restarted and writes a record without it.
+#[test]
+fn a_departure_that_the_store_lost_is_known_and_to_be_restored() {
+    let life = TargetIncarnation {
+        started_ms: 1,
+        id: Arc::from("i-1"),
+    };
+    let mut departures = DepartureList::default();
+    departures.add(TargetDeparture::from(&life));
+    let known_record = NodeRecord {
+        departures,
+        ..serde_json::from_str(&record("n1", 1, false).content).unwrap()
+    };
+    let content = serde_json::to_string(&known_record).unwrap();
+    let in_next_era = |number: u64, object: StoredObject| StoredObject {
+        revision: StoreRevision::new(1, number),
+        ..object
+    };
+    let view = FleetView::default();
+    view.apply_object(object(&record_name("n1"), 9, content.clone()));
+    assert!(view.lost_records().is_empty());
+
+    for number in [5, 6] {
+        view.apply_object(in_next_era(number, record("n1", 1, true)));
+        assert!(view.node("n1").unwrap().departures.covers(&life));
+        assert_eq!(view.lost_records(), [Arc::from("n1")]);
+    }
+
+    view.apply_object(in_next_era(7, object(&record_name("n1"), 1, content)));
+    assert!(view.lost_records().is_empty());
+}
