--- a/crates/gate/src/crash_report.rs
+++ b/crates/gate/src/crash_report.rs
@@ -16,6 +16,54 @@
 /// The maximum number of cleared requests in a report.
 const MAX_CLEARED: usize = 64;
 
+/// `RunSpan` is when a run began and when its target ended, in microseconds since the Unix epoch, by the clock of the
+/// target's VM. It is written as the beginning and the duration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+#[serde(into = "(u64, u64)", from = "(u64, u64)")]
+pub struct RunSpan {
+    /// When the request was sent to the target.
+    pub began_us: u64,
+    /// When the target ended, as far as its node saw.
+    pub ended_us: u64,
+}
+
+impl From<RunSpan> for (u64, u64) {
+    fn from(span: RunSpan) -> Self {
+        (span.began_us, span.ended_us.saturating_sub(span.began_us))
+    }
+}
+
+impl From<(u64, u64)> for RunSpan {
+    fn from((began_us, took_us): (u64, u64)) -> Self {
+        Self {
+            began_us,
+            ended_us: began_us.saturating_add(took_us),
+        }
+    }
+}
+
+/// `CrashedRun` is a run of a request that may have been under way when its target ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CrashedRun {
+    /// The request.
+    pub digest: RequestDigest,
+    /// When it ran, if that is known.
+    pub span: Option<RunSpan>,
+    /// Whether its caller's node sent it after an earlier run of it had failed.
+    pub is_repeat: bool,
+}
+
+impl From<RequestDigest> for CrashedRun {
+    fn from(digest: RequestDigest) -> Self {
+        Self {
+            digest,
+            span: None,
+            is_repeat: false,
+        }
+    }
+}
+
 /// `TargetCrash` is an end of a target's process, with the requests that ran there.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -26,6 +74,40 @@
     pub at_ms: u64,
     /// The requests that ran, in ascending order.
     pub digests: Vec<RequestDigest>,
+    /// When each of them ran, in the same order; empty if that is not known.
+    #[serde(default)]
+    pub spans: Vec<RunSpan>,
+    /// Those of them that were sent after an earlier run had failed.
+    #[serde(default)]
+    pub repeats: Vec<RequestDigest>,
+}
+
+impl TargetCrash {
+    /// Creates a crash of an incarnation from its runs, at most one for each request.
+    pub fn new(life: TargetIncarnation, at_ms: u64, mut runs: Vec<CrashedRun>) -> Self {
+        runs.sort_unstable_by_key(|run| run.digest);
+        let spans = runs.iter().map(|run| run.span).collect::<Option<Vec<_>>>();
+        let repeats = runs.iter().filter(|run| run.is_repeat);
+
+        Self {
+            life,
+            at_ms,
+            repeats: repeats.map(|run| run.digest).collect(),
+            digests: runs.into_iter().map(|run| run.digest).collect(),
+            spans: spans.unwrap_or_default(),
+        }
+    }
+
+    /// Returns the runs.
+    pub fn runs(&self) -> impl Iterator<Item = CrashedRun> {
+        let digests = self.digests.iter().enumerate();
+
+        digests.map(|(index, digest)| CrashedRun {
+            digest: *digest,
+            span: self.spans.get(index).copied(),
+            is_repeat: self.repeats.contains(digest),
+        })
+    }
 }
 
 /// `ClearedRequest` is a request that has succeeded after targets had crashed under it.
--- a/crates/gate/src/process_end.rs
+++ b/crates/gate/src/process_end.rs
@@ -61,7 +61,8 @@
     /// Since when connections are refused without a sign of life.
     refused_since: Option<LocalMoment>,
     last_refusal: LocalMoment,
-    /// The first refusal after the last heartbeat, whether or not connections were accepted since.
+    /// The first failure after the last heartbeat that a refusal followed, or has yet to follow, whether or not
+    /// connections were accepted since.
     suspected_at: Option<LocalMoment>,
 }
 
@@ -102,6 +103,11 @@
         self.unfinished.remove(&ticket);
     }
 
+    /// Records that a connection broke off or was refused, which may be the end of the process.
+    pub fn connection_failed(&mut self, now: LocalMoment) {
+        self.suspected_at.get_or_insert(now);
+    }
+
     /// Records that the target has refused a connection.
     pub fn connection_refused(&mut self, now: LocalMoment) {
         self.refused_since.get_or_insert(now);
@@ -111,7 +117,9 @@
 
     /// Records that the target did not refuse a connection.
     pub fn connection_accepted(&mut self) {
-        self.refused_since = None;
+        if self.refused_since.take().is_none() {
+            self.suspected_at = None;
+        }
     }
 
     /// Records a heartbeat. Only refusals after it count.
--- a/crates/gate/src/quarantine.rs
+++ b/crates/gate/src/quarantine.rs
@@ -6,11 +6,12 @@
 //! tells which of them is the cause.
 //!
 //! Pattern: targets that end at the same moment, by a common cause, while popular requests run at all of them. A
-//! request that ends its target takes the next one down only after the first, so crashes that different nodes report
-//! for the same moment count once against a request.
+//! request that ends its target runs at the next one only after the first has ended. So crashes that different nodes
+//! report for the same moment count once against a request, unless its run began after the first of them.
 
 use crate::crash_report::{
-    ClearedRequest, CrashReport, MAX_CRASH_REQUESTS, QUARANTINE_TIME, TargetCrash,
+    ClearedRequest, CrashReport, CrashedRun, MAX_CRASH_REQUESTS, QUARANTINE_TIME, RunSpan,
+    TargetCrash,
 };
 use std::{
     cmp::Reverse,
@@ -26,9 +27,12 @@
 /// do not bring it close to a refusal.
 const MIN_CLEARED_CRASHES: usize = 2;
 
-/// The time within which crashes beside different nodes count as one against a request, in milliseconds. A request
-/// that is sent again after a crash takes longer to end the next target.
-const SAME_MOMENT_MS: u64 = 8;
+/// The time within which crashes beside different nodes count as one against a request whose runs overlapped, in
+/// microseconds.
+const SAME_MOMENT_US: u64 = 8_000;
+
+/// Microseconds per millisecond.
+const MICROS_PER_MILLI: u64 = 1_000;
 
 /// `RequestStanding` is what the crashes that count against a request mean for it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -51,13 +55,35 @@
     cleared: BTreeSet<TargetIncarnation>,
 }
 
-/// `CrashMoment` is when and by whom a crash was noticed.
+/// `CrashMoment` is when and by whom a crash was noticed, and when the request ran.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 struct CrashMoment {
-    /// The time in milliseconds since the Unix epoch.
-    at_ms: u64,
+    /// The time in microseconds since the Unix epoch.
+    at_us: u64,
     /// The node that reported it; `None` for this one.
     node: Option<Arc<str>>,
+    run: CrashedRun,
+}
+
+impl CrashMoment {
+    /// Creates the moment of a crash for one of its runs.
+    fn new(crash: &TargetCrash, run: CrashedRun, node: Option<Arc<str>>) -> Self {
+        let known_us = run.span.map(|span| span.ended_us);
+
+        Self {
+            at_us: known_us.unwrap_or(crash.at_ms.saturating_mul(MICROS_PER_MILLI)),
+            node,
+            run,
+        }
+    }
+
+    /// Returns whether the request was sent because an earlier run of it had failed, the one that ended at
+    /// `earlier_us` at the latest. Its caller's node knows of its own attempts. Other callers are told by the time.
+    fn follows(&self, earlier_us: u64) -> bool {
+        let has_begun_later = |span: RunSpan| span.began_us > earlier_us;
+
+        self.run.is_repeat || self.run.span.is_some_and(has_begun_later)
+    }
 }
 
 impl SuspectRequest {
@@ -120,24 +146,20 @@
     pub fn record_crash(
         &mut self,
         life: TargetIncarnation,
-        mut digests: Vec<RequestDigest>,
+        runs: Vec<impl Into<CrashedRun>>,
         now: LocalMoment,
         ended_ms: u64,
     ) -> Vec<QuarantineChange> {
-        if digests.is_empty() {
+        if runs.is_empty() {
             return Vec::new();
         }
-        // If not all can be named, those that ran at other crashes are.
-        digests.sort_by_key(|digest| (Reverse(self.standing(digest, now)), *digest));
-        digests.dedup();
-        digests.truncate(MAX_CRASH_REQUESTS);
-        digests.sort_unstable();
-
-        self.own.add_crash(TargetCrash {
-            life,
-            at_ms: ended_ms,
-            digests,
-        });
+        let mut runs: Vec<CrashedRun> = runs.into_iter().map(Into::into).collect();
+        // If not all can be named, those that ran at other crashes are. Of several runs, the first one counts.
+        runs.sort_by_key(|run| (Reverse(self.standing(&run.digest, now)), *run));
+        runs.dedup_by_key(|run| run.digest);
+        runs.truncate(MAX_CRASH_REQUESTS);
+
+        self.own.add_crash(TargetCrash::new(life, ended_ms, runs));
         self.rebuild(now)
     }
 
@@ -260,12 +282,9 @@
         for (node, report) in std::iter::once((None, &self.own)).chain(others) {
             for crash in report.crashes() {
                 lives.insert(crash.life.clone());
-                for digest in &crash.digests {
-                    let suspect = suspects.entry(*digest).or_default();
-                    let moment = CrashMoment {
-                        at_ms: crash.at_ms,
-                        node: node.cloned(),
-                    };
+                for run in crash.runs() {
+                    let suspect = suspects.entry(run.digest).or_default();
+                    let moment = CrashMoment::new(crash, run, node.cloned());
                     suspect.lives.entry(crash.life.clone()).or_insert(moment);
                 }
             }
@@ -336,7 +355,8 @@
     }
 }
 
-/// Returns how many crashes count, with those that different nodes noticed at the same moment as one.
+/// Returns how many crashes count, with those that different nodes noticed at the same moment as one, unless the request
+/// ran after the first of them.
 fn count_moments<'a>(crashes: impl Iterator<Item = &'a CrashMoment>) -> usize {
     let mut crashes: Vec<&CrashMoment> = crashes.collect();
     crashes.sort_unstable();
@@ -344,15 +364,16 @@
     let mut moment: Option<(u64, Vec<&Option<Arc<str>>>)> = None;
 
     for crash in crashes {
-        if let Some((began_ms, nodes)) = &mut moment
-            && crash.at_ms - *began_ms <= SAME_MOMENT_MS
+        if let Some((began_us, nodes)) = &mut moment
+            && crash.at_us - *began_us <= SAME_MOMENT_US
             && !nodes.contains(&&crash.node)
+            && !crash.follows(*began_us)
         {
             nodes.push(&crash.node);
             continue;
         }
         count += 1;
-        moment = Some((crash.at_ms, vec![&crash.node]));
+        moment = Some((crash.at_us, vec![&crash.node]));
     }
 
     count
--- a/crates/gate/src/runs.rs
+++ b/crates/gate/src/runs.rs
@@ -23,11 +23,40 @@
     Unresolved,
 }
 
+/// `RunOrigin` tells when and why a request was sent to the target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RunOrigin {
+    /// When it was sent.
+    pub began_at: LocalMoment,
+    /// Whether its caller's node sent it after an earlier run of it had failed.
+    pub is_repeat: bool,
+}
+
+/// `EndedRun` is a request that may have run when the process of the target ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EndedRun {
+    /// The content of the request.
+    pub content: RequestContent,
+    /// When and why it was sent.
+    pub origin: RunOrigin,
+}
+
 /// `TargetRun` is a request that was sent to an incarnation of the target.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct TargetRun {
     life: TargetIncarnation,
     content: RequestContent,
+    origin: RunOrigin,
+}
+
+impl TargetRun {
+    /// Returns the run as one that the end of the process may have cut off.
+    fn end(self) -> EndedRun {
+        EndedRun {
+            content: self.content,
+            origin: self.origin,
+        }
+    }
 }
 
 /// `RunTracker` holds the requests that run at the target, and those that may still run there.
@@ -39,8 +68,19 @@
 
 impl RunTracker {
     /// Records that a request is sent to an incarnation of the target. `ticket` identifies it.
-    pub fn begin(&mut self, ticket: u64, life: TargetIncarnation, content: RequestContent) {
-        self.running.insert(ticket, TargetRun { life, content });
+    pub fn begin(
+        &mut self,
+        ticket: u64,
+        life: TargetIncarnation,
+        content: RequestContent,
+        origin: RunOrigin,
+    ) {
+        let run = TargetRun {
+            life,
+            content,
+            origin,
+        };
+        self.running.insert(ticket, run);
     }
 
     /// Returns the contents of the requests that run.
@@ -71,15 +111,15 @@
         &mut self,
         life: &TargetIncarnation,
         ended_at: LocalMoment,
-    ) -> Vec<RequestContent> {
+    ) -> Vec<EndedRun> {
         let running = self.running.extract_if(|_, run| run.life == *life);
-        let mut ended: Vec<RequestContent> = running.map(|(_, run)| run.content).collect();
+        let mut ended: Vec<EndedRun> = running.map(|(_, run)| run.end()).collect();
 
         for (at, run) in std::mem::take(&mut self.unresolved) {
             if run.life != *life {
                 self.unresolved.push_back((at, run));
             } else if ended_at.since(at) <= UNRESOLVED_TIME {
-                ended.push(run.content);
+                ended.push(run.end());
             }
         }
         ended
--- a/crates/gate/tests/gate/main.rs
+++ b/crates/gate/tests/gate/main.rs
@@ -8,6 +8,7 @@
 mod memory;
 mod process_end;
 mod quarantine;
+mod quarantine_repeats;
 mod quarantine_storm;
 mod responses;
 mod runs;
--- a/crates/gate/tests/gate/process_end.rs
+++ b/crates/gate/tests/gate/process_end.rs
@@ -134,3 +134,24 @@
     accepted.connection_refused(at(11_060));
     assert!(!accepted.is_refusing());
 }
+
+/// Guards against a crash whose time is that of a later refusal, so that a repeat seems to have begun before it, and
+/// against the time of a failure that was none.
+#[test]
+fn a_process_is_suspected_from_the_first_failure_on() {
+    let mut ended = detector(0);
+    ended.connection_failed(at(10_990));
+    assert_eq!(
+        state_after_refusals(&mut ended, NO_CONNECTIONS),
+        ProcessState::Ended
+    );
+    assert_eq!(ended.suspected_at(), Some(at(10_990)));
+    // The next process listens before it sends a heartbeat.
+    ended.connection_accepted();
+    assert_eq!(ended.suspected_at(), Some(at(10_990)));
+
+    let mut alive = detector(0);
+    alive.connection_failed(at(10_990));
+    alive.connection_accepted();
+    assert_eq!(alive.suspected_at(), None);
+}
--- a/crates/logs/tests/lines.rs
+++ b/crates/logs/tests/lines.rs
@@ -58,6 +58,7 @@
         headers: Vec::new(),
         notice: None,
         accepted_wait_ms: None,
+        is_repeat: false,
     }
 }
 
--- a/crates/net/src/clock.rs
+++ b/crates/net/src/clock.rs
@@ -7,6 +7,9 @@
 /// Nanoseconds per microsecond.
 const NANOS_PER_MICRO: i64 = 1_000;
 
+/// Microseconds per millisecond.
+const MICROS_PER_MILLI: u64 = 1_000;
+
 /// Microseconds per second.
 const MICROS_PER_SECOND: u64 = 1_000_000;
 
@@ -22,11 +25,16 @@
     LocalMoment::from_micros(seconds * MICROS_PER_SECOND + micros)
 }
 
-/// Returns the time of day in milliseconds since the Unix epoch, or 0 before that.
-pub fn unix_millis() -> u64 {
+/// Returns the time of day in microseconds since the Unix epoch, or 0 before that.
+pub fn unix_micros() -> u64 {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .map_or(0, |elapsed| {
-            u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+            u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX)
         })
 }
+
+/// Returns the time of day in milliseconds since the Unix epoch, or 0 before that.
+pub fn unix_millis() -> u64 {
+    unix_micros() / MICROS_PER_MILLI
+}
--- a/crates/route/src/attempts.rs
+++ b/crates/route/src/attempts.rs
@@ -55,6 +55,11 @@
         self.failure.clone().or_else(silence)
     }
 
+    /// Returns whether an ended attempt may have run and has no response.
+    pub fn has_failed(&self) -> bool {
+        self.failure.is_some()
+    }
+
     /// Returns whether the request may have run.
     pub fn may_have_run(&self) -> bool {
         self.failure.is_some() || self.silent > 0
--- a/crates/shard/tests/shard/facts.rs
+++ b/crates/shard/tests/shard/facts.rs
@@ -17,11 +17,7 @@
     let mut departures = DepartureList::default();
     departures.add(TargetDeparture::from(&life("a", 1)));
     let mut crashes = CrashReport::default();
-    crashes.add_crash(TargetCrash {
-        life: life("a", 2),
-        at_ms: NOW_MS,
-        digests: Vec::new(),
-    });
+    crashes.add_crash(TargetCrash::new(life("a", 2), NOW_MS, Vec::new()));
 
     NodeFacts {
         departures,
--- a/crates/sidecar/src/forward/job.rs
+++ b/crates/sidecar/src/forward/job.rs
@@ -30,6 +30,15 @@
     pub asked: RefCell<Vec<Arc<str>>>,
 }
 
+/// `AttemptTerms` is what distinguishes an attempt of a request from the others.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct AttemptTerms {
+    /// The wait for a slot, in milliseconds, above which the target's node declines the request.
+    pub(super) accepted_wait_ms: Option<u32>,
+    /// Whether an earlier attempt may have run and has failed.
+    pub(super) is_repeat: bool,
+}
+
 /// `ForwardAttempts` holds the results of the attempts made so far for a request.
 #[derive(Debug, Default)]
 pub(super) struct ForwardAttempts {
--- a/crates/sidecar/src/forward/mod.rs
+++ b/crates/sidecar/src/forward/mod.rs
@@ -25,7 +25,7 @@
     future::{Either, pending, select},
     stream::FuturesUnordered,
 };
-use job::{EndedAttempt, ForwardAttempts};
+use job::{AttemptTerms, EndedAttempt, ForwardAttempts};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use std::{
@@ -150,8 +150,11 @@
                 let ordinal = job.asked.borrow().len();
                 job.asked.borrow_mut().push(Arc::clone(&node));
                 self.picker.borrow_mut().sent(&node);
-                let accepted_wait_ms = self.accepted_wait_ms(job, &attempts);
-                in_flight.push(self.attempt(job, node, ordinal, accepted_wait_ms, silence.clone()));
+                let terms = AttemptTerms {
+                    accepted_wait_ms: self.accepted_wait_ms(job, &attempts),
+                    is_repeat: attempts.record.has_failed(),
+                };
+                in_flight.push(self.attempt(job, node, ordinal, terms, silence.clone()));
                 heard = Some((ordinal, silence));
             }
             if in_flight.is_empty() {
@@ -207,11 +210,11 @@
         job: &ForwardJob,
         node: Arc<str>,
         ordinal: usize,
-        accepted_wait_ms: Option<u32>,
+        terms: AttemptTerms,
         silence: StopSignal,
     ) -> EndedAttempt {
         let sent_at = clock::now();
-        let response = self.send(job, &node, accepted_wait_ms, silence).await;
+        let response = self.send(job, &node, terms, silence).await;
 
         EndedAttempt {
             node,
@@ -380,7 +383,7 @@
         &self,
         job: &ForwardJob,
         node: &Arc<str>,
-        accepted_wait_ms: Option<u32>,
+        terms: AttemptTerms,
         silence: StopSignal,
     ) -> Result<PeerResponse<PeerReply>, CoreError> {
         let now = clock::now();
@@ -389,7 +392,8 @@
             elapsed_ms: millis(job.waited + now.since(job.started_at)),
             time_left_ms: millis(useful_until.since(now)),
             notice: self.notice_for(node),
-            accepted_wait_ms,
+            accepted_wait_ms: terms.accepted_wait_ms,
+            is_repeat: terms.is_repeat,
             ..job.dispatch_head.clone()
         };
         if *node == self.settings.node {
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -233,6 +233,7 @@
             headers: end_to_end(&parts.headers),
             notice: None,
             accepted_wait_ms: None,
+            is_repeat: false,
         };
 
         Ok(ForwardJob {
--- a/crates/sidecar/src/messages.rs
+++ b/crates/sidecar/src/messages.rs
@@ -51,6 +51,8 @@
     /// The wait for a slot, in milliseconds, above which the target's node declines the request, as another
     /// target may have a free slot. `None` if the request waits in any case.
     pub accepted_wait_ms: Option<u32>,
+    /// Whether the sending node has sent the request before, to a target that may have run it and failed.
+    pub is_repeat: bool,
 }
 
 impl DispatchHead {
--- a/crates/sidecar/src/proxy/crashes.rs
+++ b/crates/sidecar/src/proxy/crashes.rs
@@ -2,17 +2,20 @@
 
 use super::{TargetProxy, replies};
 use crate::{
-    messages::NotRunFields,
+    messages::{DispatchHead, NotRunFields},
     quarantine::{ISOLATED, QUARANTINED},
 };
-use std::sync::Arc;
 use tracing::warn;
 use wagtail_core::{
     digest::{RequestContent, RequestDigest},
     heartbeat::TargetIncarnation,
     units::LocalMoment,
 };
-use wagtail_gate::{crash_report::CrashReport, quarantine::RequestStanding, runs::RunEnd};
+use wagtail_gate::{
+    crash_report::CrashReport,
+    quarantine::RequestStanding,
+    runs::{RunEnd, RunOrigin},
+};
 use wagtail_net::clock;
 use wagtail_shard::departures::DepartureList;
 
@@ -39,17 +42,24 @@
     pub(super) fn begin_run(
         &self,
         ticket: u64,
-        route: &Arc<str>,
+        dispatch_head: &DispatchHead,
         content: RequestContent,
         deadline: LocalMoment,
     ) {
         let now = clock::now();
         let state = &mut *self.state.borrow_mut();
-        state.shutdown.durations().begin(ticket, route, now);
+        state
+            .shutdown
+            .durations()
+            .begin(ticket, &dispatch_head.route, now);
         state.end_detector.begin(ticket, deadline, now);
 
         if let Some(life) = state.keeper.life() {
-            state.runs.begin(ticket, life.clone(), content);
+            let origin = RunOrigin {
+                began_at: now,
+                is_repeat: dispatch_head.is_repeat,
+            };
+            state.runs.begin(ticket, life.clone(), content, origin);
         }
     }
 
@@ -78,7 +88,8 @@
         ended_at: LocalMoment,
     ) {
         let ended = self.state.borrow_mut().runs.end_incarnation(life, ended_at);
-        let mut digests: Vec<RequestDigest> = ended.iter().map(RequestContent::digest).collect();
+        let mut digests: Vec<RequestDigest> =
+            ended.iter().map(|run| run.content.digest()).collect();
         digests.sort_unstable();
         digests.dedup();
 
@@ -87,7 +98,7 @@
             event = "target-ended", life = %life, reason, running = ended.len(),
             digests = names.join(",")
         );
-        self.view.quarantine().record_crash(life, digests, ended_at);
+        self.view.quarantine().record_crash(life, &ended, ended_at);
         self.crashed.notify(usize::MAX);
     }
 
--- a/crates/sidecar/src/proxy/ending.rs
+++ b/crates/sidecar/src/proxy/ending.rs
@@ -24,10 +24,14 @@
         let Some(life) = self.state.borrow().keeper.life().cloned() else {
             return;
         };
-        if self.state.borrow().checked.as_ref() == Some(&life) {
+        let checked = {
+            let mut state = self.state.borrow_mut();
+            state.end_detector.connection_failed(clock::now());
+            state.checked.replace(life.clone())
+        };
+        if checked.as_ref() == Some(&life) {
             return;
         }
-        self.state.borrow_mut().checked = Some(life.clone());
         let proxy = self.clone();
 
         compio::runtime::spawn(async move {
--- a/crates/sidecar/src/proxy/serve.rs
+++ b/crates/sidecar/src/proxy/serve.rs
@@ -110,7 +110,7 @@
             return self.not_run(refusal);
         }
 
-        self.begin_run(guard.ticket, &dispatch_head.route, content, deadline);
+        self.begin_run(guard.ticket, dispatch_head, content, deadline);
         started.set(Some(clock::now()));
         let mut response = self.dispatch(dispatch_head, body, deadline, guard).await;
         if let Some(promise) = promise {
--- a/crates/sidecar/src/quarantine.rs
+++ b/crates/sidecar/src/quarantine.rs
@@ -2,14 +2,11 @@
 
 use std::{cell::RefCell, rc::Rc, sync::Arc};
 use tracing::warn;
-use wagtail_core::{
-    digest::{RequestContent, RequestDigest},
-    heartbeat::TargetIncarnation,
-    units::LocalMoment,
-};
+use wagtail_core::{digest::RequestContent, heartbeat::TargetIncarnation, units::LocalMoment};
 use wagtail_gate::{
-    crash_report::CrashReport,
+    crash_report::{CrashReport, CrashedRun, RunSpan},
     quarantine::{QuarantineChange, RequestQuarantine, RequestStanding},
+    runs::EndedRun,
 };
 use wagtail_net::clock;
 
@@ -19,6 +16,9 @@
 /// The reason code of a request that may not run beside another one that is suspected as well.
 pub const ISOLATED: &str = "request-isolated";
 
+/// Microseconds per millisecond.
+const MICROS_PER_MILLI: u64 = 1_000;
+
 /// `FleetQuarantine` holds the crashes that the nodes have reported. Clones share it.
 #[derive(Debug, Clone, Default)]
 pub struct FleetQuarantine {
@@ -40,17 +40,33 @@
     pub fn record_crash(
         &self,
         life: &TargetIncarnation,
-        digests: Vec<RequestDigest>,
+        ended: &[EndedRun],
         ended_at: LocalMoment,
     ) {
-        let now = clock::now();
-        let known_for = u64::try_from(now.since(ended_at).as_millis()).unwrap_or_default();
-        let ended_ms = clock::unix_millis().saturating_sub(known_for);
+        let (now, now_us) = (clock::now(), clock::unix_micros());
+        let unix_us = |at: LocalMoment| {
+            let passed_us = u64::try_from(now.since(at).as_micros()).unwrap_or_default();
+            now_us.saturating_sub(passed_us)
+        };
+        let ended_us = unix_us(ended_at);
+        let runs: Vec<CrashedRun> = ended
+            .iter()
+            .map(|run| CrashedRun {
+                digest: run.content.digest(),
+                span: Some(RunSpan {
+                    began_us: unix_us(run.origin.began_at),
+                    ended_us,
+                }),
+                is_repeat: run.origin.is_repeat,
+            })
+            .collect();
 
-        let changes =
-            self.quarantine
-                .borrow_mut()
-                .record_crash(life.clone(), digests, now, ended_ms);
+        let changes = self.quarantine.borrow_mut().record_crash(
+            life.clone(),
+            runs,
+            now,
+            ended_us / MICROS_PER_MILLI,
+        );
         log_changes(changes);
     }
 
--- a/crates/sidecar/src/record_restore.rs
+++ b/crates/sidecar/src/record_restore.rs
@@ -46,7 +46,7 @@
     /// Returns the other nodes whose records are to be restored.
     fn losses(&self) -> Vec<Arc<str>> {
         let mut lost = self.view.lost_records();
-        lost.retain(|recorded| *recorded != self.node);
+        lost.retain(|recorded| *recorded != self.node && self.view.node(recorded).is_some());
 
         lost
     }
@@ -83,7 +83,6 @@
         let name = record_name(recorded);
         let (Some(object), Some(record)) = (self.view.object(&name), self.view.node(recorded))
         else {
-            // The copy is from before the node's first record, which the node writes itself.
             return false;
         };
         let content: Arc<str> = match serde_json::to_string(&*record) {
--- a/crates/sidecar/tests/proxy.rs
+++ b/crates/sidecar/tests/proxy.rs
@@ -176,6 +176,7 @@
         headers: Vec::new(),
         notice: None,
         accepted_wait_ms: None,
+        is_repeat: false,
     }
 }
 
