--- a/crates/shard/tests/shard/main.rs
+++ b/crates/shard/tests/shard/main.rs
@@ -5,6 +5,7 @@
 mod evacuations;
 mod facts;
 mod fleet_reads;
+mod incarnations;
 mod node_calls;
 mod random_faults;
 mod recovery;
